--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,64 @@
+package fleet
+
+// Config is the declared configuration, which every entry holds a leased copy of.
+type Config struct {
+	Revision    Revision              `cbor:"1,keyasint" json:"revision"`
+	DataCentres map[string]DataCentre `cbor:"2,keyasint" json:"data_centres"`
+	Instances   map[string]Instance   `cbor:"3,keyasint" json:"instances"`
+	Pools       map[string]Pool       `cbor:"4,keyasint" json:"pools"`
+	Teams       map[string]Team       `cbor:"5,keyasint" json:"teams"`
+	Keys        map[string]Key        `cbor:"6,keyasint" json:"keys"`
+	Queues      map[string]Queue      `cbor:"7,keyasint" json:"queues"`
+	Services    map[string]Service    `cbor:"8,keyasint" json:"services"`
+}
+
+// State is the whole replicated state. Only Apply changes it, and only the
+// apply loop of a store calls Apply.
+type State struct {
+	// Applied is the log index of the last applied command.
+	Applied uint64 `cbor:"1,keyasint"`
+	// Now is the cluster time of the last applied command; it never decreases.
+	Now    Time   `cbor:"2,keyasint"`
+	Config Config `cbor:"3,keyasint"`
+
+	Status map[string]InstanceStatus  `cbor:"4,keyasint"`
+	Plans  map[string]MaintenancePlan `cbor:"5,keyasint"`
+	Jobs   map[string]*Job            `cbor:"6,keyasint"`
+	// Grants holds the units granted to each entry by team.
+	Grants map[string]map[string]int `cbor:"7,keyasint"`
+	Audit  []AuditRecord             `cbor:"8,keyasint"`
+	// Answers holds the first answers to operators' request identifiers, oldest
+	// first, and Answered indexes them.
+	Answers []Answer `cbor:"9,keyasint"`
+
+	answered map[string]int
+	running  map[string]int
+}
+
+// Answer is the remembered first answer to an operator's request identifier.
+type Answer struct {
+	RequestID   string `cbor:"1,keyasint"`
+	Fingerprint uint64 `cbor:"2,keyasint"`
+	Result      Result `cbor:"3,keyasint"`
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		Config: Config{
+			DataCentres: map[string]DataCentre{},
+			Instances:   map[string]Instance{},
+			Pools:       map[string]Pool{},
+			Teams:       map[string]Team{},
+			Keys:        map[string]Key{},
+			Queues:      map[string]Queue{},
+			Services:    map[string]Service{},
+		},
+		Status:   map[string]InstanceStatus{},
+		Plans:    map[string]MaintenancePlan{},
+		Jobs:     map[string]*Job{},
+		Grants:   map[string]map[string]int{},
+		answered: map[string]int{},
+		running:  map[string]int{},
+	}
+}
--- /dev/null
+++ b/internal/wire/conn_test.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, creds Credentials, handler Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := Accept(w, r, creds, handler)
+		if err == nil {
+			<-conn.Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func echoHandler(_ context.Context, req Request) (any, error) {
+	var msg JobWaitRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	if msg.ID == "refuse" {
+		return nil, &ErrorBody{Code: CodeNotLeader, Leader: "127.0.0.1:1"}
+	}
+	return msg, nil
+}
+
+// Guards against replies that reach another caller of the same connection.
+func TestCallReturnsItsOwnReply(t *testing.T) {
+	creds := Credentials{Instance: "a", Secret: []byte("secret of the fleet")}
+	addr := serve(t, creds, echoHandler)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := Dial(ctx, addr, creds, echoHandler)
+	require.NoError(t, err)
+	defer conn.Close()
+
+	errs := make(chan error, 50)
+	for i := range 50 {
+		go func() {
+			var got JobWaitRequest
+			want := strings.Repeat("x", i+1)
+			err := conn.Call(ctx, TypeJobWait, JobWaitRequest{ID: want}, &got)
+			if err == nil && got.ID != want {
+				err = ErrClosed
+			}
+			errs <- err
+		}()
+	}
+	for range 50 {
+		require.NoError(t, <-errs)
+	}
+
+	var body *ErrorBody
+	err = conn.Call(ctx, TypeJobWait, JobWaitRequest{ID: "refuse"}, nil)
+	require.ErrorAs(t, err, &body)
+	require.Equal(t, CodeNotLeader, body.Code)
+	require.Equal(t, "127.0.0.1:1", body.Leader)
+}
+
+// Guards against a process of another fleet, or of none, being taken as a peer.
+func TestWrongSecretIsRefused(t *testing.T) {
+	addr := serve(t, Credentials{Instance: "a", Secret: []byte("one secret")}, echoHandler)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := Dial(ctx, addr, Credentials{Instance: "b", Secret: []byte("another")}, echoHandler)
+	require.Error(t, err)
+}
+
+// Guards against a panic or an unbounded allocation on bytes from outside.
+func FuzzDecodeFrame(f *testing.F) {
+	f.Add([]byte{0xa2, 0x01, 0x01, 0x02, 0x05})
+	f.Add([]byte{0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = DecodeFrame(data)
+	})
+}
