--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -26,8 +26,12 @@
 	Path = "/peer"
 
 	handshakeTimeout = 2 * time.Second
-	writeTimeout     = 2 * time.Second
-	maxInFlight      = 4096
+	// A connection whose peer answers no ping within pingTimeout is closed, since
+	// TCP alone would keep a connection over a partition for many minutes.
+	pingInterval = time.Second
+	pingTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	maxInFlight  = 4096
 )
 
 // Sentinel errors of connections. After ErrNotSent the peer has not received the
@@ -127,9 +131,31 @@
 		waiting: map[uint64]chan Frame{},
 	}
 	go c.readLoop()
+	c.served.Add(1)
+	go c.pingLoop()
 	return c
 }
 
+func (c *Conn) pingLoop() {
+	defer c.served.Done()
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, pingTimeout)
+		err := c.ws.Ping(ctx)
+		cancel()
+		if err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
 // Peer returns the instance name that the peer stated in the handshake.
 func (c *Conn) Peer() string { return c.peer }
 
--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -5,7 +5,9 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +20,27 @@
 	Instance string
 	// Secret is shared by all processes of a fleet.
 	Secret []byte
+	// LocalIP is the source address of outgoing connections, so that an
+	// instance with several addresses is known by one; empty lets the system choose.
+	LocalIP string
+}
+
+// ListenIP returns the host part of a listen address for use as LocalIP, or
+// nothing when the address is unspecified.
+func ListenIP(listen string) string {
+	addr, err := netip.ParseAddrPort(listen)
+	if err != nil || addr.Addr().IsUnspecified() {
+		return ""
+	}
+	return addr.Addr().String()
+}
+
+func (c Credentials) httpClient() *http.Client {
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	if c.LocalIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.LocalIP)}
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
 }
 
 const nonceBytes = 32
@@ -38,7 +61,10 @@
 func Dial(ctx context.Context, addr string, creds Credentials, handler Handler) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled})
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{
+		HTTPClient:      creds.httpClient(),
+		CompressionMode: websocket.CompressionDisabled,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "wire: dial")
 	}
