--- /dev/null
+++ b/internal/simworker/worker.go
@@ -0,0 +1,271 @@
+package simworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/platform"
+	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	announceInterval = time.Second
+	announceTimeout  = 800 * time.Millisecond
+	retryInterval    = 50 * time.Millisecond
+	leaseCheck       = 50 * time.Millisecond
+	rememberSent     = 32
+)
+
+// ErrAnnounceRefused is an entry's refusal of an announcement.
+var ErrAnnounceRefused = errors.New("simworker: announcement refused")
+
+// Config holds the settings of a simulated worker.
+type Config struct {
+	Instance   string          `json:"instance"`
+	DataCentre string          `json:"data_centre"`
+	Rack       string          `json:"rack"`
+	Listen     string          `json:"listen"`
+	Entries    []string        `json:"entries"`
+	Capacity   fleet.Resources `json:"capacity"`
+	// History is the path of the event file; empty records nothing.
+	History string `json:"history,omitempty"`
+	// FailAll makes every task fail.
+	FailAll bool `json:"fail_all,omitempty"`
+	// RebootTime is how long the worker is away in a reboot.
+	RebootTime settings.Duration `json:"reboot_time,omitempty"`
+	// UsageLag is how long after its start a task's usage is first reported.
+	UsageLag settings.Duration `json:"usage_lag,omitempty"`
+}
+
+// Worker is a simulated worker. All fields below mu are guarded by it.
+type Worker struct {
+	cfg     Config
+	log     zerolog.Logger
+	history *history.Writer
+	client  *http.Client
+	wake    chan struct{}
+
+	mu          sync.Mutex
+	incarnation string
+	boots       int
+	sequence    uint64
+	sent        map[uint64]time.Time
+	entryLease  time.Time
+	leaderLease time.Time
+	tasks       map[string]*task
+	attempts    map[string]int
+	draining    bool
+	leaving     bool
+	rebootUntil time.Time
+	nextEntry   int
+}
+
+// New returns a worker that records to w, which may be nil.
+func New(cfg Config, w *history.Writer, log zerolog.Logger) *Worker {
+	worker := &Worker{
+		cfg:     cfg,
+		log:     log,
+		history: w,
+		client:  &http.Client{Timeout: announceTimeout},
+		wake:    make(chan struct{}, 1),
+	}
+	worker.boot(time.Now())
+	return worker
+}
+
+// boot starts a new incarnation without tasks. The caller holds the lock or is
+// the only user.
+func (w *Worker) boot(now time.Time) {
+	w.boots++
+	w.incarnation = fmt.Sprintf("%s-%d-%d", w.cfg.Instance, now.UnixNano(), w.boots)
+	w.sequence = 0
+	w.sent = map[uint64]time.Time{}
+	w.entryLease = time.Time{}
+	w.leaderLease = time.Time{}
+	w.tasks = map[string]*task{}
+	w.attempts = map[string]int{}
+	w.draining = false
+}
+
+func (w *Worker) changed() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run announces the worker and enforces leases until ctx ends. It then leaves:
+// it takes no more tasks, and returns when those it has are finished and reported.
+func (w *Worker) Run(ctx context.Context) {
+	loop, stop := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { w.announceLoop(loop) })
+	loops.Go(func() { w.leaseLoop(loop) })
+	<-ctx.Done()
+	w.leave()
+	w.waitIdle()
+	stop()
+	loops.Wait()
+}
+
+func (w *Worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+	w.draining = true
+	w.history.Record(history.Event{Kind: history.Leave})
+	w.changed()
+}
+
+func (w *Worker) waitIdle() {
+	for {
+		w.mu.Lock()
+		idle := len(w.tasks) == 0
+		w.mu.Unlock()
+		if idle {
+			return
+		}
+		time.Sleep(leaseCheck)
+	}
+}
+
+func (w *Worker) leaseLoop(ctx context.Context) {
+	ticker := time.NewTicker(leaseCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			w.enforceLeases(now)
+			w.finishReboot(now)
+		}
+	}
+}
+
+func (w *Worker) announceLoop(ctx context.Context) {
+	for {
+		interval := announceInterval
+		if !w.announce(ctx) {
+			interval = retryInterval
+		}
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-w.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// announce sends one announcement to an entry, the next one after a failure.
+func (w *Worker) announce(ctx context.Context) bool {
+	a, entry, ok := w.announcement(time.Now())
+	if !ok {
+		return true
+	}
+	reply, err := w.post(ctx, entry, a)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.nextEntry++
+		return false
+	}
+	if a.Incarnation == w.incarnation {
+		w.renew(a.Sequence, reply)
+	}
+	return true
+}
+
+func (w *Worker) announcement(now time.Time) (platform.Announcement, string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.rebootUntil.IsZero() {
+		return platform.Announcement{}, "", false
+	}
+	w.sequence++
+	w.sent[w.sequence] = now
+	delete(w.sent, w.sequence-rememberSent)
+	state := wire.WorkerState{
+		Instance:    w.cfg.Instance,
+		Incarnation: w.incarnation,
+		Address:     w.cfg.Listen,
+		DataCentre:  w.cfg.DataCentre,
+		Rack:        w.cfg.Rack,
+		Capacity:    w.cfg.Capacity,
+		Leaving:     w.leaving,
+		Tasks:       w.reports(now),
+	}
+	entry := w.cfg.Entries[w.nextEntry%len(w.cfg.Entries)]
+	return platform.Announcement{WorkerState: state, Sequence: w.sequence}, entry, true
+}
+
+func (w *Worker) reports(now time.Time) []wire.TaskReport {
+	reports := make([]wire.TaskReport, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		reports = append(reports, wire.TaskReport{
+			JobID:   t.key.JobID,
+			Attempt: t.key.Attempt,
+			State:   t.state,
+			Usage:   w.usage(t, now),
+			Result:  t.result,
+			Reason:  t.reason,
+		})
+	}
+	return reports
+}
+
+// renew extends the leases from the moments at which the acknowledged
+// announcements were sent. The caller holds the lock.
+func (w *Worker) renew(sequence uint64, reply platform.AnnounceReply) {
+	lease := time.Duration(reply.LeaseMS) * time.Millisecond
+	if sent, ok := w.sent[sequence]; ok {
+		w.entryLease = later(w.entryLease, sent.Add(lease))
+	}
+	if sent, ok := w.sent[reply.LeaderSequence]; ok {
+		w.leaderLease = later(w.leaderLease, sent.Add(lease))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (w *Worker) post(ctx context.Context, entry string, a platform.Announcement) (platform.AnnounceReply, error) {
+	var reply platform.AnnounceReply
+	body, err := json.Marshal(a)
+	if err != nil {
+		return reply, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+platform.AnnouncePath, bytes.NewReader(body))
+	if err != nil {
+		return reply, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return reply, errors.Wrapf(ErrAnnounceRefused, "status %d", resp.StatusCode)
+	}
+	return reply, json.NewDecoder(resp.Body).Decode(&reply)
+}
