--- /dev/null
+++ b/internal/fleet/apply_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRefusals guards against a command that is accepted against the rules, and
+// against a refused command that leaves a trace.
+func TestRefusals(t *testing.T) {
+	drained := func(in string) ChangeItem { return ChangeItem{Drain: &DrainRequest{Instance: in}} }
+	put := func(in Instance) ChangeItem { return ChangeItem{PutInstance: &in} }
+	del := func(k EntityKind, n string) ChangeItem { return ChangeItem{Delete: &EntityRef{k, n}} }
+	cases := []struct {
+		name  string
+		setup []Command
+		items []ChangeItem
+		cmd   Command
+		want  Code
+	}{
+		{name: "pool in use", items: []ChangeItem{del(EntityPool, "p")}, want: CodeInUse},
+		{name: "team with a key", items: []ChangeItem{del(EntityTeam, "a")}, want: CodeInUse},
+		{name: "data centre in use", items: []ChangeItem{del(EntityDataCentre, "dc")}, want: CodeInUse},
+		{name: "unknown entity", items: []ChangeItem{del(EntityPool, "x")}, want: CodeNotFound},
+		{name: "queue with jobs", setup: []Command{submit("j", "a", "q", true)}, items: []ChangeItem{del(EntityQueue, "q")}, want: CodeInUse},
+		{name: "queue without pool", items: []ChangeItem{{PutQueue: &Queue{Name: "n", Pool: "x", Class: ClassNormal, MaxQueuedPerTeam: 1}}}, want: CodeNotFound},
+		{name: "key of an unknown team", items: []ChangeItem{{IssueKey: &Key{ID: "n", Team: "x", SecretSHA256: testHash}}}, want: CodeNotFound},
+		{name: "key identifier reused", items: []ChangeItem{{WithdrawKey: "ka"}, {IssueKey: &Key{ID: "ka", Team: "a", SecretSHA256: testHash}}}, want: CodeInUse},
+		{name: "negative limit", items: []ChangeItem{{PutTeam: &Team{Name: "a", Share: 1, Limit: -1}}}, want: CodeInvalid},
+		{name: "share of zero", items: []ChangeItem{{PutTeam: &Team{Name: "a"}}}, want: CodeInvalid},
+		{name: "all items or none", items: []ChangeItem{{PutDataCentre: &DataCentre{Name: "n"}}, {}}, want: CodeInvalid},
+		{name: "busy instance changes pool", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1")},
+			items: []ChangeItem{put(Instance{Name: "w0", Pool: "spare", DataCentre: "dc", Kind: KindWorker})}, want: CodeInUse},
+		{name: "busy instance is moved", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1")},
+			cmd: Command{Move: &PoolMove{Instance: "w0", From: "p", To: "spare"}}, want: CodeInUse},
+		{name: "rack budget", items: []ChangeItem{drained("w0"), drained("w1")}, want: CodeBudget},
+		{name: "lost instances count", setup: []Command{observe(Observation{Instance: "w0", Lost: true}), observe(Observation{Instance: "w2", Lost: true})},
+			items: []ChangeItem{drained("w1")}, want: CodeBudget},
+		{name: "job without key", cmd: submit("j", "", "q", true), want: CodeUnauthorized},
+		{name: "key of another team", cmd: Command{Submit: &JobSubmit{ID: "j", Team: "a", KeyID: "kb", Queue: "q"}}, want: CodeUnauthorized},
+		{name: "identifier reused", setup: []Command{submit("j", "a", "q", true)}, cmd: submit("j", "a", "q", false), want: CodeRequestIDReused},
+		{name: "queue full", setup: []Command{submit("1", "a", "q", true), submit("2", "a", "q", true), submit("3", "a", "q", true)},
+			cmd: submit("4", "a", "q", true), want: CodeQueueFull},
+		{name: "other incarnation", setup: []Command{submit("j", "a", "q", true)}, cmd: assign("j", "w0", "2"), want: CodeStale},
+		{name: "lost worker", setup: []Command{submit("j", "a", "q", true), observe(Observation{Instance: "w0", Lost: true})}, cmd: assign("j", "w0", "1"), want: CodeStale},
+		{name: "quarantined worker", setup: []Command{submit("j", "a", "q", true), observe(Observation{Instance: "w0", QuarantineMS: 1000})}, cmd: assign("j", "w0", "1"), want: CodeStale},
+		{name: "no room", setup: []Command{submit("1", "a", "q", true), assign("1", "w0", "1"), submit("2", "b", "q", true), assign("2", "w0", "1"), submit("3", "", "open", true)},
+			cmd: assign("3", "w0", "1"), want: CodeStale},
+		{name: "team limit", setup: []Command{submit("1", "a", "q", true), {Grant: &GrantChange{"e", map[string]int{"a": 2}}}}, cmd: assign("1", "w0", "1"), want: CodeLimit},
+		{name: "grant over limit", setup: []Command{submit("1", "a", "q", true), assign("1", "w0", "1")}, cmd: Command{Grant: &GrantChange{"e", map[string]int{"a": 2}}}, want: CodeLimit},
+		{name: "older attempt", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1"), outcome("j", 1, OutcomeFailed), assign("j", "w1", "1")},
+			cmd: outcome("j", 1, OutcomeDone), want: CodeStale},
+		{name: "cancel of another team", setup: []Command{submit("j", "a", "q", true)}, cmd: Command{Cancel: &JobCancel{ID: "j", Team: "b"}}, want: CodeUnauthorized},
+		{name: "reboot of a busy instance", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1"), {Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Phase: PhaseDraining}}}}},
+			cmd: Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Phase: PhaseRebooting}}}}, want: CodeInUse},
+		{name: "no body", cmd: Command{}, want: CodeInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			for _, cmd := range c.setup {
+				w.accept(cmd)
+			}
+			if c.items != nil {
+				c.cmd = w.change(c.items...)
+			}
+			before := content(t, w.s)
+			require.Equal(t, c.want, code(w.do(c.cmd)))
+			require.Equal(t, before, content(t, w.s), "a refused command changed the state")
+		})
+	}
+}
+
+// TestAttemptEnds guards against a second run of a non-idempotent job, a lost
+// idempotent job, and a final record that says wrongly whether the job ran.
+func TestAttemptEnds(t *testing.T) {
+	lost := observe(Observation{Instance: "w0", Lost: true})
+	restart := observe(announced("w0", "2"))
+	cancel := Command{Cancel: &JobCancel{ID: "j", Team: "a"}}
+	cases := []struct {
+		name       string
+		idempotent bool
+		queue      string
+		then       []Command
+		want       JobState
+		notRun     bool
+	}{
+		{"done", false, "q", []Command{outcome("j", 1, OutcomeDone)}, JobDone, false},
+		{"not started", false, "q", []Command{outcome("j", 1, OutcomeNotStarted)}, JobQueued, false},
+		{"failed", false, "q", []Command{outcome("j", 1, OutcomeFailed)}, JobFailed, false},
+		{"failed, idempotent", true, "q", []Command{outcome("j", 1, OutcomeFailed)}, JobQueued, false},
+		{"stopped", false, "q", []Command{outcome("j", 1, OutcomeStopped)}, JobMayHaveRun, false},
+		{"worker lost", false, "q", []Command{lost}, JobMayHaveRun, false},
+		{"worker lost, idempotent", true, "q", []Command{lost}, JobQueued, false},
+		{"worker lost, kept", false, "watch", []Command{lost}, JobAssigned, false},
+		{"worker restarted", false, "q", []Command{restart}, JobMayHaveRun, false},
+		{"worker restarted, idempotent", true, "q", []Command{restart}, JobQueued, false},
+		{"outcome before restart", false, "q", []Command{outcome("j", 1, OutcomeDone), restart}, JobDone, false},
+		{"result after loss", false, "q", []Command{lost, outcome("j", 1, OutcomeDone)}, JobDone, false},
+		{"cancelled, not started", false, "q", []Command{cancel, outcome("j", 1, OutcomeNotStarted)}, JobCancelled, true},
+		{"cancelled, stopped", true, "q", []Command{cancel, outcome("j", 1, OutcomeStopped)}, JobCancelled, false},
+		{"cancelled, lost", true, "q", []Command{cancel, lost}, JobMayHaveRun, false},
+		{"not started, cancelled", false, "q", []Command{outcome("j", 1, OutcomeNotStarted), cancel}, JobCancelled, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.accept(submit("j", "a", c.queue, c.idempotent))
+			w.accept(assign("j", "w0", "1"))
+			for _, cmd := range c.then {
+				w.accept(cmd)
+			}
+			require.Equal(t, c.want, w.s.Jobs["j"].State)
+			require.Equal(t, c.notRun, w.s.Jobs["j"].NotRun)
+		})
+	}
+}
+
+// TestFirstAnswers guards against a resent change that is applied twice or
+// refused by the revision that it raised itself.
+func TestFirstAnswers(t *testing.T) {
+	w := newWorld(t)
+	first := w.change(ChangeItem{WithdrawKey: "ka"})
+	other := w.change(ChangeItem{WithdrawKey: "kb"})
+	other.Change.RequestID = "other"
+	r := w.accept(first)
+	require.Equal(t, Result{Revision: r.Revision, Resent: true}, w.do(first))
+	conflict := w.do(other)
+	require.Equal(t, CodeRevisionConflict, code(conflict))
+	require.Equal(t, r.Revision, conflict.Refusal.PresentRevision)
+	other.Change.RequestID = first.Change.RequestID
+	require.Equal(t, CodeRequestIDReused, code(w.do(other)))
+	require.False(t, w.s.Config.Keys["kb"].Withdrawn)
+	for i := range maxAnswers {
+		c := w.change(ChangeItem{PutDataCentre: &DataCentre{Name: "dc"}})
+		c.Change.RequestID = fmt.Sprint("more-", i)
+		w.accept(c)
+	}
+	require.Len(t, w.s.Answers, maxAnswers)
+	require.Len(t, w.s.Audit, maxAudit)
+	require.Equal(t, CodeRevisionConflict, code(w.do(first)), "the oldest answer is forgotten")
+}
+
+// TestWithdrawnKey guards against a job that is accepted after its key was
+// withdrawn, and against "not run" for a job that was accepted before.
+func TestWithdrawnKey(t *testing.T) {
+	w := newWorld(t)
+	w.accept(submit("j", "a", "q", true))
+	w.accept(w.change(ChangeItem{WithdrawKey: "ka"}))
+	require.Equal(t, CodeKeyWithdrawn, code(w.do(submit("new", "a", "q", true))))
+	require.True(t, w.accept(submit("j", "a", "q", true)).Resent)
+}
+
+// TestRetention guards against records that never go, results that go early, and
+// an expired identifier that runs again.
+func TestRetention(t *testing.T) {
+	w := newWorld(t)
+	late := submit("late", "a", "q", true)
+	late.Submit.Spec.DeadlineMS = 5
+	w.accept(late)
+	w.clock += 10
+	require.True(t, w.s.ExpireDue(w.clock))
+	w.accept(Command{Expire: &Expire{}})
+	require.Equal(t, JobCancelled, w.s.Jobs["late"].State)
+	require.True(t, w.s.Jobs["late"].NotRun)
+	w.clock = w.s.Jobs["late"].FinishedAt + jobRetentionMS - 2
+	w.accept(Command{Expire: &Expire{}})
+	require.NotNil(t, w.s.View("late"))
+	w.accept(Command{Expire: &Expire{}})
+	require.Nil(t, w.s.View("late"))
+	require.Equal(t, CodeExpired, code(w.do(late)))
+	w.clock += tombstoneRetentionMS
+	w.accept(Command{Expire: &Expire{}})
+	require.Empty(t, w.s.Tombstones)
+	for i := 0; ; i++ {
+		big := submit(fmt.Sprint("big", i), "", "open", true)
+		big.Submit.Spec.Payload = make([]byte, MaxBlobBytes)
+		if code(w.do(big)) == CodeQueueFull && w.s.Queued("open", "") < 3 {
+			require.Equal(t, MaxRetainedBytes, w.s.RetainedBytes())
+			break
+		}
+		w.accept(assign(big.Submit.ID, fmt.Sprint("w", i%3), "1"))
+		w.accept(Command{Outcome: &JobOutcomes{Outcomes: []JobOutcome{{JobID: big.Submit.ID, Attempt: 1, Kind: OutcomeDone, Result: make([]byte, MaxBlobBytes)}}}})
+	}
+}
+
+// TestMaintenancePlan guards against a plan that ends early or never, or that
+// leaves an instance out of service.
+func TestMaintenancePlan(t *testing.T) {
+	w := newWorld(t)
+	w.accept(w.change(ChangeItem{StartPlan: &MaintenancePlan{Name: "m", Pool: "p"}}))
+	for _, in := range []string{"w0", "w1", "w2"} {
+		require.Equal(t, PlanRunning, w.s.Plans["m"].State)
+		for _, phase := range []InstancePhase{PhaseDraining, PhaseRebooting, PhaseVerifying, PhaseActive} {
+			step := PhaseStep{Instance: in, Plan: "m", Phase: phase, Completed: phase == PhaseActive}
+			w.accept(Command{Maintenance: &PhaseChange{Steps: []PhaseStep{step}}})
+		}
+	}
+	require.Equal(t, PlanDone, w.s.Plans["m"].State)
+	require.Zero(t, w.s.Unavailable("p"))
+	w.accept(Command{InForce: &MarkInForce{Revision: w.s.Config.Revision}})
+	require.Equal(t, w.s.Now, w.s.Audit[len(w.s.Audit)-1].InForceAt)
+}
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -223,6 +223,7 @@
 	CodeLimit            Code = "limit"
 	CodeBudget           Code = "availability_budget"
 	CodeStale            Code = "stale"
+	CodeExpired          Code = "expired"
 )
 
 // Refusal is a typed rejection of a command. The state is unchanged.
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+)
+
+// changeTx collects the effects of a configuration change, so that all of its
+// items are applied or none. Items are checked by themselves as they come;
+// references are checked once at the end, so the order of items does not matter.
+type changeTx struct {
+	s      *State
+	cfg    *Config
+	status map[string]InstanceStatus
+	plans  map[string]MaintenancePlan
+	// lost lists the instances whose jobs end when the change is committed.
+	lost    []string
+	touched []EntityRef
+	deleted []EntityRef
+	summary []string
+	more    int
+}
+
+func (s *State) begin() *changeTx {
+	return &changeTx{
+		s:      s,
+		cfg:    s.Config.Clone(),
+		status: maps.Clone(s.Status),
+		plans:  maps.Clone(s.Plans),
+	}
+}
+
+// changeContent is what the fingerprint of a change covers.
+type changeContent struct {
+	Operator string
+	Expected Revision
+	Items    []ChangeItem
+}
+
+func (s *State) applyChange(c *ConfigChange, wall int64) Result {
+	if !validName(c.RequestID) || len(c.Operator) > maxNameBytes {
+		return refuse(CodeInvalid, "a change needs a request identifier of at most %d bytes", maxNameBytes)
+	}
+	print := fingerprint(changeContent{c.Operator, c.ExpectedRevision, c.Items})
+	if first, ok := s.firstAnswer(c.RequestID); ok {
+		return resend(first, print)
+	}
+	if c.ExpectedRevision != s.Config.Revision {
+		r := refuse(CodeRevisionConflict, "the present revision is %d", s.Config.Revision)
+		r.Refusal.PresentRevision = s.Config.Revision
+		return r
+	}
+	if len(c.Items) == 0 {
+		return refuse(CodeInvalid, "the change has no items")
+	}
+	tx := s.begin()
+	for i := range c.Items {
+		if ref := tx.item(&c.Items[i]); ref != nil {
+			ref.Message = fmt.Sprintf("item %d: %s", i, ref.Message)
+			return Result{Refusal: ref}
+		}
+	}
+	if ref := tx.checkReferences(); ref != nil {
+		return Result{Refusal: ref}
+	}
+	res := tx.commit(AuditRecord{RequestID: c.RequestID, Operator: c.Operator, WallUnixMS: wall})
+	s.remember(Answer{RequestID: c.RequestID, Fingerprint: print, Result: res})
+	return res
+}
+
+func resend(first Answer, print uint64) Result {
+	if first.Fingerprint != print {
+		return refuse(CodeRequestIDReused, "request identifier %q was used for another change", first.RequestID)
+	}
+	r := first.Result
+	r.Resent = true
+	return r
+}
+
+func (s *State) firstAnswer(id string) (Answer, bool) {
+	pos, ok := s.index.answered[id]
+	if !ok {
+		return Answer{}, false
+	}
+	return s.Answers[pos-s.index.answerBase], true
+}
+
+func (s *State) remember(a Answer) {
+	s.index.answered[a.RequestID] = s.index.answerBase + len(s.Answers)
+	s.Answers = append(s.Answers, a)
+	for len(s.Answers) > maxAnswers {
+		delete(s.index.answered, s.Answers[0].RequestID)
+		s.Answers = s.Answers[1:]
+		s.index.answerBase++
+	}
+}
+
+// commit makes the change the present configuration and raises the revision.
+func (tx *changeTx) commit(rec AuditRecord) Result {
+	s := tx.s
+	from := s.Config.Revision
+	tx.cfg.Revision = from + 1
+	s.Config = *tx.cfg
+	s.Status = tx.status
+	s.Plans = tx.plans
+	for _, name := range tx.lost {
+		s.endAssigned(name, endLost("declared lost by an operator"), func(*Job) bool { return true })
+	}
+	s.feed.record(s.Config.Revision, tx.touched)
+	s.finishPlans()
+	rec.From = from
+	rec.Revision = s.Config.Revision
+	rec.At = s.Now
+	rec.Summary = tx.lines()
+	s.Audit = append(s.Audit, rec)
+	if len(s.Audit) > maxAudit {
+		s.Audit = s.Audit[len(s.Audit)-maxAudit:]
+	}
+	return Result{Revision: s.Config.Revision}
+}
+
+func (tx *changeTx) note(format string, args ...any) {
+	if len(tx.summary) >= maxSummaryLines {
+		tx.more++
+		return
+	}
+	tx.summary = append(tx.summary, fmt.Sprintf(format, args...))
+}
+
+func (tx *changeTx) lines() []string {
+	if tx.more > 0 {
+		return append(tx.summary, fmt.Sprintf("and %d more", tx.more))
+	}
+	return tx.summary
+}
+
+func (tx *changeTx) touch(kind EntityKind, name string) {
+	tx.touched = append(tx.touched, EntityRef{Kind: kind, Name: name})
+}
--- /dev/null
+++ b/internal/fleet/config_items.go
@@ -0,0 +1,296 @@
+package fleet
+
+import (
+	"encoding/hex"
+	"strings"
+)
+
+// defaultDrainTimeoutMS applies to maintenance plans that state none.
+const defaultDrainTimeoutMS = 10 * 60 * 1000
+
+// item applies one item to the transaction.
+func (tx *changeTx) item(it *ChangeItem) *Refusal {
+	if it.fields() != 1 {
+		return refusal(CodeInvalid, "an item has exactly one field")
+	}
+	switch {
+	case it.PutDataCentre != nil:
+		return tx.putDataCentre(*it.PutDataCentre)
+	case it.PutInstance != nil:
+		return tx.putInstance(*it.PutInstance)
+	case it.PutPool != nil:
+		return tx.putPool(*it.PutPool)
+	case it.PutTeam != nil:
+		return tx.putTeam(*it.PutTeam)
+	case it.PutQueue != nil:
+		return tx.putQueue(*it.PutQueue)
+	case it.PutService != nil:
+		return tx.putService(*it.PutService)
+	case it.IssueKey != nil:
+		return tx.issueKey(*it.IssueKey)
+	case it.WithdrawKey != "":
+		return tx.withdrawKey(it.WithdrawKey)
+	case it.Delete != nil:
+		return tx.delete(*it.Delete)
+	case it.Drain != nil:
+		return tx.drain(*it.Drain)
+	case it.StartPlan != nil:
+		return tx.startPlan(*it.StartPlan)
+	case it.SetPlanState != nil:
+		return tx.setPlanState(*it.SetPlanState)
+	default:
+		return tx.declareLost(it.DeclareLost)
+	}
+}
+
+func (it *ChangeItem) fields() int {
+	set := []bool{
+		it.PutDataCentre != nil, it.PutInstance != nil, it.PutPool != nil, it.PutTeam != nil,
+		it.PutQueue != nil, it.PutService != nil, it.IssueKey != nil, it.WithdrawKey != "", it.Delete != nil,
+		it.Drain != nil, it.StartPlan != nil, it.SetPlanState != nil, it.DeclareLost != "",
+	}
+	n := 0
+	for _, b := range set {
+		if b {
+			n++
+		}
+	}
+	return n
+}
+
+func checkName(kind EntityKind, name string) *Refusal {
+	if !validName(name) {
+		return refusal(CodeInvalid, "the name of a %s has 1 to %d bytes", kind, maxNameBytes)
+	}
+	return nil
+}
+
+func (tx *changeTx) putDataCentre(v DataCentre) *Refusal {
+	if ref := checkName(EntityDataCentre, v.Name); ref != nil {
+		return ref
+	}
+	tx.cfg.DataCentres[v.Name] = v
+	tx.touch(EntityDataCentre, v.Name)
+	tx.note("put data centre %s", v.Name)
+	return nil
+}
+
+func (tx *changeTx) putInstance(v Instance) *Refusal {
+	if ref := checkName(EntityInstance, v.Name); ref != nil {
+		return ref
+	}
+	if v.Kind != KindWorker && v.Kind != KindBackend {
+		return refusal(CodeInvalid, "instance %s has the unknown kind %q", v.Name, v.Kind)
+	}
+	old, known := tx.cfg.Instances[v.Name]
+	if known && (old.Pool != v.Pool || old.Kind != v.Kind || old.DataCentre != v.DataCentre) {
+		if ref := tx.checkIdle(v.Name); ref != nil {
+			return ref
+		}
+	}
+	tx.cfg.Instances[v.Name] = v
+	if _, ok := tx.status[v.Name]; !ok {
+		tx.status[v.Name] = InstanceStatus{Phase: PhaseActive, PhaseSince: tx.s.Now}
+	}
+	tx.touch(EntityInstance, v.Name)
+	tx.note("put instance %s in pool %s", v.Name, v.Pool)
+	return nil
+}
+
+// checkIdle refuses a change to an instance that runs jobs or is under maintenance.
+func (tx *changeTx) checkIdle(name string) *Refusal {
+	if n := len(tx.s.AssignedTo(name)); n > 0 {
+		return refusal(CodeInUse, "instance %s runs %d jobs", name, n)
+	}
+	if phase := tx.status[name].Phase; phase != PhaseActive {
+		return refusal(CodeInUse, "instance %s is %s", name, phase)
+	}
+	return nil
+}
+
+func (tx *changeTx) putPool(v Pool) *Refusal {
+	if ref := checkName(EntityPool, v.Name); ref != nil {
+		return ref
+	}
+	if v.MaxUnavailable < 0 || v.MaxUnavailablePerRack < 0 || v.MaxUnavailablePerDataCentre < 0 {
+		return refusal(CodeInvalid, "pool %s has a negative budget", v.Name)
+	}
+	tx.cfg.Pools[v.Name] = v
+	tx.touch(EntityPool, v.Name)
+	tx.note("put pool %s with max_unavailable %d", v.Name, v.MaxUnavailable)
+	return nil
+}
+
+func (tx *changeTx) putTeam(v Team) *Refusal {
+	if ref := checkName(EntityTeam, v.Name); ref != nil {
+		return ref
+	}
+	if v.Share < 1 || v.Limit < 0 || v.Share > maxAmount || v.Limit > maxAmount {
+		return refusal(CodeInvalid, "team %s needs a share of at least 1 and a limit of at least 0", v.Name)
+	}
+	tx.cfg.Teams[v.Name] = v
+	tx.touch(EntityTeam, v.Name)
+	tx.note("put team %s with share %d and limit %d", v.Name, v.Share, v.Limit)
+	return nil
+}
+
+func (tx *changeTx) putQueue(v Queue) *Refusal {
+	if ref := checkName(EntityQueue, v.Name); ref != nil {
+		return ref
+	}
+	if v.Class != ClassNormal && v.Class != ClassUrgent && v.Class != ClassWatch {
+		return refusal(CodeInvalid, "queue %s has the unknown class %q", v.Name, v.Class)
+	}
+	if v.OnPartition == "" {
+		v.OnPartition = PartitionStop
+	}
+	if v.OnPartition != PartitionStop && v.OnPartition != PartitionKeep {
+		return refusal(CodeInvalid, "queue %s has the unknown on_partition %q", v.Name, v.OnPartition)
+	}
+	if v.MaxQueuedPerTeam < 1 {
+		return refusal(CodeInvalid, "queue %s needs max_queued_per_team of at least 1", v.Name)
+	}
+	tx.cfg.Queues[v.Name] = v
+	tx.touch(EntityQueue, v.Name)
+	tx.note("put queue %s on pool %s", v.Name, v.Pool)
+	return nil
+}
+
+func (tx *changeTx) putService(v Service) *Refusal {
+	if ref := checkName(EntityService, v.Name); ref != nil {
+		return ref
+	}
+	if v.TimeoutMS < 1 || v.TimeoutMS > MaxCallTime.Milliseconds() {
+		return refusal(CodeInvalid, "service %s needs timeout_ms between 1 and %d", v.Name, MaxCallTime.Milliseconds())
+	}
+	tx.cfg.Services[v.Name] = v
+	tx.touch(EntityService, v.Name)
+	tx.note("put service %s on pool %s", v.Name, v.Pool)
+	return nil
+}
+
+// issueKey adds a key. An identifier is never issued twice, so that a withdrawn
+// key can't come back under a resent or replayed declaration.
+func (tx *changeTx) issueKey(k Key) *Refusal {
+	if !validName(k.ID) || strings.Contains(k.ID, ".") {
+		return refusal(CodeInvalid, "a key identifier has 1 to %d bytes and no dot", maxNameBytes)
+	}
+	if sum, err := hex.DecodeString(k.SecretSHA256); err != nil || len(sum) != 32 {
+		return refusal(CodeInvalid, "key %s needs the hexadecimal SHA-256 of its secret", k.ID)
+	}
+	if k.Withdrawn {
+		return refusal(CodeInvalid, "key %s can't be issued as withdrawn", k.ID)
+	}
+	if _, ok := tx.cfg.Keys[k.ID]; ok {
+		return refusal(CodeInUse, "key identifier %s was issued before", k.ID)
+	}
+	if _, ok := tx.cfg.Teams[k.Team]; !ok {
+		return refusal(CodeNotFound, "key %s names the unknown team %q", k.ID, k.Team)
+	}
+	tx.cfg.Keys[k.ID] = k
+	tx.touch(entityKey, k.ID)
+	tx.note("issue key %s of team %s", k.ID, k.Team)
+	return nil
+}
+
+func (tx *changeTx) withdrawKey(id string) *Refusal {
+	k, ok := tx.cfg.Keys[id]
+	if !ok {
+		return refusal(CodeNotFound, "no key %q", id)
+	}
+	k.Withdrawn = true
+	tx.cfg.Keys[id] = k
+	tx.touch(entityKey, id)
+	tx.note("withdraw key %s of team %s", id, k.Team)
+	return nil
+}
+
+func (tx *changeTx) drain(d DrainRequest) *Refusal {
+	st, ok := tx.status[d.Instance]
+	if !ok {
+		return refusal(CodeNotFound, "no instance %q", d.Instance)
+	}
+	if d.Undo {
+		return tx.undrain(d.Instance, st)
+	}
+	if st.Phase != PhaseActive {
+		return refusal(CodeInUse, "instance %s is %s", d.Instance, st.Phase)
+	}
+	if ref := checkBudget(tx.cfg, tx.status, d.Instance); ref != nil {
+		return ref
+	}
+	st.Phase = PhaseDraining
+	st.Plan = ""
+	st.PhaseSince = tx.s.Now
+	tx.status[d.Instance] = st
+	tx.note("drain instance %s", d.Instance)
+	return nil
+}
+
+func (tx *changeTx) undrain(name string, st InstanceStatus) *Refusal {
+	if st.Phase != PhaseDraining || st.Plan != "" {
+		return refusal(CodeInUse, "instance %s is not drained by an operator", name)
+	}
+	st.Phase = PhaseActive
+	st.PhaseSince = tx.s.Now
+	tx.status[name] = st
+	tx.note("end the drain of instance %s", name)
+	return nil
+}
+
+func (tx *changeTx) startPlan(p MaintenancePlan) *Refusal {
+	if !validName(p.Name) || p.DrainTimeoutMS < 0 {
+		return refusal(CodeInvalid, "a plan needs a name and a drain_timeout_ms of at least 0")
+	}
+	if _, ok := tx.plans[p.Name]; ok {
+		return refusal(CodeInUse, "plan %s was started before", p.Name)
+	}
+	for _, other := range tx.plans {
+		if other.Pool == p.Pool && !other.State.final() {
+			return refusal(CodeInUse, "pool %s is under another plan", p.Pool)
+		}
+	}
+	if p.DrainTimeoutMS == 0 {
+		p.DrainTimeoutMS = defaultDrainTimeoutMS
+	}
+	tx.plans[p.Name] = MaintenancePlan{
+		Name: p.Name, Pool: p.Pool, State: PlanRunning, DrainTimeoutMS: p.DrainTimeoutMS, StartedAt: tx.s.Now,
+	}
+	tx.note("start plan %s on pool %s", p.Name, p.Pool)
+	return nil
+}
+
+func (tx *changeTx) setPlanState(c PlanStateChange) *Refusal {
+	p, ok := tx.plans[c.Plan]
+	if !ok {
+		return refusal(CodeNotFound, "no plan %q", c.Plan)
+	}
+	if c.State != PlanRunning && c.State != PlanPaused && c.State != PlanAborted {
+		return refusal(CodeInvalid, "a plan can't be set to %q", c.State)
+	}
+	if p.State.final() {
+		return refusal(CodeStale, "plan %s is %s", p.Name, p.State)
+	}
+	p.State = c.State
+	if c.State == PlanAborted {
+		p.FinishedAt = tx.s.Now
+		p.WaitingFor = ""
+	}
+	tx.plans[p.Name] = p
+	tx.note("set plan %s to %s", p.Name, p.State)
+	return nil
+}
+
+func (tx *changeTx) declareLost(name string) *Refusal {
+	st, ok := tx.status[name]
+	if !ok {
+		return refusal(CodeNotFound, "no instance %q", name)
+	}
+	st.Lost = true
+	tx.status[name] = st
+	tx.lost = append(tx.lost, name)
+	tx.note("declare instance %s lost", name)
+	return nil
+}
+
+func (s PlanState) final() bool { return s == PlanAborted || s == PlanDone }
--- /dev/null
+++ b/internal/fleet/config_refs.go
@@ -0,0 +1,151 @@
+package fleet
+
+// delete removes an entity. Use by jobs and maintenance is checked here; use by
+// other entities is checked at the end of the change.
+func (tx *changeTx) delete(ref EntityRef) *Refusal {
+	if r := tx.checkUnused(ref); r != nil {
+		return r
+	}
+	if !tx.cfg.remove(ref) {
+		return refusal(CodeNotFound, "no %s %q", ref.Kind, ref.Name)
+	}
+	if ref.Kind == EntityInstance {
+		delete(tx.status, ref.Name)
+	}
+	tx.touch(ref.Kind, ref.Name)
+	tx.deleted = append(tx.deleted, ref)
+	tx.note("delete %s %s", ref.Kind, ref.Name)
+	return nil
+}
+
+func (tx *changeTx) checkUnused(ref EntityRef) *Refusal {
+	x := &tx.s.index
+	switch ref.Kind {
+	case EntityInstance:
+		if _, ok := tx.cfg.Instances[ref.Name]; ok {
+			return tx.checkIdle(ref.Name)
+		}
+	case EntityQueue:
+		if n := x.open[ref.Name]; n > 0 {
+			return refusal(CodeInUse, "queue %s holds %d jobs", ref.Name, n)
+		}
+	case EntityTeam:
+		if n := x.teamOpen[ref.Name]; n > 0 {
+			return refusal(CodeInUse, "team %s has %d jobs", ref.Name, n)
+		}
+		if n := x.granted[ref.Name]; n > 0 {
+			return refusal(CodeInUse, "team %s has %d units granted for calls", ref.Name, n)
+		}
+	}
+	return nil
+}
+
+// checkReferences verifies that every reference between entities names an
+// entity of the changed configuration.
+func (tx *changeTx) checkReferences() *Refusal {
+	for _, t := range tx.touched {
+		if ref := tx.checkOutgoing(t); ref != nil {
+			return ref
+		}
+	}
+	if ref := tx.checkPlans(); ref != nil {
+		return ref
+	}
+	gone := tx.stillDeleted()
+	if len(gone) == 0 {
+		return nil
+	}
+	return tx.checkIncoming(gone)
+}
+
+// checkOutgoing verifies the references of one touched entity.
+func (tx *changeTx) checkOutgoing(t EntityRef) *Refusal {
+	c := tx.cfg
+	switch t.Kind {
+	case EntityInstance:
+		if v, ok := c.Instances[t.Name]; ok {
+			if _, ok := c.DataCentres[v.DataCentre]; !ok {
+				return refusal(CodeNotFound, "instance %s names the unknown data centre %q", v.Name, v.DataCentre)
+			}
+			return tx.needPool("instance", v.Name, v.Pool)
+		}
+	case EntityQueue:
+		if v, ok := c.Queues[t.Name]; ok {
+			return tx.needPool("queue", v.Name, v.Pool)
+		}
+	case EntityService:
+		if v, ok := c.Services[t.Name]; ok {
+			return tx.needPool("service", v.Name, v.Pool)
+		}
+	case entityKey:
+		if v := c.Keys[t.Name]; !v.Withdrawn {
+			if _, ok := c.Teams[v.Team]; !ok {
+				return refusal(CodeNotFound, "key %s names the unknown team %q", v.ID, v.Team)
+			}
+		}
+	}
+	return nil
+}
+
+func (tx *changeTx) needPool(kind, name, pool string) *Refusal {
+	if _, ok := tx.cfg.Pools[pool]; !ok {
+		return refusal(CodeNotFound, "%s %s names the unknown pool %q", kind, name, pool)
+	}
+	return nil
+}
+
+func (tx *changeTx) checkPlans() *Refusal {
+	for _, p := range tx.plans {
+		if p.State.final() {
+			continue
+		}
+		if _, ok := tx.cfg.Pools[p.Pool]; ok {
+			continue
+		}
+		if _, old := tx.s.Plans[p.Name]; old {
+			return refusal(CodeInUse, "pool %s is under a maintenance plan", p.Pool)
+		}
+		return refusal(CodeNotFound, "a plan names the unknown pool %q", p.Pool)
+	}
+	return nil
+}
+
+// stillDeleted returns the deleted entities that were not put again later in
+// the same change.
+func (tx *changeTx) stillDeleted() map[EntityRef]bool {
+	gone := map[EntityRef]bool{}
+	for _, ref := range tx.deleted {
+		var d ConfigDelta
+		d.add(tx.cfg, ref)
+		if len(d.Deleted) > 0 {
+			gone[ref] = true
+		}
+	}
+	return gone
+}
+
+// checkIncoming refuses the deletion of an entity that others still name.
+func (tx *changeTx) checkIncoming(gone map[EntityRef]bool) *Refusal {
+	users := map[EntityRef]int{}
+	for _, v := range tx.cfg.Instances {
+		users[EntityRef{EntityPool, v.Pool}]++
+		users[EntityRef{EntityDataCentre, v.DataCentre}]++
+	}
+	for _, v := range tx.cfg.Queues {
+		users[EntityRef{EntityPool, v.Pool}]++
+	}
+	for _, v := range tx.cfg.Services {
+		users[EntityRef{EntityPool, v.Pool}]++
+	}
+	for _, v := range tx.cfg.Keys {
+		if !v.Withdrawn {
+			users[EntityRef{EntityTeam, v.Team}]++
+		}
+	}
+	for _, ref := range tx.deleted {
+		if gone[ref] && users[ref] > 0 {
+			return refusal(CodeInUse, "%s %s is named by %d others", ref.Kind, ref.Name, users[ref])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/delta.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+)
+
+// maxFeedItems bounds the change feed. An entry that is further behind gets a
+// full copy, which at the design size is about 100 times as large as a delta.
+const maxFeedItems = 4096
+
+// entityKey names keys in the change feed; keys are not declared in files.
+const entityKey EntityKind = "key"
+
+// ConfigDelta carries the present values of all entities that changed after the
+// revision From. Applied to any configuration between From and Revision, it
+// yields the configuration at Revision.
+type ConfigDelta struct {
+	From        Revision     `cbor:"1,keyasint"`
+	Revision    Revision     `cbor:"2,keyasint"`
+	DataCentres []DataCentre `cbor:"3,keyasint,omitempty"`
+	Instances   []Instance   `cbor:"4,keyasint,omitempty"`
+	Pools       []Pool       `cbor:"5,keyasint,omitempty"`
+	Teams       []Team       `cbor:"6,keyasint,omitempty"`
+	Keys        []Key        `cbor:"7,keyasint,omitempty"`
+	Queues      []Queue      `cbor:"8,keyasint,omitempty"`
+	Services    []Service    `cbor:"9,keyasint,omitempty"`
+	Deleted     []EntityRef  `cbor:"10,keyasint,omitempty"`
+}
+
+// feed remembers which entities changed at which revision.
+type feed struct {
+	// from is the oldest revision from which a delta can be given.
+	from    Revision
+	touches []touch
+}
+
+type touch struct {
+	revision Revision
+	ref      EntityRef
+}
+
+// record notes the entities that the change to a revision touched.
+func (f *feed) record(rev Revision, refs []EntityRef) {
+	for _, ref := range refs {
+		f.touches = append(f.touches, touch{rev, ref})
+	}
+	drop := 0
+	for len(f.touches)-drop > maxFeedItems {
+		f.from = f.touches[drop].revision
+		for drop < len(f.touches) && f.touches[drop].revision == f.from {
+			drop++
+		}
+	}
+	if drop > 0 {
+		f.touches = slices.Clone(f.touches[drop:])
+	}
+}
+
+// ConfigSince returns the changes after a revision, or false when the feed does
+// not reach back so far and a full copy is needed.
+func (s *State) ConfigSince(rev Revision) (*ConfigDelta, bool) {
+	if rev < s.feed.from || rev > s.Config.Revision {
+		return nil, false
+	}
+	d := &ConfigDelta{From: rev, Revision: s.Config.Revision}
+	seen := map[EntityRef]bool{}
+	for i := len(s.feed.touches) - 1; i >= 0; i-- {
+		t := s.feed.touches[i]
+		if t.revision <= rev {
+			break
+		}
+		if !seen[t.ref] {
+			seen[t.ref] = true
+			d.add(&s.Config, t.ref)
+		}
+	}
+	return d, true
+}
+
+func (d *ConfigDelta) add(c *Config, ref EntityRef) {
+	found := false
+	switch ref.Kind {
+	case EntityDataCentre:
+		found = appendValue(&d.DataCentres, c.DataCentres, ref.Name)
+	case EntityInstance:
+		found = appendValue(&d.Instances, c.Instances, ref.Name)
+	case EntityPool:
+		found = appendValue(&d.Pools, c.Pools, ref.Name)
+	case EntityTeam:
+		found = appendValue(&d.Teams, c.Teams, ref.Name)
+	case entityKey:
+		found = appendValue(&d.Keys, c.Keys, ref.Name)
+	case EntityQueue:
+		found = appendValue(&d.Queues, c.Queues, ref.Name)
+	case EntityService:
+		found = appendValue(&d.Services, c.Services, ref.Name)
+	}
+	if !found {
+		d.Deleted = append(d.Deleted, ref)
+	}
+}
+
+func appendValue[V any](out *[]V, m map[string]V, name string) bool {
+	v, ok := m[name]
+	if ok {
+		*out = append(*out, v)
+	}
+	return ok
+}
+
+// Clone returns an independent copy.
+func (c *Config) Clone() *Config {
+	return &Config{
+		Revision:    c.Revision,
+		DataCentres: maps.Clone(c.DataCentres),
+		Instances:   maps.Clone(c.Instances),
+		Pools:       maps.Clone(c.Pools),
+		Teams:       maps.Clone(c.Teams),
+		Keys:        maps.Clone(c.Keys),
+		Queues:      maps.Clone(c.Queues),
+		Services:    maps.Clone(c.Services),
+	}
+}
+
+// With returns a copy of the configuration with a delta applied, or false when
+// the delta starts after the configuration's revision. A delta that is older
+// than the configuration changes nothing.
+func (c *Config) With(d *ConfigDelta) (*Config, bool) {
+	if c.Revision < d.From {
+		return nil, false
+	}
+	if c.Revision >= d.Revision {
+		return c, true
+	}
+	n := c.Clone()
+	n.fillMaps()
+	n.Revision = d.Revision
+	putAll(n.DataCentres, d.DataCentres, func(v DataCentre) string { return v.Name })
+	putAll(n.Instances, d.Instances, func(v Instance) string { return v.Name })
+	putAll(n.Pools, d.Pools, func(v Pool) string { return v.Name })
+	putAll(n.Teams, d.Teams, func(v Team) string { return v.Name })
+	putAll(n.Keys, d.Keys, func(v Key) string { return v.ID })
+	putAll(n.Queues, d.Queues, func(v Queue) string { return v.Name })
+	putAll(n.Services, d.Services, func(v Service) string { return v.Name })
+	for _, ref := range d.Deleted {
+		n.remove(ref)
+	}
+	return n, true
+}
+
+func putAll[V any](m map[string]V, values []V, name func(V) string) {
+	for _, v := range values {
+		m[name(v)] = v
+	}
+}
+
+// remove deletes an entity and reports whether it was there.
+func (c *Config) remove(ref EntityRef) bool {
+	switch ref.Kind {
+	case EntityDataCentre:
+		return removeFrom(c.DataCentres, ref.Name)
+	case EntityInstance:
+		return removeFrom(c.Instances, ref.Name)
+	case EntityPool:
+		return removeFrom(c.Pools, ref.Name)
+	case EntityTeam:
+		return removeFrom(c.Teams, ref.Name)
+	case EntityQueue:
+		return removeFrom(c.Queues, ref.Name)
+	case EntityService:
+		return removeFrom(c.Services, ref.Name)
+	}
+	return false
+}
+
+func removeFrom[V any](m map[string]V, name string) bool {
+	_, ok := m[name]
+	delete(m, name)
+	return ok
+}
--- /dev/null
+++ b/internal/fleet/expire.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	jobRetentionMS       = dayMS
+	tombstoneRetentionMS = dayMS
+	planRetentionMS      = 30 * dayMS
+)
+
+// ExpireDue reports whether an Expire command at the given time would end a
+// waiting job or remove a record.
+func (s *State) ExpireDue(now Time) bool {
+	if len(s.Tombstones) > 0 && s.Tombstones[0].Since+tombstoneRetentionMS <= now {
+		return true
+	}
+	for _, j := range s.Jobs {
+		if j.State == JobQueued && j.late(now) || j.forgettable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Job) forgettable(now Time) bool {
+	return j.State.Final() && j.FinishedAt+jobRetentionMS <= now
+}
+
+// applyExpire ends waiting jobs whose deadline has passed and removes old records.
+func (s *State) applyExpire() Result {
+	s.dropTombstones()
+	var old []string
+	for id, j := range s.Jobs {
+		if j.State == JobQueued && j.late(s.Now) {
+			s.finish(j, JobCancelled, "the deadline has passed", nil)
+		}
+		if j.forgettable(s.Now) {
+			old = append(old, id)
+		}
+	}
+	slices.SortFunc(old, strings.Compare)
+	for _, id := range old {
+		s.forget(id)
+	}
+	for name, p := range s.Plans {
+		if p.State.final() && p.FinishedAt+planRetentionMS <= s.Now {
+			delete(s.Plans, name)
+		}
+	}
+	return Result{}
+}
+
+func (s *State) dropTombstones() {
+	n := 0
+	for n < len(s.Tombstones) && s.Tombstones[n].Since+tombstoneRetentionMS <= s.Now {
+		delete(s.index.tombs, s.Tombstones[n].Hash)
+		n++
+	}
+	s.Tombstones = s.Tombstones[n:]
+}
+
+// forget replaces the record of a job by a tombstone.
+func (s *State) forget(id string) {
+	s.index.count(s.Jobs[id], -1)
+	delete(s.Jobs, id)
+	hash := xxhash.Sum64String(id)
+	s.Tombstones = append(s.Tombstones, Tombstone{Hash: hash, Since: s.Now})
+	s.index.tombs[hash] = struct{}{}
+}
--- /dev/null
+++ b/internal/fleet/index.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+)
+
+// index holds what follows from the exported fields of State and is looked up
+// often. It is not part of a snapshot.
+type index struct {
+	// answered maps request identifiers to their position in Answers plus answerBase.
+	answered   map[string]int
+	answerBase int
+	// running and granted count units by team.
+	running map[string]int
+	granted map[string]int
+	queued  map[queueTeam]int
+	// open counts the jobs of a queue that are not final, and teamOpen those of a team.
+	open     map[string]int
+	teamOpen map[string]int
+	load     map[string]*workerLoad
+	// retained is the number of bytes of payloads and results.
+	retained int
+	tombs    map[uint64]struct{}
+}
+
+type queueTeam struct{ queue, team string }
+
+// workerLoad is what is assigned to one worker.
+type workerLoad struct {
+	used Resources
+	jobs map[string]struct{}
+}
+
+// rebuild computes the index from the exported fields and empties the change feed.
+func (s *State) rebuild() {
+	s.index = index{
+		answered: make(map[string]int, len(s.Answers)),
+		running:  map[string]int{},
+		granted:  map[string]int{},
+		queued:   map[queueTeam]int{},
+		open:     map[string]int{},
+		teamOpen: map[string]int{},
+		load:     map[string]*workerLoad{},
+		tombs:    make(map[uint64]struct{}, len(s.Tombstones)),
+	}
+	for i, a := range s.Answers {
+		s.index.answered[a.RequestID] = i
+	}
+	for _, j := range s.Jobs {
+		s.index.count(j, 1)
+	}
+	for _, units := range s.Grants {
+		for team, n := range units {
+			s.index.granted[team] += n
+		}
+	}
+	for _, t := range s.Tombstones {
+		s.index.tombs[t.Hash] = struct{}{}
+	}
+	s.feed = feed{from: s.Config.Revision}
+}
+
+// count adds (sign 1) or removes (sign -1) a job.
+func (x *index) count(j *Job, sign int) {
+	x.retained += sign * (len(j.Spec.Payload) + len(j.Result))
+	if j.State.Final() {
+		return
+	}
+	addTo(x.open, j.Queue, sign)
+	addTo(x.teamOpen, j.Team, sign)
+	if j.State == JobQueued {
+		addTo(x.queued, queueTeam{j.Queue, j.Team}, sign)
+		return
+	}
+	addTo(x.running, j.Team, sign)
+	x.countLoad(j, sign)
+}
+
+func (x *index) countLoad(j *Job, sign int) {
+	l := x.load[j.Worker]
+	if l == nil {
+		l = &workerLoad{jobs: map[string]struct{}{}}
+		x.load[j.Worker] = l
+	}
+	l.used = l.used.plus(j.Spec.Size, int64(sign))
+	if sign > 0 {
+		l.jobs[j.ID] = struct{}{}
+		return
+	}
+	delete(l.jobs, j.ID)
+	if len(l.jobs) == 0 {
+		delete(x.load, j.Worker)
+	}
+}
+
+func addTo[K comparable](m map[K]int, k K, n int) {
+	m[k] += n
+	if m[k] == 0 {
+		delete(m, k)
+	}
+}
+
+// update changes a job and keeps the index in step.
+func (s *State) update(j *Job, change func(*Job)) {
+	s.index.count(j, -1)
+	change(j)
+	s.index.count(j, 1)
+}
+
+func (r Resources) plus(o Resources, sign int64) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli + sign*o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB + sign*o.MemoryMiB,
+		Accelerators: r.Accelerators + sign*o.Accelerators,
+	}
+}
+
+// Plus returns the sum of two amounts.
+func (r Resources) Plus(o Resources) Resources { return r.plus(o, 1) }
+
+// Fits reports whether r is at most o in every kind.
+func (r Resources) Fits(o Resources) bool {
+	return r.CPUMilli <= o.CPUMilli && r.MemoryMiB <= o.MemoryMiB && r.Accelerators <= o.Accelerators
+}
+
+// Running returns the number of assigned jobs of a team.
+func (s *State) Running(team string) int { return s.index.running[team] }
+
+// RunningByTeam returns a copy of the number of assigned jobs by team.
+func (s *State) RunningByTeam() map[string]int { return maps.Clone(s.index.running) }
+
+// Granted returns the sum of the call units granted to all entries for a team.
+func (s *State) Granted(team string) int { return s.index.granted[team] }
+
+// Queued returns the number of waiting jobs of a team in a queue.
+func (s *State) Queued(queue, team string) int { return s.index.queued[queueTeam{queue, team}] }
+
+// QueuedOfTeam returns the number of waiting jobs of a team in all queues.
+func (s *State) QueuedOfTeam(team string) int {
+	return s.index.teamOpen[team] - s.index.running[team]
+}
+
+// Used returns the declared sizes of the jobs assigned to a worker.
+func (s *State) Used(worker string) Resources {
+	if l := s.index.load[worker]; l != nil {
+		return l.used
+	}
+	return Resources{}
+}
+
+// AssignedTo returns the identifiers of the jobs assigned to a worker, sorted.
+func (s *State) AssignedTo(worker string) []string {
+	l := s.index.load[worker]
+	if l == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(l.jobs))
+}
+
+// RetainedBytes returns the bytes of retained payloads and results.
+func (s *State) RetainedBytes() int { return s.index.retained }
--- /dev/null
+++ b/internal/fleet/jobs.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// retainedRetryMS is the retry time of submissions refused by the bound on
+// retained bytes; a queue bound frees up sooner.
+const (
+	retainedRetryMS = 60 * 1000
+	queueRetryMS    = 1000
+)
+
+// jobContent is what the fingerprint of a submission covers.
+type jobContent struct {
+	Team, Queue string
+	Spec        JobSpec
+}
+
+// applySubmit accepts a job. A repeated submission gets the present record even
+// when its key was withdrawn in between, since "not run" would be untrue.
+func (s *State) applySubmit(c *JobSubmit) Result {
+	if !validName(c.ID) {
+		return refuse(CodeInvalid, "a job identifier has 1 to %d bytes", maxNameBytes)
+	}
+	if ref := s.checkOwner(c); ref != nil {
+		return Result{Refusal: ref}
+	}
+	print := fingerprint(jobContent{c.Team, c.Queue, c.Spec})
+	if j, ok := s.Jobs[c.ID]; ok {
+		return present(j, print)
+	}
+	if _, ok := s.index.tombs[xxhash.Sum64String(c.ID)]; ok {
+		return refuse(CodeExpired, "the record of job %s has expired", c.ID)
+	}
+	if ref := s.checkSubmit(c); ref != nil {
+		return Result{Refusal: ref}
+	}
+	j := &Job{
+		ID: c.ID, Team: c.Team, Queue: c.Queue, Spec: c.Spec,
+		State: JobQueued, AcceptedAt: s.Now, Fingerprint: print,
+	}
+	j.Spec.Payload = slices.Clone(c.Spec.Payload)
+	s.Jobs[j.ID] = j
+	s.index.count(j, 1)
+	return Result{Job: j.view()}
+}
+
+func present(j *Job, print uint64) Result {
+	if j.Fingerprint != print {
+		return refuse(CodeRequestIDReused, "job identifier %s was used for another job", j.ID)
+	}
+	return Result{Job: j.view(), Resent: true}
+}
+
+// checkOwner verifies that the presented key belongs to the stated team.
+func (s *State) checkOwner(c *JobSubmit) *Refusal {
+	if c.Team == "" && c.KeyID == "" {
+		return nil
+	}
+	k, ok := s.Config.Keys[c.KeyID]
+	if !ok || k.Team != c.Team {
+		return refusal(CodeUnauthorized, "key %q is not a key of team %q", c.KeyID, c.Team)
+	}
+	return nil
+}
+
+func (s *State) checkSubmit(c *JobSubmit) *Refusal {
+	q, ok := s.Config.Queues[c.Queue]
+	if !ok {
+		return refusal(CodeNotFound, "no queue %q", c.Queue)
+	}
+	if !q.Open && c.Team == "" {
+		return refusal(CodeUnauthorized, "queue %s needs a key", q.Name)
+	}
+	if s.Config.Keys[c.KeyID].Withdrawn {
+		return refusal(CodeKeyWithdrawn, "key %s is withdrawn", c.KeyID)
+	}
+	if _, ok := s.Config.Teams[c.Team]; !ok && c.Team != "" {
+		return refusal(CodeNotFound, "no team %q", c.Team)
+	}
+	if ref := checkSpec(&c.Spec); ref != nil {
+		return ref
+	}
+	if s.Queued(c.Queue, c.Team) >= q.MaxQueuedPerTeam {
+		ref := refusal(CodeQueueFull, "queue %s holds %d jobs of the team", q.Name, q.MaxQueuedPerTeam)
+		ref.RetryAfterMS = queueRetryMS
+		return ref
+	}
+	if s.RetainedBytes()+len(c.Spec.Payload) > MaxRetainedBytes {
+		ref := refusal(CodeQueueFull, "retained payloads and results exceed %d bytes", MaxRetainedBytes)
+		ref.RetryAfterMS = retainedRetryMS
+		return ref
+	}
+	return nil
+}
+
+func checkSpec(spec *JobSpec) *Refusal {
+	amounts := []int64{
+		spec.Size.CPUMilli, spec.Size.MemoryMiB, spec.Size.Accelerators, spec.RunTimeMS, spec.DeadlineMS,
+	}
+	for _, a := range amounts {
+		if a < 0 || a > maxAmount {
+			return refusal(CodeInvalid, "a size or time of the job is out of range")
+		}
+	}
+	if len(spec.Payload) > MaxBlobBytes {
+		return refusal(CodeInvalid, "the payload exceeds %d bytes", MaxBlobBytes)
+	}
+	return nil
+}
+
+// view returns a copy for callers, without the payload.
+func (j *Job) view() *Job {
+	v := *j
+	v.Spec.Payload = nil
+	return &v
+}
+
+// View returns a copy of a job without its payload, or nil.
+func (s *State) View(id string) *Job {
+	if j, ok := s.Jobs[id]; ok {
+		return j.view()
+	}
+	return nil
+}
+
+// Expired reports whether the identifier belongs to a job whose record was removed.
+func (s *State) Expired(id string) bool {
+	_, ok := s.index.tombs[xxhash.Sum64String(id)]
+	return ok
+}
+
+// late reports whether the job's deadline has passed.
+func (j *Job) late(now Time) bool {
+	return j.Spec.DeadlineMS > 0 && now > j.AcceptedAt+Time(j.Spec.DeadlineMS)
+}
+
+// applyCancel ends a queued job at once and asks the worker to stop an assigned one.
+func (s *State) applyCancel(c *JobCancel) Result {
+	j, ok := s.Jobs[c.ID]
+	if !ok {
+		if s.Expired(c.ID) {
+			return refuse(CodeExpired, "the record of job %s has expired", c.ID)
+		}
+		return refuse(CodeNotFound, "no job %q", c.ID)
+	}
+	if j.Team != "" && j.Team != c.Team {
+		return refuse(CodeUnauthorized, "job %s belongs to another team", c.ID)
+	}
+	switch j.State {
+	case JobQueued:
+		s.finish(j, JobCancelled, "cancelled", nil)
+	case JobAssigned:
+		j.CancelRequested = true
+	}
+	return Result{Job: j.view()}
+}
+
+// finish makes a job final and drops its payload.
+func (s *State) finish(j *Job, state JobState, reason string, result []byte) {
+	s.update(j, func(j *Job) {
+		j.State = state
+		j.Reason = reason
+		j.FinishedAt = s.Now
+		j.RetryNotBefore = 0
+		j.NotRun = !j.Started
+		j.Spec.Payload = nil
+		j.Result = slices.Clone(result)
+	})
+}
+
+// requeue puts a job back into its queue, held back for a delay.
+func (s *State) requeue(j *Job, reason string, delayMS int64) {
+	s.update(j, func(j *Job) {
+		j.State = JobQueued
+		j.Reason = reason
+		j.RetryNotBefore = 0
+		if delayMS > 0 {
+			j.RetryNotBefore = s.Now + Time(min(delayMS, dayMS))
+		}
+	})
+}
+
+// applyAssign verifies each assignment on its own. Refused ones are listed in Rejected.
+func (s *State) applyAssign(c *JobAssign) Result {
+	var res Result
+	for i, a := range c.Assignments {
+		if ref := s.CheckAssignment(a); ref != nil {
+			res.reject(i, ref)
+			continue
+		}
+		s.update(s.Jobs[a.JobID], func(j *Job) {
+			j.State = JobAssigned
+			j.Attempt++
+			j.Worker = a.Worker
+			j.WorkerIncarnation = a.Incarnation
+			j.AssignedAt = s.Now
+			j.RetryNotBefore = 0
+			j.Reason = ""
+		})
+	}
+	return res
+}
+
+// CheckAssignment returns nil when the assignment would be accepted now.
+func (s *State) CheckAssignment(a Assignment) *Refusal {
+	j, ok := s.Jobs[a.JobID]
+	if !ok {
+		return refusal(CodeNotFound, "no job %q", a.JobID)
+	}
+	if j.State != JobQueued || j.late(s.Now) {
+		return refusal(CodeStale, "job %s is not waiting", j.ID)
+	}
+	if j.Started && !j.Spec.Idempotent {
+		return refusal(CodeStale, "job %s may have run and is not idempotent", j.ID)
+	}
+	if j.RetryNotBefore > s.Now {
+		return refusal(CodeStale, "job %s waits for its retry time", j.ID)
+	}
+	if ref := s.checkWorker(a, j); ref != nil {
+		return ref
+	}
+	return s.checkLimit(j.Team)
+}
+
+func (s *State) checkWorker(a Assignment, j *Job) *Refusal {
+	in, ok := s.Config.Instances[a.Worker]
+	if !ok || in.Kind != KindWorker {
+		return refusal(CodeNotFound, "no worker %q", a.Worker)
+	}
+	st := s.Status[a.Worker]
+	if !st.Seen || st.Incarnation != a.Incarnation {
+		return refusal(CodeStale, "worker %s has another incarnation", a.Worker)
+	}
+	if !st.available() || st.QuarantinedUntil > s.Now {
+		return refusal(CodeStale, "worker %s takes no new jobs", a.Worker)
+	}
+	if in.Pool != s.Config.Queues[j.Queue].Pool {
+		return refusal(CodeStale, "worker %s is in pool %s", a.Worker, in.Pool)
+	}
+	if !s.Used(a.Worker).Plus(j.Spec.Size).Fits(st.Capacity) {
+		return refusal(CodeStale, "worker %s has no room for job %s", a.Worker, j.ID)
+	}
+	return nil
+}
+
+// checkLimit verifies that a team may run one more job. Open jobs have no team.
+func (s *State) checkLimit(team string) *Refusal {
+	if team == "" {
+		return nil
+	}
+	limit := s.Config.Teams[team].Limit
+	if s.Running(team)+s.Granted(team)+1 > limit {
+		return refusal(CodeLimit, "team %s is at its limit of %d", team, limit)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/outcomes.go
@@ -0,0 +1,198 @@
+package fleet
+
+import "slices"
+
+// applyOutcomes applies each outcome on its own. Stale ones are listed in Rejected.
+func (s *State) applyOutcomes(c *JobOutcomes) Result {
+	var res Result
+	for i, o := range c.Outcomes {
+		j, ok := s.Jobs[o.JobID]
+		if !ok {
+			res.reject(i, refusal(CodeNotFound, "no job %q", o.JobID))
+			continue
+		}
+		if ref := checkOutcome(j, o); ref != nil {
+			res.reject(i, ref)
+			continue
+		}
+		s.endAttempt(j, o)
+	}
+	return res
+}
+
+// checkOutcome accepts an outcome of the latest attempt while it is assigned. A
+// result that arrives after the attempt was given up is kept as long as no later
+// attempt was assigned and no caller was told a verdict that it contradicts.
+func checkOutcome(j *Job, o JobOutcome) *Refusal {
+	if o.Attempt != j.Attempt || j.Attempt == 0 {
+		return refusal(CodeStale, "job %s is at attempt %d", j.ID, j.Attempt)
+	}
+	switch o.Kind {
+	case OutcomeFailed, OutcomeNotStarted, OutcomeStopped, OutcomeCheckpointed, OutcomeLost:
+		if j.State == JobAssigned {
+			return nil
+		}
+	case OutcomeDone:
+		if !j.State.Final() || j.State == JobMayHaveRun {
+			return nil
+		}
+	default:
+		return refusal(CodeInvalid, "unknown outcome %q", o.Kind)
+	}
+	return refusal(CodeStale, "job %s is %s", j.ID, j.State)
+}
+
+func (s *State) endAttempt(j *Job, o JobOutcome) {
+	if o.Kind != OutcomeNotStarted {
+		j.Started = true
+	}
+	switch o.Kind {
+	case OutcomeDone:
+		s.endDone(j, o)
+	case OutcomeNotStarted:
+		s.endNotStarted(j, o)
+	case OutcomeFailed:
+		if !slices.Contains(j.FailedOn, j.Worker) {
+			j.FailedOn = append(slices.Clone(j.FailedOn), j.Worker)
+		}
+		s.endRan(j, o, JobFailed)
+	default:
+		s.endRan(j, o, JobMayHaveRun)
+	}
+}
+
+func (s *State) endDone(j *Job, o JobOutcome) {
+	if len(o.Result) > MaxBlobBytes {
+		s.finish(j, JobDone, "the result is too large to be kept", nil)
+		return
+	}
+	s.finish(j, JobDone, "", o.Result)
+}
+
+func (s *State) endNotStarted(j *Job, o JobOutcome) {
+	switch {
+	case j.CancelRequested:
+		s.finish(j, JobCancelled, "cancelled", nil)
+	case o.Permanent:
+		s.finish(j, JobFailed, o.reason(), nil)
+	case j.Started && !j.Spec.Idempotent:
+		s.finish(j, JobMayHaveRun, "the worker's reports contradict each other", nil)
+	default:
+		s.requeue(j, o.reason(), o.RetryDelayMS)
+	}
+}
+
+// endRan ends an attempt that ran or may have run. otherwise is the final state
+// when the job is neither repeated nor cancelled.
+func (s *State) endRan(j *Job, o JobOutcome, otherwise JobState) {
+	switch {
+	case j.CancelRequested && o.Kind != OutcomeLost:
+		s.finish(j, JobCancelled, "cancelled", nil)
+	case j.CancelRequested:
+		s.finish(j, JobMayHaveRun, o.reason(), nil)
+	case o.Permanent:
+		s.finish(j, JobFailed, o.reason(), nil)
+	case j.Spec.Idempotent:
+		s.requeue(j, o.reason(), o.RetryDelayMS)
+	default:
+		s.finish(j, otherwise, o.reason(), nil)
+	}
+}
+
+func (o JobOutcome) reason() string {
+	if o.Reason == "" {
+		return string(o.Kind)
+	}
+	return o.Reason[:min(len(o.Reason), maxNameBytes)]
+}
+
+// endLost returns the outcome of an attempt that can no longer be learned.
+func endLost(reason string) JobOutcome {
+	return JobOutcome{Kind: OutcomeLost, Reason: reason}
+}
+
+// endAssigned ends the attempts on a worker that the predicate selects.
+func (s *State) endAssigned(worker string, o JobOutcome, ends func(*Job) bool) {
+	for _, id := range s.AssignedTo(worker) {
+		if j := s.Jobs[id]; ends(j) {
+			s.endAttempt(j, o)
+		}
+	}
+}
+
+// applyObserve applies each observation on its own. Refused ones are listed in Rejected.
+func (s *State) applyObserve(c *Observe) Result {
+	var res Result
+	for i, o := range c.Observations {
+		if ref := s.checkObservation(o); ref != nil {
+			res.reject(i, ref)
+			continue
+		}
+		s.observe(o)
+	}
+	return res
+}
+
+func (s *State) checkObservation(o Observation) *Refusal {
+	st, ok := s.Status[o.Instance]
+	if !ok {
+		return refusal(CodeNotFound, "no instance %q", o.Instance)
+	}
+	if o.Lost && o.Incarnation != "" && o.Incarnation != st.Incarnation {
+		return refusal(CodeStale, "instance %s has another incarnation", o.Instance)
+	}
+	for _, a := range []int64{o.Capacity.CPUMilli, o.Capacity.MemoryMiB, o.Capacity.Accelerators} {
+		if a < 0 || a > maxAmount {
+			return refusal(CodeInvalid, "the capacity of instance %s is out of range", o.Instance)
+		}
+	}
+	return nil
+}
+
+func (s *State) observe(o Observation) {
+	st := s.Status[o.Instance]
+	switch {
+	case o.QuarantineMS < 0:
+		st.QuarantinedUntil = 0
+	case o.QuarantineMS > 0:
+		st.QuarantinedUntil = s.Now + Time(min(o.QuarantineMS, dayMS))
+	}
+	if o.Lost {
+		st.Lost = true
+		s.Status[o.Instance] = st
+		s.endAssigned(o.Instance, endLost("the worker is lost"), s.stopsAlone)
+		return
+	}
+	if o.Incarnation != "" {
+		s.announce(&st, o)
+	}
+	s.Status[o.Instance] = st
+	for _, id := range o.Started {
+		if j := s.Jobs[id]; j != nil && j.State == JobAssigned && j.Worker == o.Instance && j.WorkerIncarnation == st.Incarnation {
+			j.Started = true
+		}
+	}
+}
+
+// announce takes over what an instance says of itself. A new incarnation proves
+// that the tasks of the old process are gone.
+func (s *State) announce(st *InstanceStatus, o Observation) {
+	st.Seen = true
+	st.Lost = false
+	st.Incarnation = o.Incarnation
+	if o.Address != "" {
+		st.Address = o.Address
+	}
+	if o.Capacity != (Resources{}) {
+		st.Capacity = o.Capacity
+	}
+	s.endAssigned(o.Instance, endLost("the worker restarted"), func(j *Job) bool {
+		return j.WorkerIncarnation != o.Incarnation
+	})
+}
+
+// stopsAlone reports whether a worker that is cut off has stopped the job by the
+// end of its task lease. Watch tasks that are kept stay counted.
+func (s *State) stopsAlone(j *Job) bool {
+	return s.Config.Queues[j.Queue].OnPartition != PartitionKeep
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	snapshotVersion = 1
+	maxElements     = 1 << 20
+)
+
+// Errors of decoding.
+var (
+	ErrSnapshot = errors.New("fleet: the snapshot is malformed")
+	ErrCommand  = errors.New("fleet: the command is malformed")
+)
+
+type snapshot struct {
+	Version int    `cbor:"1,keyasint"`
+	State   *State `cbor:"2,keyasint"`
+}
+
+var (
+	encMode = newEncMode()
+	decMode = newDecMode()
+)
+
+// newEncMode sorts map keys, so that equal states have equal snapshots.
+func newEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecMode() cbor.DecMode {
+	opts := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  16,
+	}
+	mode, err := opts.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodeSnapshot returns the state as deterministic CBOR.
+func (s *State) EncodeSnapshot() ([]byte, error) {
+	data, err := encMode.Marshal(snapshot{Version: snapshotVersion, State: s})
+	return data, errors.Wrap(err, "fleet: encode snapshot")
+}
+
+// DecodeSnapshot returns the state of a snapshot. The error wraps ErrSnapshot.
+func DecodeSnapshot(data []byte) (*State, error) {
+	var snap snapshot
+	if err := decMode.Unmarshal(data, &snap); err != nil {
+		return nil, errors.Wrap(ErrSnapshot, err.Error())
+	}
+	if snap.Version != snapshotVersion || snap.State == nil {
+		return nil, errors.Wrapf(ErrSnapshot, "version %d", snap.Version)
+	}
+	s := snap.State
+	for id, j := range s.Jobs {
+		if j == nil || j.ID != id {
+			return nil, errors.Wrapf(ErrSnapshot, "job %q", id)
+		}
+	}
+	s.fillMaps()
+	s.rebuild()
+	return s, nil
+}
+
+// EncodeCommand returns a command as it stands in the log.
+func EncodeCommand(cmd Command) ([]byte, error) {
+	data, err := encMode.Marshal(cmd)
+	return data, errors.Wrap(err, "fleet: encode command")
+}
+
+// DecodeCommand returns the command of a log entry. The error wraps ErrCommand.
+func DecodeCommand(data []byte) (Command, error) {
+	var cmd Command
+	if err := decMode.Unmarshal(data, &cmd); err != nil {
+		return cmd, errors.Wrap(ErrCommand, err.Error())
+	}
+	return cmd, nil
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -27,12 +27,16 @@
 	// Grants holds the units granted to each entry by team.
 	Grants map[string]map[string]int `cbor:"7,keyasint"`
 	Audit  []AuditRecord             `cbor:"8,keyasint"`
-	// Answers holds the first answers to operators' request identifiers, oldest
-	// first, and Answered indexes them.
+	// Answers holds the first answers to operators' request identifiers, oldest first.
 	Answers []Answer `cbor:"9,keyasint"`
 
-	answered map[string]int
-	running  map[string]int
+	// InForce is the latest revision that is in force everywhere.
+	InForce Revision `cbor:"10,keyasint"`
+	// Tombstones remember the identifiers of removed jobs, oldest first.
+	Tombstones []Tombstone `cbor:"11,keyasint"`
+
+	index index
+	feed  feed
 }
 
 // Answer is the remembered first answer to an operator's request identifier.
@@ -42,23 +46,42 @@
 	Result      Result `cbor:"3,keyasint"`
 }
 
+// Tombstone stands for a removed job record until it is removed itself.
+type Tombstone struct {
+	// Hash is the xxhash of the job's identifier.
+	Hash  uint64 `cbor:"1,keyasint"`
+	Since Time   `cbor:"2,keyasint"`
+}
+
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{
-		Config: Config{
-			DataCentres: map[string]DataCentre{},
-			Instances:   map[string]Instance{},
-			Pools:       map[string]Pool{},
-			Teams:       map[string]Team{},
-			Keys:        map[string]Key{},
-			Queues:      map[string]Queue{},
-			Services:    map[string]Service{},
-		},
-		Status:   map[string]InstanceStatus{},
-		Plans:    map[string]MaintenancePlan{},
-		Jobs:     map[string]*Job{},
-		Grants:   map[string]map[string]int{},
-		answered: map[string]int{},
-		running:  map[string]int{},
+	s := &State{}
+	s.fillMaps()
+	s.rebuild()
+	return s
+}
+
+// fillMaps replaces absent maps by empty ones.
+func (s *State) fillMaps() {
+	s.Config.fillMaps()
+	fill(&s.Status)
+	fill(&s.Plans)
+	fill(&s.Jobs)
+	fill(&s.Grants)
+}
+
+func (c *Config) fillMaps() {
+	fill(&c.DataCentres)
+	fill(&c.Instances)
+	fill(&c.Pools)
+	fill(&c.Teams)
+	fill(&c.Keys)
+	fill(&c.Queues)
+	fill(&c.Services)
+}
+
+func fill[K comparable, V any](m *map[K]V) {
+	if *m == nil {
+		*m = map[K]V{}
 	}
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -166,7 +166,8 @@
 	JobMayHaveRun JobState = "may_have_run"
 )
 
-// Final reports whether the state can no longer change.
+// Final reports whether the job is no longer run. Only JobMayHaveRun may still
+// change, to JobDone, when the result of its last attempt arrives late.
 func (s JobState) Final() bool {
 	return s != JobQueued && s != JobAssigned
 }
@@ -187,7 +188,8 @@
 	Worker            string `cbor:"8,keyasint,omitempty" json:"worker,omitempty"`
 	WorkerIncarnation string `cbor:"9,keyasint,omitempty" json:"worker_incarnation,omitempty"`
 	AssignedAt        Time   `cbor:"10,keyasint,omitempty" json:"assigned_at_ms,omitempty"`
-	// Started is true once a worker reported that an attempt ran.
+	// Started is true once an attempt ran or may have run: a worker reported it, or
+	// an attempt ended in any way but not_started.
 	Started bool `cbor:"11,keyasint,omitempty" json:"started,omitempty"`
 	// CancelRequested asks the worker to stop; the job is final when the worker confirms.
 	CancelRequested bool `cbor:"12,keyasint,omitempty" json:"cancel_requested,omitempty"`
@@ -198,6 +200,11 @@
 	Reason     string   `cbor:"16,keyasint,omitempty" json:"reason,omitempty"`
 	// RetryNotBefore holds back a job that failed or was not started; 0 means none.
 	RetryNotBefore Time `cbor:"17,keyasint,omitempty" json:"retry_not_before_ms,omitempty"`
+	// NotRun is set on a final record when no attempt ever ran.
+	NotRun bool `cbor:"18,keyasint,omitempty" json:"not_run,omitempty"`
+	// Fingerprint identifies the submitted team, queue and spec after the payload
+	// is dropped, so that a repeated submission is still recognised.
+	Fingerprint uint64 `cbor:"19,keyasint,omitempty" json:"-"`
 }
 
 // InstancePhase is the maintenance phase of an instance.
