Report assigned jobs by worker in the status reply

Cause: an operator's drain has to tell when a worker is empty, and the status reply had job counts by state only. Ruled out: deriving it from the phase, since a drained instance stays in the draining phase until the drain is undone. Conclusion: StatusReply.Tasks; nil stands for a store that does not report it, so that an unknown number is never read as zero.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -288,6 +288,9 @@
 	Usage    map[string]int                   `cbor:"11,keyasint,omitempty"`
 	Now      fleet.Time                       `cbor:"12,keyasint"`
 	Revision fleet.Revision                   `cbor:"13,keyasint"`
+	// Tasks is the number of assigned jobs by worker; nil means that the store
+	// does not report it, and an empty map that no job is assigned.
+	Tasks map[string]int `cbor:"14,keyasint"`
 }
 
 // MemberInfo is one member of the replicated log.
