--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 GO ?= go
 BIN := bin
+MODULE := github.com/samphirefork/samphirefork
 
 .PHONY: build test check format demo measure slopes generate clean
 
@@ -27,7 +28,11 @@
 	$(BIN)/samphire-slopes -bin $(BIN)
 
 generate:
-	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. proto/samphirefork/v1/*.proto
+	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	protoc -I proto --plugin=$(BIN)/protoc-gen-go --plugin=$(BIN)/protoc-gen-connect-go \
+		--go_out=. --go_opt=module=$(MODULE) \
+		--connect-go_out=. --connect-go_opt=module=$(MODULE) \
+		proto/samphirefork/v1/*.proto
 
 clean:
 	rm -rf $(BIN)
