--- /dev/null
+++ b/internal/metricstext/metricstext.go
@@ -0,0 +1,89 @@
+// Package metricstext writes a go-metrics registry in the Prometheus text format.
+package metricstext
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the media type of the text format.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+// Write writes all metrics of the registry in the order of their names. Timers
+// are written in seconds.
+func Write(w io.Writer, r metrics.Registry) error {
+	all := map[string]any{}
+	r.Each(func(name string, metric any) { all[name] = metric })
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if err := writeMetric(w, sanitize(name), all[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeMetric(w io.Writer, name string, metric any) error {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return writeValue(w, name, "counter", float64(m.Count()))
+	case metrics.Gauge:
+		return writeValue(w, name, "gauge", float64(m.Value()))
+	case metrics.GaugeFloat64:
+		return writeValue(w, name, "gauge", m.Value())
+	case metrics.Meter:
+		return writeValue(w, name, "counter", float64(m.Snapshot().Count()))
+	case metrics.Histogram:
+		s := m.Snapshot()
+		return writeSummary(w, name, s.Percentiles(quantiles), float64(s.Sum()), s.Count(), 1)
+	case metrics.Timer:
+		s := m.Snapshot()
+		return writeSummary(w, name, s.Percentiles(quantiles), float64(s.Sum()), s.Count(), float64(time.Second))
+	default:
+		return nil
+	}
+}
+
+func writeValue(w io.Writer, name, kind string, value float64) error {
+	_, err := fmt.Fprintf(w, "# TYPE %s %s\n%s %v\n", name, kind, name, value)
+	return err
+}
+
+func writeSummary(w io.Writer, name string, values []float64, sum float64, count int64, unit float64) error {
+	if _, err := fmt.Fprintf(w, "# TYPE %s summary\n", name); err != nil {
+		return err
+	}
+	for i, q := range quantiles {
+		if _, err := fmt.Fprintf(w, "%s{quantile=\"%v\"} %v\n", name, q, values[i]/unit); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "%s_sum %v\n%s_count %d\n", name, sum/unit, name, count)
+	return err
+}
+
+// sanitize replaces what a metric name must not contain.
+func sanitize(name string) string {
+	clean := strings.Map(func(r rune) rune {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r == '_' || r == ':'
+		if letter || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+	if clean == "" || clean[0] >= '0' && clean[0] <= '9' {
+		return "_" + clean
+	}
+	return clean
+}
--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,118 @@
+package raft
+
+func (c *Core) drawTimeout() {
+	c.timeout = c.cfg.ElectionTicks + c.cfg.Rand.IntN(c.cfg.ElectionTicks)
+}
+
+// supportsLeader is true while this member may count as contact in a leader's
+// lease and must not help to elect another one.
+func (c *Core) supportsLeader() bool {
+	if c.role == Leader {
+		return c.now-max(c.QuorumContact(), c.electedAt) < c.cfg.MinElection
+	}
+	return c.now-c.heardAt < c.cfg.MinElection
+}
+
+func (c *Core) becomeFollower(term, leader uint64) {
+	if term > c.term {
+		c.term = term
+		c.vote = 0
+	}
+	c.role = Follower
+	c.leader = leader
+	c.elapsed = 0
+	c.peers = nil
+	c.votes = nil
+	c.transferTo = 0
+	c.drawTimeout()
+}
+
+// campaign asks for pre-votes, or for votes in a new term.
+func (c *Core) campaign(as Role, force bool) {
+	c.role = as
+	c.leader = 0
+	c.elapsed = 0
+	c.votes = map[uint64]bool{c.cfg.ID: true}
+	c.drawTimeout()
+	request := Message{Kind: MsgPreVote, Term: c.term + 1, Index: c.log.last(), LogTerm: c.log.lastTerm(), Force: force}
+	if as == Candidate {
+		c.term++
+		c.vote = c.cfg.ID
+		request.Kind, request.Term = MsgVote, c.term
+	}
+	for _, m := range c.members {
+		if m.Learner || m.ID == c.cfg.ID {
+			continue
+		}
+		request.To = m.ID
+		c.sendDurable(request)
+	}
+	c.checkVotes()
+}
+
+func (c *Core) handlePreVote(m Message) {
+	if m.Term > c.term && c.upToDate(m) && (m.Force || !c.supportsLeader()) {
+		c.sendDurable(Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term})
+		return
+	}
+	c.sendDurable(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
+}
+
+func (c *Core) handleVote(m Message) {
+	free := c.vote == 0 || c.vote == m.From
+	if !free || !c.upToDate(m) || c.role == Leader {
+		c.sendDurable(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
+		return
+	}
+	c.vote = m.From
+	c.elapsed = 0
+	c.sendDurable(Message{Kind: MsgVoteReply, To: m.From})
+}
+
+// upToDate tells whether the candidate's log is at least as new as ours.
+func (c *Core) upToDate(m Message) bool {
+	if m.LogTerm != c.log.lastTerm() {
+		return m.LogTerm > c.log.lastTerm()
+	}
+	return m.Index >= c.log.last()
+}
+
+func (c *Core) countPreVote(m Message) {
+	if c.role == PreCandidate && m.Term == c.term+1 {
+		c.votes[m.From] = true
+		c.checkVotes()
+	}
+}
+
+func (c *Core) countVote(m Message) {
+	if c.role == Candidate && !m.Reject {
+		c.votes[m.From] = true
+		c.checkVotes()
+	}
+}
+
+func (c *Core) checkVotes() {
+	if !c.majority(func(id uint64) bool { return c.votes[id] }) {
+		return
+	}
+	switch c.role {
+	case PreCandidate:
+		c.campaign(Candidate, false)
+	case Candidate:
+		c.becomeLeader()
+	}
+}
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.cfg.ID
+	c.elapsed = 0
+	c.electedAt = c.now
+	c.votes = nil
+	c.transferTo = 0
+	c.peers = map[uint64]*progress{}
+	c.refreshMembers()
+	c.appendOwn(Entry{Kind: EntryNoop})
+	c.broadcastHeartbeat()
+	c.broadcastAppend()
+}
--- /dev/null
+++ b/internal/store/handle.go
@@ -0,0 +1,134 @@
+package store
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// change is a membership change on its way through the log.
+type change struct {
+	raft.Change
+	index uint64
+	done  chan error
+}
+
+// Handle is the wire.Handler of the types TypeRaft and TypeMembership.
+func (n *Node) Handle(ctx context.Context, req wire.Request) (any, error) {
+	switch req.Type {
+	case wire.TypeRaft:
+		return nil, n.receive(req)
+	case wire.TypeMembership:
+		return n.handleMembership(ctx, req)
+	default:
+		return nil, &wire.ErrorBody{Code: wire.CodeUnsupported, Message: "the log takes no such message"}
+	}
+}
+
+// receive hands a message to the loop. It never blocks the connection.
+func (n *Node) receive(req wire.Request) error {
+	var e envelope
+	if err := req.Decode(&e); err != nil {
+		return err
+	}
+	select {
+	case n.inbox <- e:
+	default:
+		n.meters.dropped.Inc(1)
+	}
+	return nil
+}
+
+// handleMembership carries out one change. A repetition of a change that is
+// already in place succeeds.
+func (n *Node) handleMembership(ctx context.Context, req wire.Request) (any, error) {
+	var msg wire.MembershipChange
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	l := n.Leadership()
+	if !l.Leading {
+		return nil, &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: l.Leader}
+	}
+	if !n.inPlace(msg) {
+		if err := n.ChangeMembers(ctx, msg); err != nil {
+			return nil, n.changeError(err)
+		}
+	}
+	return wire.StatusReply{Leader: l.Leader, Term: l.Term, Applied: n.Applied(), Members: n.Members()}, nil
+}
+
+func (n *Node) inPlace(msg wire.MembershipChange) bool {
+	for _, m := range n.Members() {
+		if msg.Add != nil && m.ID == msg.Add.ID && m.Address == msg.Add.Address {
+			return true
+		}
+		if msg.Promote != 0 && m.ID == msg.Promote && !m.Learner {
+			return true
+		}
+		if msg.Remove != 0 && m.ID == msg.Remove {
+			return false
+		}
+	}
+	return msg.Remove != 0 && msg.Add == nil && msg.Promote == 0
+}
+
+// ChangeMembers carries out one membership change and returns once it is applied.
+func (n *Node) ChangeMembers(ctx context.Context, msg wire.MembershipChange) error {
+	ch := &change{Change: raft.Change{Promote: msg.Promote, Remove: msg.Remove}, done: make(chan error, 1)}
+	if a := msg.Add; a != nil {
+		ch.Add = &raft.Member{ID: a.ID, Instance: a.Instance, DataCentre: a.DataCentre, Address: a.Address}
+	}
+	select {
+	case n.changes <- ch:
+	case <-ctx.Done():
+		return fleet.ErrNotLeader
+	case <-n.stopped:
+		return fleet.ErrNotLeader
+	}
+	select {
+	case err := <-ch.done:
+		return err
+	case <-ctx.Done():
+	case <-n.stopped:
+	}
+	return fleet.ErrUncertain
+}
+
+func (n *Node) takeChange(ch *change) {
+	index, err := n.core.ChangeMembers(ch.Change)
+	if err != nil {
+		ch.done <- err
+		return
+	}
+	ch.index = index
+	n.change = ch
+}
+
+// settleChange answers the pending change. It is unique: the core refuses a
+// second one before the first is applied.
+func (n *Node) settleChange(e raft.Entry) {
+	if n.change == nil || n.change.index != e.Index {
+		return
+	}
+	n.change.done <- nil
+	n.change = nil
+}
+
+func (n *Node) changeError(err error) error {
+	body := &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
+	switch {
+	case errors.Is(err, fleet.ErrNotLeader), errors.Is(err, raft.ErrNotLeader):
+		body.Code = wire.CodeNotLeader
+		body.Leader = n.Leadership().Leader
+	case errors.Is(err, fleet.ErrUncertain):
+		body.Code = wire.CodeUncertain
+	case errors.Is(err, raft.ErrChangePending), errors.Is(err, raft.ErrNotCaughtUp):
+		body.Code = wire.CodeBusy
+	}
+	return body
+}
--- /dev/null
+++ b/internal/store/loop.go
@@ -0,0 +1,221 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
+)
+
+// maxBurst bounds the messages or proposals taken in one turn of the loop.
+const maxBurst = 512
+
+// Run serves until ctx ends, and then hands over a leadership first. It returns
+// the error of a failed disk, after which the process has to end.
+func (n *Node) Run(ctx context.Context) error {
+	n.running.Add(1)
+	go n.persistLoop()
+	err := n.loop(ctx)
+	n.failPending(fleet.ErrUncertain)
+	n.view.Store(&view{term: n.core.Status().Term})
+	close(n.stopped)
+	n.refuseWaiting()
+	close(n.jobs)
+	n.running.Wait()
+	n.Close()
+	return err
+}
+
+func (n *Node) loop(ctx context.Context) error {
+	ticker := time.NewTicker(n.cfg.Tick.Std())
+	defer ticker.Stop()
+	stop := ctx.Done()
+	var handover <-chan time.Time
+	for {
+		if err := n.work(); err != nil {
+			return err
+		}
+		if stop == nil && n.core.Status().Role != raft.Leader {
+			return nil
+		}
+		select {
+		case <-stop:
+			stop = nil
+			timer := time.NewTimer(2 * n.minElection())
+			defer timer.Stop()
+			handover = timer.C
+			n.core.Transfer()
+			if n.aloneVoter() {
+				return nil
+			}
+		case <-handover:
+			return nil
+		case <-ticker.C:
+			n.core.Tick(n.clock())
+		case e := <-n.inbox:
+			n.stepAll(e)
+		case p := <-n.acceptable():
+			n.takeAll(p)
+		case ch := <-n.changes:
+			n.takeChange(ch)
+		case res := <-n.persisted:
+			if err := n.afterPersist(res); err != nil {
+				return err
+			}
+		case res := <-n.snapSaved:
+			if err := n.afterSave(res); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// refuseWaiting answers the proposals that the loop never took.
+func (n *Node) refuseWaiting() {
+	for {
+		select {
+		case p := <-n.proposals:
+			p.done <- outcome{err: fleet.ErrNotLeader}
+		default:
+			return
+		}
+	}
+}
+
+// aloneVoter tells whether no other voter can take over.
+func (n *Node) aloneVoter() bool {
+	for _, m := range n.core.Status().Members {
+		if !m.Learner && m.ID != n.cfg.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// acceptable returns the proposals' channel unless too many are pending.
+func (n *Node) acceptable() <-chan *proposal {
+	if len(n.pending) >= maxPending {
+		return nil
+	}
+	return n.proposals
+}
+
+func (n *Node) stepAll(e envelope) {
+	n.step(e)
+	for range maxBurst {
+		select {
+		case e := <-n.inbox:
+			n.step(e)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(e envelope) {
+	n.network.learn(e.Message.From, e.Address)
+	n.core.Step(n.clock(), e.Message)
+}
+
+// work sends, persists and applies what the core has ready.
+func (n *Node) work() error {
+	defer n.publish()
+	n.network.send(n.core.Messages())
+	for !n.persisting {
+		rd, ok := n.core.Ready()
+		if !ok {
+			break
+		}
+		n.network.send(rd.Messages)
+		if rd.MustPersist() {
+			n.persisting = true
+			n.jobs <- job{ready: rd, trimTo: n.trimTo}
+			n.trimTo = 0
+			break
+		}
+		if err := n.finish(rd); err != nil {
+			return err
+		}
+	}
+	n.checkTenure()
+	return nil
+}
+
+func (n *Node) afterPersist(res jobResult) error {
+	n.persisting = false
+	if res.err != nil {
+		return errors.Wrap(res.err, "store: persist")
+	}
+	n.meters.syncs.Update(res.took)
+	return n.finish(res.ready)
+}
+
+// finish does what may follow once rd is durable.
+func (n *Node) finish(rd raft.Ready) error {
+	n.network.send(rd.AfterPersist)
+	if rd.Snapshot != nil {
+		if err := n.install(*rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := n.applyAll(rd.Committed); err != nil {
+		return err
+	}
+	n.core.Advance(rd)
+	return n.saveSnapshot()
+}
+
+func (n *Node) install(s raft.Snapshot) error {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	if err := n.machine.Restore(s.Data); err != nil {
+		return errors.Wrap(err, "store: restore snapshot")
+	}
+	n.applied, n.snapshotAt = s.Index, s.Index
+	n.announceChange()
+	return nil
+}
+
+func (n *Node) applyAll(entries []raft.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	for _, e := range entries {
+		if err := n.apply(e); err != nil {
+			return err
+		}
+	}
+	n.meters.applied.Inc(int64(len(entries)))
+	n.announceChange()
+	return nil
+}
+
+func (n *Node) apply(e raft.Entry) error {
+	n.applied = e.Index
+	switch e.Kind {
+	case raft.EntryMembership:
+		n.settleChange(e)
+		return nil
+	case raft.EntryNoop:
+		return nil
+	}
+	var cmd fleet.Command
+	if err := cbor.Unmarshal(e.Data, &cmd); err != nil {
+		return errors.Wrapf(err, "store: decode command %d", e.Index)
+	}
+	result := n.machine.Apply(e.Index, cmd)
+	n.settle(e, result)
+	return nil
+}
+
+// announceChange wakes those who wait on Changed. The caller holds stateMu.
+func (n *Node) announceChange() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/store/network.go
@@ -0,0 +1,117 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	peerQueueMessages = 1024
+	dialTimeout       = 500 * time.Millisecond
+)
+
+// envelope carries a message of the consensus core. Address is the sender's, so
+// that a new member can answer before it knows the membership.
+type envelope struct {
+	Address string       `cbor:"1,keyasint"`
+	Message raft.Message `cbor:"2,keyasint"`
+}
+
+// network sends messages in order over one queue per peer. A full queue drops:
+// the core repeats what matters.
+type network struct {
+	self   string
+	pool   *wire.Pool
+	meters meters
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	// fixed, addresses and queues belong to the loop. fixed holds the addresses
+	// of the settings, which differ between stores where links are proxied.
+	fixed     map[uint64]string
+	addresses map[uint64]string
+	queues    map[string]chan raft.Message
+}
+
+func newNetwork(cfg settings.Store, pool *wire.Pool, m meters) *network {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &network{
+		self: cfg.Advertise, pool: pool, meters: m, ctx: ctx, cancel: cancel,
+		fixed: map[uint64]string{}, addresses: map[uint64]string{}, queues: map[string]chan raft.Message{},
+	}
+	for _, member := range cfg.Members {
+		w.fixed[member.ID] = member.Address
+	}
+	return w
+}
+
+// learn records the address of a member.
+func (w *network) learn(id uint64, address string) {
+	if address != "" {
+		w.addresses[id] = address
+	}
+}
+
+func (w *network) send(messages []raft.Message) {
+	for _, m := range messages {
+		address, ok := w.fixed[m.To]
+		if !ok {
+			address, ok = w.addresses[m.To]
+		}
+		if !ok {
+			continue
+		}
+		select {
+		case w.queue(address) <- m:
+		default:
+			w.meters.dropped.Inc(1)
+		}
+	}
+}
+
+func (w *network) queue(address string) chan raft.Message {
+	q, ok := w.queues[address]
+	if !ok {
+		q = make(chan raft.Message, peerQueueMessages)
+		w.queues[address] = q
+		w.wg.Add(1)
+		go w.deliver(address, q)
+	}
+	return q
+}
+
+func (w *network) deliver(address string, q <-chan raft.Message) {
+	defer w.wg.Done()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case m := <-q:
+			w.sendOne(address, m)
+		}
+	}
+}
+
+func (w *network) sendOne(address string, m raft.Message) {
+	ctx, cancel := context.WithTimeout(w.ctx, dialTimeout)
+	defer cancel()
+	conn, err := w.pool.Get(ctx, address)
+	if err == nil {
+		err = conn.Send(w.ctx, wire.TypeRaft, envelope{Address: w.self, Message: m})
+	}
+	if err != nil {
+		w.meters.dropped.Inc(1)
+	}
+}
+
+func (w *network) close() {
+	w.cancel()
+	w.pool.Close()
+	w.wg.Wait()
+}
--- /dev/null
+++ b/internal/store/persist.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/wal"
+)
+
+// job is one synced write. Trimming follows it.
+type job struct {
+	ready  raft.Ready
+	trimTo uint64
+}
+
+type jobResult struct {
+	ready raft.Ready
+	took  time.Duration
+	err   error
+}
+
+type saveResult struct {
+	snapshot raft.Snapshot
+	oldest   uint64
+	err      error
+}
+
+// persistLoop writes one job at a time, so that messages and ticks are handled
+// and proposals gather while the disk syncs.
+func (n *Node) persistLoop() {
+	defer n.running.Done()
+	for j := range n.jobs {
+		start := time.Now()
+		err := n.persist(j)
+		n.persisted <- jobResult{ready: j.ready, took: time.Since(start), err: err}
+	}
+}
+
+func (n *Node) persist(j job) error {
+	batch := wal.Batch{HardState: j.ready.HardState, Entries: j.ready.Entries}
+	if s := j.ready.Snapshot; s != nil {
+		if _, err := n.save(*s); err != nil {
+			return err
+		}
+		batch.Base = &s.Position
+	}
+	if err := n.wal.Append(batch); err != nil {
+		return err
+	}
+	if j.trimTo == 0 {
+		return nil
+	}
+	return n.wal.Trim(j.trimTo)
+}
+
+func (n *Node) save(s raft.Snapshot) (uint64, error) {
+	n.snapMu.Lock()
+	defer n.snapMu.Unlock()
+	return n.snaps.Save(s)
+}
+
+// saveSnapshot starts to write a snapshot when enough entries were applied.
+func (n *Node) saveSnapshot() error {
+	if n.saving || n.applied < n.snapshotAt+uint64(n.cfg.SnapshotEntries) {
+		return nil
+	}
+	data, err := n.machine.Encode()
+	if err != nil {
+		return errors.Wrap(err, "store: encode snapshot")
+	}
+	s := raft.Snapshot{Position: n.core.PositionAt(n.applied), Data: data}
+	n.saving = true
+	n.snapshotAt = n.applied
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		oldest, err := n.save(s)
+		n.snapSaved <- saveResult{snapshot: s, oldest: oldest, err: err}
+	}()
+	return nil
+}
+
+// afterSave drops what the snapshot covers. The log on disk keeps what follows
+// the older of the two snapshots, so that a damaged one can be passed over.
+func (n *Node) afterSave(res saveResult) error {
+	n.saving = false
+	if res.err != nil {
+		return res.err
+	}
+	keep := uint64(n.cfg.SnapshotEntries)
+	n.core.Compact(res.snapshot, res.snapshot.Index-min(keep, res.snapshot.Index))
+	n.trimTo = res.oldest
+	n.log.Info().Uint64("index", res.snapshot.Index).Int("bytes", len(res.snapshot.Data)).Msg("snapshot saved")
+	return nil
+}
--- /dev/null
+++ b/internal/store/propose.go
@@ -0,0 +1,141 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
+)
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	cmd  fleet.Command
+	term uint64
+	done chan outcome
+}
+
+type outcome struct {
+	result fleet.Result
+	err    error
+}
+
+// Propose implements fleet.Log. Commands that arrive while the disk syncs share
+// the next sync.
+func (n *Node) Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error) {
+	p := &proposal{cmd: cmd, done: make(chan outcome, 1)}
+	select {
+	case <-n.stopped:
+		return fleet.Result{}, fleet.ErrNotLeader
+	default:
+	}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return fleet.Result{}, fleet.ErrNotLeader
+	case <-n.stopped:
+		return fleet.Result{}, fleet.ErrNotLeader
+	}
+	select {
+	case out := <-p.done:
+		return out.result, out.err
+	case <-ctx.Done():
+	case <-n.stopped:
+	}
+	select {
+	case out := <-p.done:
+		return out.result, out.err
+	default:
+		return fleet.Result{}, fleet.ErrUncertain
+	}
+}
+
+// takeAll appends the waiting proposals to the log in one batch.
+func (n *Node) takeAll(first *proposal) {
+	batch := n.stamp(nil, first)
+	for len(batch) < maxBurst {
+		select {
+		case p := <-n.proposals:
+			batch = n.stamp(batch, p)
+			continue
+		default:
+		}
+		break
+	}
+	n.append(batch)
+}
+
+type stamped struct {
+	p    *proposal
+	data []byte
+}
+
+// stamp gives the command its time, or refuses it.
+func (n *Node) stamp(batch []stamped, p *proposal) []stamped {
+	if !n.leading(n.view.Load()) {
+		p.done <- outcome{err: fleet.ErrNotLeader}
+		return batch
+	}
+	p.cmd.Time = n.lead.now(n.clock())
+	p.cmd.WallUnixMS = time.Now().UnixMilli()
+	data, err := cbor.Marshal(p.cmd)
+	if err == nil && len(data) > maxCommandBytes {
+		err = ErrCommandTooLarge
+	}
+	if err != nil {
+		p.done <- outcome{err: errors.Wrap(err, "store: encode command")}
+		return batch
+	}
+	return append(batch, stamped{p: p, data: data})
+}
+
+func (n *Node) append(batch []stamped) {
+	if len(batch) == 0 {
+		return
+	}
+	commands := make([][]byte, 0, len(batch))
+	for _, s := range batch {
+		commands = append(commands, s.data)
+	}
+	first, err := n.core.Propose(commands)
+	term := n.core.Status().Term
+	for i, s := range batch {
+		if err != nil {
+			s.p.done <- outcome{err: fleet.ErrNotLeader}
+			continue
+		}
+		s.p.term = term
+		n.pending[first+uint64(i)] = s.p
+	}
+	n.meters.proposals.Inc(int64(len(batch)))
+}
+
+// settle answers the proposal at the entry's index. Another term there means
+// that the proposal was replaced and is certainly not committed.
+func (n *Node) settle(e raft.Entry, result fleet.Result) {
+	p, ok := n.pending[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.pending, e.Index)
+	if p.term != e.Term {
+		p.done <- outcome{err: fleet.ErrNotLeader}
+		return
+	}
+	p.done <- outcome{result: result}
+}
+
+// failPending answers what is still under way when the leadership ends.
+func (n *Node) failPending(err error) {
+	for index, p := range n.pending {
+		p.done <- outcome{err: err}
+		delete(n.pending, index)
+	}
+	if n.change != nil {
+		n.change.done <- err
+		n.change = nil
+	}
+}
--- /dev/null
+++ b/internal/store/restore.go
@@ -0,0 +1,93 @@
+package store
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/wal"
+)
+
+// restore combines the newest snapshot with the log.
+func (n *Node) restore(contents wal.Contents, walFolder string) (raft.Restored, error) {
+	snapshot, found, damaged, err := n.snaps.Newest()
+	if err != nil {
+		return raft.Restored{}, err
+	}
+	for _, d := range damaged {
+		n.log.Error().Err(d).Msg("damaged snapshot was passed over")
+	}
+	if contents.TornBytes > 0 {
+		n.log.Warn().Int("bytes", contents.TornBytes).Msg("torn last batch was cut from the log")
+	}
+	if contents.Empty() {
+		if found || len(damaged) > 0 {
+			return raft.Restored{}, &wal.ErrCorrupt{File: walFolder, Reason: "there are snapshots but no log"}
+		}
+		return n.startLog()
+	}
+	if contents.Meta.MemberID != n.cfg.ID {
+		return raft.Restored{}, &ErrWrongMember{Folder: n.cfg.DataFolder, Found: contents.Meta.MemberID, Settled: n.cfg.ID}
+	}
+	if !found {
+		snapshot = raft.Snapshot{Position: contents.Base}
+	}
+	if err := n.restoreMachine(contents, snapshot, found, walFolder); err != nil {
+		return raft.Restored{}, err
+	}
+	entries, err := n.entriesAfter(contents, snapshot.Position, walFolder)
+	if err != nil {
+		return raft.Restored{}, err
+	}
+	return raft.Restored{HardState: contents.HardState, Snapshot: snapshot, Entries: entries}, nil
+}
+
+// startLog begins a new log with the members of the settings, or an empty one
+// that waits to be added as a learner.
+func (n *Node) startLog() (raft.Restored, error) {
+	var base raft.Position
+	if !n.cfg.Join {
+		for _, m := range n.cfg.Members {
+			base.Members = append(base.Members, raft.Member{ID: m.ID, Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address})
+		}
+	}
+	if err := n.wal.Start(wal.Meta{MemberID: n.cfg.ID}, base); err != nil {
+		return raft.Restored{}, err
+	}
+	return raft.Restored{Snapshot: raft.Snapshot{Position: base}}, nil
+}
+
+// restoreMachine restores the state machine and checks that the snapshot reaches the log's base.
+func (n *Node) restoreMachine(contents wal.Contents, snapshot raft.Snapshot, found bool, walFolder string) error {
+	if snapshot.Index < contents.Base.Index || (!found && contents.Base.Index > 0) {
+		return &wal.ErrCorrupt{File: walFolder, Reason: "the snapshot that the log continues is missing"}
+	}
+	if !found {
+		return nil
+	}
+	return errors.Wrap(n.machine.Restore(snapshot.Data), "store: restore snapshot")
+}
+
+// entriesAfter returns the log's entries after the snapshot. A log that does not
+// contain the snapshot's position was overtaken by an installed snapshot just
+// before a crash; it is restarted from there.
+func (n *Node) entriesAfter(contents wal.Contents, at raft.Position, walFolder string) ([]raft.Entry, error) {
+	entries := contents.Entries
+	if len(entries) == 0 {
+		if contents.Base.Index == at.Index {
+			return nil, nil
+		}
+		return nil, n.wal.Append(wal.Batch{Base: &at})
+	}
+	first := entries[0].Index
+	if first > at.Index+1 {
+		return nil, &wal.ErrCorrupt{File: walFolder, Reason: "entries between the snapshot and the log are missing"}
+	}
+	if first == at.Index+1 {
+		return entries, nil
+	}
+	last := entries[len(entries)-1].Index
+	if at.Index <= last && entries[at.Index-first].Term == at.Term {
+		return entries[at.Index-first+1:], nil
+	}
+	return nil, n.wal.Append(wal.Batch{Base: &at})
+}
--- /dev/null
+++ b/internal/store/server.go
@@ -0,0 +1,171 @@
+package store
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/samphirefork/samphirefork/internal/metricstext"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 2 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Part is a further service of the store's process, such as the control server
+// or the request ledger.
+type Part interface {
+	// Register adds the part's handlers before the first message arrives.
+	Register(mux wire.Mux)
+	// Run works until ctx ends.
+	Run(ctx context.Context) error
+}
+
+// Server accepts peers and serves health, readiness and metrics.
+type Server struct {
+	node     *Node
+	parts    []Part
+	mux      wire.Mux
+	creds    wire.Credentials
+	metrics  metrics.Registry
+	log      zerolog.Logger
+	http     *http.Server
+	stopping atomic.Bool
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[*wire.Conn]struct{}
+}
+
+// NewServer returns the server of a node and of the other parts of the process.
+func NewServer(node *Node, registry metrics.Registry, log zerolog.Logger, parts ...Part) *Server {
+	s := &Server{
+		node:    node,
+		parts:   parts,
+		mux:     wire.Mux{wire.TypeRaft: node.Handle, wire.TypeMembership: node.Handle},
+		creds:   wire.Credentials{Instance: node.cfg.Instance, Secret: []byte(node.cfg.SharedSecret)},
+		metrics: registry,
+		log:     log,
+		conns:   map[*wire.Conn]struct{}{},
+	}
+	for _, p := range parts {
+		p.Register(s.mux)
+	}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(wire.Path, s.acceptPeer)
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.ready)
+	e.GET("/metrics", s.writeMetrics)
+	s.http = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	return s
+}
+
+// Run serves on the listener until ctx ends or a part fails. The node hands
+// over its leadership while peers are still served.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	start := func(run func(context.Context) error) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := run(ctx); err != nil {
+				cancel(err)
+			}
+		}()
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			cancel(errors.Wrap(err, "store: serve"))
+		}
+	}()
+	start(s.node.Run)
+	for _, p := range s.parts {
+		start(p.Run)
+	}
+	<-ctx.Done()
+	s.stopping.Store(true)
+	wg.Wait()
+	s.close()
+	<-served
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
+
+func (s *Server) close() {
+	s.mu.Lock()
+	s.closed = true
+	open := make([]*wire.Conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Warn().Err(err).Msg("listener was not shut down cleanly")
+	}
+}
+
+func (s *Server) acceptPeer(c echo.Context) error {
+	conn, err := wire.Accept(c.Response(), c.Request(), s.creds, s.mux.Handle)
+	if err != nil {
+		s.log.Warn().Err(err).Str("remote", c.Request().RemoteAddr).Msg("peer refused")
+		return nil
+	}
+	if !s.add(conn) {
+		conn.Close()
+		return nil
+	}
+	<-conn.Done()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *Server) add(conn *wire.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+// ready is true while this store knows a leader and is not stopping.
+func (s *Server) ready(c echo.Context) error {
+	if s.stopping.Load() {
+		return c.String(http.StatusServiceUnavailable, "stopping\n")
+	}
+	if s.node.Leadership().Leader == "" {
+		return c.String(http.StatusServiceUnavailable, "no leader\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Server) writeMetrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, metricstext.ContentType)
+	c.Response().WriteHeader(http.StatusOK)
+	return metricstext.Write(c.Response(), s.metrics)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,234 @@
+// Package store runs one member of the replicated log: it drives the consensus
+// core, the write-ahead log and the snapshots, and applies committed commands.
+package store
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/snap"
+	"github.com/samphirefork/samphirefork/internal/wal"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	electionTicks          = 10
+	defaultTick            = 50 * time.Millisecond
+	defaultSnapshotEntries = 10_000
+	maxAppendBytes         = 1 << 20
+	maxInflightAppends     = 32
+	snapshotChunkBytes     = 1 << 20
+	maxCommandBytes        = 3 << 20
+	inboxMessages          = 4096
+	maxPending             = 4096
+	proposalBacklog        = 256
+)
+
+// ErrCommandTooLarge refuses a command that does not fit into a frame.
+var ErrCommandTooLarge = errors.New("store: command exceeds the size limit")
+
+// ErrWrongMember is a data folder that belongs to another member.
+type ErrWrongMember struct {
+	Folder  string
+	Found   uint64
+	Settled uint64
+}
+
+// Error implements error.
+func (e *ErrWrongMember) Error() string {
+	return fmt.Sprintf("store: data folder %s belongs to member %d, but the settings name member %d", e.Folder, e.Found, e.Settled)
+}
+
+// Options are the dependencies of a Node. Machine is required.
+type Options struct {
+	Machine Machine
+	// FS is the file access; the operating system's by default.
+	FS      disk.FS
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+	// Seed fixes the election timeouts; a random one by default.
+	Seed uint64
+}
+
+// Node is one member of the replicated log. It implements fleet.Log.
+type Node struct {
+	cfg     settings.Store
+	log     zerolog.Logger
+	meters  meters
+	started time.Time
+
+	lock    *disk.Lock
+	wal     *wal.Log
+	snaps   *snap.Folder
+	core    *raft.Core
+	network *network
+
+	inbox     chan envelope
+	proposals chan *proposal
+	changes   chan *change
+	jobs      chan job
+	persisted chan jobResult
+	snapSaved chan saveResult
+	stopped   chan struct{}
+	running   sync.WaitGroup
+	snapMu    sync.Mutex
+
+	// The fields below belong to the loop.
+	pending     map[uint64]*proposal
+	change      *change
+	persisting  bool
+	saving      bool
+	trimTo      uint64
+	applied     uint64
+	snapshotAt  uint64
+	leadingTerm uint64
+	lead        tenure
+
+	stateMu sync.RWMutex
+	machine Machine
+	changed chan struct{}
+
+	view atomic.Pointer[view]
+}
+
+var _ fleet.Log = (*Node)(nil)
+
+// Open locks the data folder, repairs a torn end of the log and restores the
+// state. Run must follow, or Close.
+func Open(cfg settings.Store, opts Options) (*Node, error) {
+	setDefaults(&cfg, &opts)
+	if err := opts.FS.MkdirAll(cfg.DataFolder); err != nil {
+		return nil, errors.Wrap(err, "store: data folder")
+	}
+	lock, err := disk.LockFolder(cfg.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	n, err := open(cfg, opts)
+	if err != nil {
+		lock.Release()
+		return nil, err
+	}
+	n.lock = lock
+	return n, nil
+}
+
+func setDefaults(cfg *settings.Store, opts *Options) {
+	if cfg.Tick == 0 {
+		cfg.Tick = settings.Duration(defaultTick)
+	}
+	if cfg.SnapshotEntries == 0 {
+		cfg.SnapshotEntries = defaultSnapshotEntries
+	}
+	if cfg.Advertise == "" {
+		cfg.Advertise = cfg.Listen
+	}
+	if opts.FS == nil {
+		opts.FS = disk.OS{}
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+}
+
+func open(cfg settings.Store, opts Options) (*Node, error) {
+	n := &Node{
+		cfg:       cfg,
+		log:       opts.Log,
+		meters:    newMeters(opts.Metrics),
+		started:   time.Now(),
+		inbox:     make(chan envelope, inboxMessages),
+		proposals: make(chan *proposal, proposalBacklog),
+		changes:   make(chan *change),
+		jobs:      make(chan job, 1),
+		persisted: make(chan jobResult, 1),
+		snapSaved: make(chan saveResult, 1),
+		stopped:   make(chan struct{}),
+		pending:   map[uint64]*proposal{},
+		machine:   opts.Machine,
+		changed:   make(chan struct{}),
+	}
+	found, err := n.openDisk(opts.FS)
+	if err != nil {
+		return nil, err
+	}
+	n.applied, n.snapshotAt = found.Snapshot.Index, found.Snapshot.Index
+	n.core = raft.New(n.coreConfig(opts.Seed), found)
+	creds := wire.Credentials{Instance: cfg.Instance, Secret: []byte(cfg.SharedSecret)}
+	n.network = newNetwork(cfg, wire.NewPool(creds, n.Handle), n.meters)
+	n.publish()
+	return n, nil
+}
+
+func (n *Node) coreConfig(seed uint64) raft.Config {
+	if seed == 0 {
+		var random [8]byte
+		_, _ = crand.Read(random[:])
+		seed = binary.BigEndian.Uint64(random[:])
+	}
+	return raft.Config{
+		ID:             n.cfg.ID,
+		ElectionTicks:  electionTicks,
+		MinElection:    int64(n.minElection()),
+		Now:            n.clock(),
+		Rand:           rand.New(rand.NewPCG(seed, n.cfg.ID)),
+		MaxAppendBytes: maxAppendBytes,
+		MaxInflight:    maxInflightAppends,
+		ChunkBytes:     snapshotChunkBytes,
+	}
+}
+
+// clock is the monotonic time since the start of the node, in nanoseconds.
+func (n *Node) clock() int64 { return int64(time.Since(n.started)) }
+
+func (n *Node) minElection() time.Duration { return electionTicks * n.cfg.Tick.Std() }
+
+// Close releases a node that is not run. Run does it by itself.
+func (n *Node) Close() {
+	n.network.close()
+	if err := n.wal.Close(); err != nil {
+		n.log.Warn().Err(err).Msg("the log was not closed cleanly")
+	}
+	n.lock.Release()
+}
+
+func (n *Node) openDisk(fs disk.FS) (raft.Restored, error) {
+	walFolder := filepath.Join(n.cfg.DataFolder, "wal")
+	snapFolder := filepath.Join(n.cfg.DataFolder, "snapshots")
+	for _, folder := range []string{walFolder, snapFolder} {
+		if err := fs.MkdirAll(folder); err != nil {
+			return raft.Restored{}, errors.Wrap(err, "store: data folder")
+		}
+	}
+	if err := fs.SyncFolder(n.cfg.DataFolder); err != nil {
+		return raft.Restored{}, errors.Wrap(err, "store: sync data folder")
+	}
+	var err error
+	if n.snaps, err = snap.Open(fs, snapFolder); err != nil {
+		return raft.Restored{}, err
+	}
+	log, contents, err := wal.Open(walFolder, wal.Options{FS: fs})
+	if err != nil {
+		return raft.Restored{}, err
+	}
+	n.wal = log
+	found, err := n.restore(contents, walFolder)
+	if err != nil {
+		_ = log.Close()
+	}
+	return found, err
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,175 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/settings"
+)
+
+const deadline = 60 * time.Second
+
+// counter is a Machine that counts the identifiers of cancelled jobs.
+type counter struct {
+	state *fleet.State
+	seen  map[string]int
+}
+
+func newCounter() *counter { return &counter{state: fleet.NewState(), seen: map[string]int{}} }
+
+func (c *counter) Apply(index uint64, cmd fleet.Command) fleet.Result {
+	c.state.Applied, c.state.Now = index, max(c.state.Now, cmd.Time)
+	if cmd.Cancel != nil {
+		c.seen[cmd.Cancel.ID]++
+	}
+	return fleet.Result{Revision: fleet.Revision(len(c.seen))}
+}
+
+func (c *counter) Encode() ([]byte, error) { return json.Marshal(c.seen) }
+
+func (c *counter) Restore(data []byte) error {
+	c.seen = map[string]int{}
+	return json.Unmarshal(data, &c.seen)
+}
+
+func (c *counter) State() *fleet.State { return c.state }
+
+func job1(id string) fleet.Command { return fleet.Command{Cancel: &fleet.JobCancel{ID: id}} }
+
+// testStore is one store of a test group, which can be stopped and started again.
+type testStore struct {
+	t       *testing.T
+	cfg     settings.Store
+	fs      disk.FS
+	node    *Node
+	machine *counter
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func (s *testStore) start(listener net.Listener) {
+	s.t.Helper()
+	if listener == nil {
+		var err error
+		listener, err = net.Listen("tcp", s.cfg.Listen)
+		require.NoError(s.t, err)
+	}
+	s.machine = newCounter()
+	registry := metrics.NewRegistry()
+	node, err := Open(s.cfg, Options{Machine: s.machine, FS: s.fs, Log: zerolog.Nop(), Metrics: registry, Seed: 1})
+	require.NoError(s.t, err)
+	s.node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done = make(chan error, 1)
+	server := NewServer(node, registry, zerolog.Nop())
+	go func() { s.done <- server.Run(ctx, listener) }()
+}
+
+func (s *testStore) stop() error {
+	if s.cancel == nil {
+		return nil
+	}
+	s.cancel()
+	s.cancel = nil
+	return <-s.done
+}
+
+func newGroup(t *testing.T, size int, adjust func(*settings.Store)) []*testStore {
+	t.Helper()
+	listeners := make([]net.Listener, size)
+	members := make([]settings.Member, size)
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners[i] = l
+		members[i] = settings.Member{ID: uint64(i + 1), Instance: fmt.Sprint("s", i+1), DataCentre: "a", Address: l.Addr().String()}
+	}
+	group := make([]*testStore, size)
+	for i, m := range members {
+		group[i] = newTestStore(t, m, members, adjust)
+		group[i].start(listeners[i])
+	}
+	return group
+}
+
+func newTestStore(t *testing.T, m settings.Member, members []settings.Member, adjust func(*settings.Store)) *testStore {
+	cfg := settings.Store{
+		Common: settings.Common{Instance: m.Instance, DataCentre: m.DataCentre, SharedSecret: "a secret of the tests"},
+		ID:     m.ID, Listen: m.Address, Members: members,
+		DataFolder: filepath.Join(t.TempDir(), "data"),
+	}
+	if adjust != nil {
+		adjust(&cfg)
+	}
+	s := &testStore{t: t, cfg: cfg}
+	t.Cleanup(func() { _ = s.stop() })
+	return s
+}
+
+// eventually waits for a condition with a generous deadline.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	require.Eventually(t, cond, deadline, 5*time.Millisecond, what)
+}
+
+func leaderOf(t *testing.T, group []*testStore) *testStore {
+	t.Helper()
+	var leader *testStore
+	eventually(t, "a leader", func() bool {
+		for _, s := range group {
+			if s.cancel != nil && s.node.Leadership().Leading {
+				leader = s
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// propose repeats a command on whichever store leads until it is committed.
+func propose(t *testing.T, group []*testStore, id string) {
+	t.Helper()
+	eventually(t, "commit of "+id, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), deadline)
+		defer cancel()
+		_, err := leaderOf(t, group).node.Propose(ctx, job1(id))
+		return err == nil
+	})
+}
+
+func (s *testStore) has(id string) bool {
+	found := false
+	s.node.Read(func(*fleet.State) { found = s.machine.seen[id] > 0 })
+	return found
+}
+
+// Guards against committed commands that are lost or missing on a member when
+// the leader stops, restarts and catches up.
+func TestThreeStoresSurviveTheLeader(t *testing.T) {
+	group := newGroup(t, 3, nil)
+	for i := range 20 {
+		propose(t, group, fmt.Sprint("before", i))
+	}
+	old := leaderOf(t, group)
+	require.NoError(t, old.stop())
+	for i := range 20 {
+		propose(t, group, fmt.Sprint("after", i))
+	}
+	old.start(nil)
+	for _, s := range group {
+		eventually(t, "catch up", func() bool { return s.has("before19") && s.has("after19") })
+	}
+}
--- /dev/null
+++ b/internal/store/view.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// leaseMarginDivisor shortens the leader's lease by a tenth of the minimum
+// election timeout, for clocks that run at different rates.
+const leaseMarginDivisor = 10
+
+// tenure is one leadership of this node, from the time at which it had applied
+// an entry of its own term.
+type tenure struct {
+	term  uint64
+	since time.Time
+	// base is the cluster time at mono, the node's clock at the start.
+	base fleet.Time
+	mono int64
+}
+
+func (t tenure) now(clock int64) fleet.Time {
+	return t.base.Add(time.Duration(clock - t.mono))
+}
+
+// view is what readers outside the loop see of the log.
+type view struct {
+	term    uint64
+	leader  string
+	ready   bool
+	contact int64
+	applied uint64
+	lead    tenure
+	members []wire.MemberInfo
+}
+
+// checkTenure notices the start and the end of a leadership.
+func (n *Node) checkTenure() {
+	st := n.core.Status()
+	if n.leadingTerm != 0 && (st.Role != raft.Leader || st.Term != n.leadingTerm) {
+		n.log.Info().Uint64("term", n.leadingTerm).Msg("leadership ended")
+		n.leadingTerm = 0
+		n.lead = tenure{}
+		n.failPending(fleet.ErrUncertain)
+	}
+	if n.leadingTerm == 0 && st.Ready {
+		n.leadingTerm = st.Term
+		n.lead = tenure{term: st.Term, since: time.Now(), base: n.machine.State().Now, mono: n.clock()}
+		n.log.Info().Uint64("term", st.Term).Msg("leadership started")
+		n.meters.elections.Inc(1)
+	}
+}
+
+// publish makes the present view visible to readers.
+func (n *Node) publish() {
+	st := n.core.Status()
+	v := &view{
+		term:    st.Term,
+		ready:   st.Ready && n.leadingTerm == st.Term,
+		contact: st.Contact,
+		applied: n.applied,
+		lead:    n.lead,
+	}
+	for _, m := range st.Members {
+		n.network.learn(m.ID, m.Address)
+		if m.ID == st.Leader {
+			v.leader = m.Address
+		}
+		v.members = append(v.members, wire.MemberInfo{
+			ID: m.ID, Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address,
+			Learner: m.Learner, Match: n.core.Match(m.ID),
+		})
+	}
+	n.view.Store(v)
+	n.meters.term.Update(int64(st.Term))
+	n.meters.appliedIndex.Update(int64(n.applied))
+}
+
+// leading checks the leader's lease on the monotonic clock at the call, so that
+// a process that was frozen answers false before its timers run.
+func (n *Node) leading(v *view) bool {
+	minElection := int64(n.minElection())
+	lease := minElection - minElection/leaseMarginDivisor
+	return v.ready && n.clock()-v.contact < lease
+}
+
+// Leadership implements fleet.Log.
+func (n *Node) Leadership() fleet.Leadership {
+	v := n.view.Load()
+	return fleet.Leadership{Leader: v.leader, Term: v.term, Leading: n.leading(v), Since: v.lead.since}
+}
+
+// Read implements fleet.Log.
+func (n *Node) Read(f func(*fleet.State)) {
+	n.stateMu.RLock()
+	defer n.stateMu.RUnlock()
+	f(n.machine.State())
+}
+
+// Changed implements fleet.Log.
+func (n *Node) Changed() <-chan struct{} {
+	n.stateMu.RLock()
+	defer n.stateMu.RUnlock()
+	return n.changed
+}
+
+// Now implements fleet.Log. On a store that does not lead it is the time of the
+// last applied command.
+func (n *Node) Now() fleet.Time {
+	v := n.view.Load()
+	if v.ready {
+		return v.lead.now(n.clock())
+	}
+	n.stateMu.RLock()
+	defer n.stateMu.RUnlock()
+	return n.machine.State().Now
+}
+
+// Members returns the members of the log. Match is known on the leader.
+func (n *Node) Members() []wire.MemberInfo { return n.view.Load().members }
+
+// Applied returns the index of the last applied entry.
+func (n *Node) Applied() uint64 { return n.view.Load().applied }
--- /dev/null
+++ b/internal/wal/load.go
@@ -0,0 +1,170 @@
+package wal
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/raft"
+)
+
+// loader rebuilds the contents from the records of all segments in order.
+type loader struct {
+	contents Contents
+	started  bool
+	last     uint64
+}
+
+func (l *Log) load() (Contents, error) {
+	numbers, err := l.segmentNumbers()
+	if err != nil {
+		return Contents{}, err
+	}
+	var ld loader
+	for i, number := range numbers {
+		ld.last = 0
+		if err := l.loadSegment(&ld, number, i == len(numbers)-1); err != nil {
+			return Contents{}, err
+		}
+		l.segments = append(l.segments, segment{number: number, last: ld.last})
+	}
+	if len(numbers) > 0 {
+		return ld.contents, l.reopen(&ld)
+	}
+	return ld.contents, nil
+}
+
+func (l *Log) segmentNumbers() ([]uint64, error) {
+	names, err := l.opts.FS.Names(l.folder)
+	if err != nil {
+		return nil, errors.Wrap(err, "wal: list segments")
+	}
+	var numbers []uint64
+	for _, name := range names {
+		number, ok := segmentNumber(name)
+		if !ok {
+			continue
+		}
+		if n := len(numbers); n > 0 && number != numbers[n-1]+1 {
+			return nil, &ErrCorrupt{File: l.path(numbers[n-1] + 1), Reason: "segment is missing"}
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers, nil
+}
+
+func (l *Log) loadSegment(ld *loader, number uint64, newest bool) error {
+	path := l.path(number)
+	data, err := l.opts.FS.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "wal: read segment")
+	}
+	offset := 0
+	for offset < len(data) {
+		rec, size, ok := readRecord(data, offset)
+		if !ok {
+			return l.cutTorn(ld, path, data, offset, newest)
+		}
+		if err := ld.take(rec); err != nil {
+			return &ErrCorrupt{File: path, Offset: int64(offset), Reason: err.Error()}
+		}
+		offset += size
+	}
+	l.size = offset
+	return nil
+}
+
+func (l *Log) cutTorn(ld *loader, path string, data []byte, offset int, newest bool) error {
+	if !newest || !tornAt(data, offset) {
+		return &ErrCorrupt{File: path, Offset: int64(offset), Reason: "bad record"}
+	}
+	if err := l.opts.FS.Truncate(path, int64(offset)); err != nil {
+		return errors.Wrap(err, "wal: cut torn batch")
+	}
+	ld.contents.TornBytes = len(data) - offset
+	l.size = offset
+	return nil
+}
+
+// reopen continues the newest segment. One that lost its header to a torn
+// write is replaced, and a log that never got a complete header is new.
+func (l *Log) reopen(ld *loader) error {
+	newest := l.segments[len(l.segments)-1]
+	if l.size > 0 {
+		file, err := l.opts.FS.Append(l.path(newest.number))
+		if err != nil {
+			return errors.Wrap(err, "wal: open segment")
+		}
+		l.file = file
+		return nil
+	}
+	if err := l.opts.FS.Remove(l.path(newest.number)); err != nil {
+		return errors.Wrap(err, "wal: remove empty segment")
+	}
+	l.segments = l.segments[:len(l.segments)-1]
+	return nil
+}
+
+func (ld *loader) take(rec record) error {
+	switch rec.kind {
+	case kindMeta:
+		return ld.takeHeader(rec.payload)
+	case kindHardState:
+		return cbor.Unmarshal(rec.payload, &ld.contents.HardState)
+	case kindBase:
+		var base raft.Position
+		if err := cbor.Unmarshal(rec.payload, &base); err != nil {
+			return err
+		}
+		ld.contents.Base = base
+		ld.contents.Entries = nil
+		return nil
+	default:
+		return ld.takeEntry(rec.payload)
+	}
+}
+
+func (ld *loader) takeHeader(payload []byte) error {
+	var h header
+	if err := cbor.Unmarshal(payload, &h); err != nil {
+		return err
+	}
+	if !ld.started {
+		ld.started = true
+		ld.contents.Meta = h.Meta
+		ld.contents.Base = h.Base
+		return nil
+	}
+	if h.Meta != ld.contents.Meta {
+		return errors.Errorf("segment belongs to member %d, not %d", h.Meta.MemberID, ld.contents.Meta.MemberID)
+	}
+	return nil
+}
+
+// takeEntry adds an entry. An entry whose index is taken replaces the rest of
+// the log. Entries before the first one left after Trim may be missing.
+func (ld *loader) takeEntry(payload []byte) error {
+	var e raft.Entry
+	if err := cbor.Unmarshal(payload, &e); err != nil {
+		return err
+	}
+	entries := ld.contents.Entries
+	if len(entries) == 0 {
+		ld.contents.Entries = append(entries, e)
+		ld.last = max(ld.last, e.Index)
+		return nil
+	}
+	first, next := entries[0].Index, entries[len(entries)-1].Index+1
+	if e.Index > next {
+		return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+	}
+	if e.Index < first {
+		entries = entries[:0]
+	} else {
+		entries = entries[:e.Index-first]
+	}
+	ld.contents.Entries = append(entries, e)
+	ld.last = max(ld.last, e.Index)
+	return nil
+}
