--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
@@ -205,8 +204,8 @@
 	case raft.EntryNoop:
 		return nil
 	}
-	var cmd fleet.Command
-	if err := cbor.Unmarshal(e.Data, &cmd); err != nil {
+	cmd, err := fleet.DecodeCommand(e.Data)
+	if err != nil {
 		return errors.Wrapf(err, "store: decode command %d", e.Index)
 	}
 	result := n.machine.Apply(e.Index, cmd)
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
@@ -81,7 +80,7 @@
 	}
 	p.cmd.Time = n.lead.now(n.clock())
 	p.cmd.WallUnixMS = time.Now().UnixMilli()
-	data, err := cbor.Marshal(p.cmd)
+	data, err := fleet.EncodeCommand(p.cmd)
 	if err == nil && len(data) > maxCommandBytes {
 		err = ErrCommandTooLarge
 	}
