--- /dev/null
+++ b/internal/admission/seen.go
@@ -0,0 +1,34 @@
+package admission
+
+import "time"
+
+const (
+	// seenPeriod is the time for which an identifier is remembered, at least.
+	seenPeriod = 30 * time.Second
+	// seenLimit bounds the remembered identifiers of one period.
+	seenLimit = 100_000
+)
+
+// Seen remembers recent request identifiers, to tell a repeated one. It is not
+// safe for concurrent use.
+type Seen struct {
+	current, previous map[string]struct{}
+	since             time.Time
+}
+
+// NewSeen returns an empty memory.
+func NewSeen(now time.Time) *Seen {
+	return &Seen{current: map[string]struct{}{}, since: now}
+}
+
+// Note remembers the identifier and reports whether it was seen before.
+func (s *Seen) Note(now time.Time, id string) bool {
+	if now.Sub(s.since) >= seenPeriod || len(s.current) >= seenLimit {
+		s.previous, s.current = s.current, map[string]struct{}{}
+		s.since = now
+	}
+	_, current := s.current[id]
+	_, previous := s.previous[id]
+	s.current[id] = struct{}{}
+	return current || previous
+}
--- /dev/null
+++ b/internal/backendsim/announce.go
@@ -0,0 +1,79 @@
+package backendsim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const announceInterval = time.Second
+
+// announceLoop announces the server each second until ctx ends.
+func (s *Server) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		s.mu.Lock()
+		frozen := s.faults.Freeze
+		s.mu.Unlock()
+		if !frozen {
+			s.announce()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce sends one announcement to the next entry that takes it.
+func (s *Server) announce() {
+	info := s.nextInfo()
+	body, err := json.Marshal(info)
+	if err != nil {
+		return
+	}
+	for i := range s.cfg.Entries {
+		addr := s.cfg.Entries[(int(info.Sequence)+i)%len(s.cfg.Entries)]
+		if s.send(addr, body) == nil {
+			s.record(EventAnnounce, "", "", addr)
+			return
+		}
+	}
+}
+
+func (s *Server) nextInfo() wire.BackendInfo {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return wire.BackendInfo{
+		Instance:    s.cfg.Instance,
+		Incarnation: s.incarnation,
+		Service:     s.cfg.Service,
+		Address:     s.listener.Addr().String(),
+		Slots:       s.cfg.Slots,
+		Connections: s.cfg.Connections,
+		Leaving:     s.leaving,
+		Sequence:    s.sequence,
+	}
+}
+
+func (s *Server) send(addr string, body []byte) error {
+	resp, err := s.client.Post("http://"+addr+"/v1/announce/backend", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "backendsim: announce")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("backendsim: announce: status %d, verdict %q", resp.StatusCode, resp.Header.Get(api.HeaderVerdict))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/samphirefork/samphirefork/internal/admission"
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/routing"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	// maxAttempts bounds the attempts of one call at different places.
+	maxAttempts = 3
+	// firstTryShare is the part of the time limit that the first attempt of an
+	// idempotent call may use, so that a frozen backend server leaves time for another.
+	firstTryShare = 0.6
+)
+
+// handleCall serves POST /v1/call/:service.
+func (e *Entry) handleCall(c echo.Context) error {
+	started := e.clock()
+	req, refusal := e.parseCall(c)
+	var answer *wire.CallAnswer
+	switch {
+	case refusal != nil:
+		answer = asAnswer(soften(req, refusal))
+	case req.idempotent:
+		answer = e.runIdempotent(c.Request().Context(), req)
+	default:
+		answer = e.runOnce(c.Request().Context(), req)
+	}
+	e.metrics.call(answer, e.clock().Sub(started))
+	return e.respond(c, req.id, answer)
+}
+
+// soften turns the refusal of a repeated request into may_have_run, since an
+// earlier attempt with the same identifier may have run.
+func soften(req *callRequest, refusal *api.Refusal) *api.Refusal {
+	if !req.retry || refusal.Verdict != api.NotRun {
+		return refusal
+	}
+	out := *refusal
+	out.Verdict = api.MayHaveRun
+	if out.Status == http.StatusTooManyRequests || out.Status == http.StatusServiceUnavailable {
+		out.Status = http.StatusGatewayTimeout
+	}
+	return &out
+}
+
+// admit waits for a place and the team's unit.
+func (e *Entry) admit(ctx context.Context, req *callRequest) (place, *api.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(e.clock()))
+	defer cancel()
+	where, refused := e.sched.acquire(ctx, &admission.Request{
+		Team:     req.team,
+		Service:  req.service,
+		Deadline: req.deadline,
+		Retry:    req.retry,
+	})
+	if refused == nil {
+		return where, nil
+	}
+	return place{}, api.ComeBack(refused.Code, refusalText(refused.Code), refused.RetryAfter)
+}
+
+func refusalText(code api.Code) string {
+	switch code {
+	case api.CodeLate, api.CodeTimeout:
+		return "the call can't be finished within its time limit"
+	case api.CodeQueueFull:
+		return "the team's queue for this service is full"
+	case api.CodeRetryBudget:
+		return "the team's retry budget is used up"
+	case api.CodeNoLease:
+		return "this entry has no valid configuration lease"
+	default:
+		return "the service is overloaded"
+	}
+}
+
+// runIdempotent runs a call that may be run again elsewhere after a failure.
+func (e *Entry) runIdempotent(ctx context.Context, req *callRequest) *wire.CallAnswer {
+	where, refusal := e.admit(ctx, req)
+	if refusal != nil {
+		return asAnswer(soften(req, refusal))
+	}
+	defer func() { e.sched.leave(e.clock(), req.team) }()
+	uncertain := req.retry
+	tried := map[string]bool{}
+	for n := 1; ; n++ {
+		if refusal := e.permitted(req); refusal != nil {
+			e.sched.release(req.service, where, routing.Unused, 0)
+			return worst(uncertain, asAnswer(refusal))
+		}
+		got := e.try(ctx, req, where, n)
+		if got.effect == effectAnswered {
+			return got.answer
+		}
+		uncertain = uncertain || got.effect == effectUnknown
+		tried[where.name()] = true
+		next, ok := e.elsewhere(req, got, tried, n)
+		if !ok {
+			return worst(uncertain, got.answer)
+		}
+		where = next
+	}
+}
+
+// worst turns a refusal into may_have_run when an earlier attempt may have run.
+func worst(uncertain bool, answer *wire.CallAnswer) *wire.CallAnswer {
+	return asAnswer(soften(&callRequest{retry: uncertain}, asRefusal(answer)))
+}
+
+// elsewhere finds a place for a further attempt, within the retry budget unless
+// the last attempt certainly ran nothing.
+func (e *Entry) elsewhere(req *callRequest, last attempt, tried map[string]bool, n int) (place, bool) {
+	if n >= maxAttempts || !e.clock().Before(req.deadline) {
+		return place{}, false
+	}
+	where, ok := e.sched.again(req.service, tried)
+	if !ok {
+		return place{}, false
+	}
+	if last.effect == effectUnknown && !e.sched.takeRetry(req.team) {
+		e.sched.release(req.service, where, routing.Unused, 0)
+		return place{}, false
+	}
+	return where, true
+}
+
+// try makes one attempt and gives the place back. The attempt goes on when the
+// caller is gone, since its outcome is wanted for the record.
+func (e *Entry) try(ctx context.Context, req *callRequest, where place, n int) attempt {
+	started := e.clock()
+	limit := req.deadline.Sub(started)
+	if req.idempotent && n == 1 {
+		limit = time.Duration(firstTryShare * float64(limit))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	var got attempt
+	if where.forward != "" {
+		got = e.forward(ctx, req, where.forward)
+	} else {
+		got = e.backends.call(ctx, started, where.lent, req)
+	}
+	ran := time.Duration(0)
+	if got.effect != effectNotRun {
+		ran = max(e.clock().Sub(started), 1)
+	}
+	e.sched.release(req.service, where, got.outcome, ran)
+	return got
+}
+
+// name identifies a place among those tried.
+func (p place) name() string {
+	if p.forward != "" {
+		return p.forward
+	}
+	return p.lent.Instance
+}
+
+// respond writes the final answer.
+func (e *Entry) respond(c echo.Context, id string, answer *wire.CallAnswer) error {
+	header := c.Response().Header()
+	header.Set(api.HeaderVerdict, answer.Verdict)
+	if id != "" {
+		header.Set(api.HeaderRequestID, id)
+	}
+	if e.stopping.Load() {
+		header.Set(echo.HeaderConnection, "close")
+	}
+	if answer.Verdict == string(api.Done) {
+		return e.respondDone(c, answer)
+	}
+	refusal := asRefusal(answer)
+	refusal.RequestID = id
+	if refusal.RetryAfterMS > 0 {
+		seconds := (refusal.RetryAfterMS + 999) / 1000
+		header.Set(api.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	return c.JSON(refusal.Status, refusal)
+}
+
+func (e *Entry) respondDone(c echo.Context, answer *wire.CallAnswer) error {
+	contentType := answer.ContentType
+	if contentType == "" {
+		contentType = echo.MIMEOctetStream
+	}
+	header := c.Response().Header()
+	header.Set(echo.HeaderContentLength, strconv.Itoa(len(answer.Body)))
+	if answer.Code != "" {
+		header.Set(headerCode, answer.Code)
+	}
+	return c.Blob(answer.Status, contentType, answer.Body)
+}
+
+// headerCode carries the code of an answer whose body is not kept.
+const headerCode = "Samphire-Code"
--- /dev/null
+++ b/internal/entry/lease.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	// leaseMargin is taken off each lease, for clocks that run at unequal rates.
+	leaseMargin = 20 * time.Millisecond
+	// grantTerm is the time after the sending of a request for which calls are
+	// admitted under the grants of its reply.
+	grantTerm = 2 * time.Second
+	// askedLimit bounds the separate records of unanswered requests.
+	askedLimit = 8
+)
+
+// holder keeps the leased configuration and the limit grants of this entry. A
+// lease counts from the moment its request was sent, on the monotonic clock.
+type holder struct {
+	mu          sync.Mutex
+	config      *fleet.Config
+	term        uint64
+	until       time.Time
+	grants      map[string]int
+	grantsSeq   uint64
+	grantsUntil time.Time
+	usage       map[string]int
+	// asked holds the wanted units of requests without a reply; the leader may
+	// already have lowered the grants to them.
+	asked map[uint64]map[string]int
+}
+
+func newHolder() *holder {
+	return &holder{asked: map[uint64]map[string]int{}}
+}
+
+// begin notes a request before it is sent.
+func (h *holder) begin(seq uint64, wanted map[string]int) fleet.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.asked) >= askedLimit {
+		h.asked = map[uint64]map[string]int{seq - 1: h.leastAsked()}
+	}
+	h.asked[seq] = wanted
+	if h.config == nil {
+		return 0
+	}
+	return h.config.Revision
+}
+
+// leastAsked returns the smallest wanted units of the unanswered requests by
+// team; a team that one of them leaves out has none.
+func (h *holder) leastAsked() map[string]int {
+	var least map[string]int
+	for _, wanted := range h.asked {
+		if least == nil {
+			least = maps.Clone(wanted)
+			continue
+		}
+		for team := range least {
+			least[team] = min(least[team], wanted[team])
+		}
+	}
+	return least
+}
+
+// end takes the reply to a request that was sent at sent, or nil after a failure.
+// It reports whether the reply was accepted.
+func (h *holder) end(seq uint64, sent time.Time, reply *wire.RenewReply) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if reply == nil {
+		// The leader may act on the request later, so its wanted units stay a
+		// bound until a later request is answered.
+		return false
+	}
+	if reply.Term < h.term {
+		delete(h.asked, seq)
+		return false
+	}
+	h.term = reply.Term
+	h.takeConfig(reply.Config)
+	if h.config == nil || h.config.Revision < reply.Revision {
+		delete(h.asked, seq)
+		return false
+	}
+	h.extend(sent, reply)
+	if seq > h.grantsSeq {
+		h.grants = reply.Grants
+		h.grantsSeq = seq
+		h.grantsUntil = sent.Add(grantTerm - leaseMargin)
+		h.usage = reply.TeamUsage
+	}
+	for other := range h.asked {
+		if other <= seq {
+			delete(h.asked, other)
+		}
+	}
+	return true
+}
+
+// takeConfig replaces the configuration, but never by an older one.
+func (h *holder) takeConfig(config *fleet.Config) {
+	if config == nil {
+		return
+	}
+	if h.config != nil && config.Revision < h.config.Revision {
+		return
+	}
+	h.config = config
+}
+
+func (h *holder) extend(sent time.Time, reply *wire.RenewReply) {
+	until := sent.Add(time.Duration(reply.LeaseMS)*time.Millisecond - leaseMargin)
+	if until.After(h.until) {
+		h.until = until
+	}
+}
+
+// view returns the configuration, nil before the first reply, and whether its
+// lease is valid.
+func (h *holder) view(now time.Time) (*fleet.Config, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.config, h.config != nil && now.Before(h.until)
+}
+
+// units returns the number of calls of the team that may run through this entry.
+func (h *holder) units(now time.Time, team string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !now.Before(h.grantsUntil) {
+		return 0
+	}
+	units := h.grants[team]
+	for _, wanted := range h.asked {
+		units = min(units, wanted[team])
+	}
+	return units
+}
+
+// teamUsage returns the units in use by team across the fleet, as last reported.
+func (h *holder) teamUsage() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usage
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/routing"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	// ledgerTimeout bounds one exchange with a ledger, without a wait for an outcome.
+	ledgerTimeout = time.Second
+	// ledgerWait is the longest time for which one claim waits for an outcome, so
+	// that a frozen ledger is noticed.
+	ledgerWait = time.Second
+	// finishAttempts bounds the tries to record an outcome.
+	finishAttempts = 3
+)
+
+// claim is a request identifier that this entry may dispatch.
+type claim struct {
+	home  string
+	id    string
+	owner string
+}
+
+// runOnce runs a call that must not run twice, under a record of its home ledger.
+func (e *Entry) runOnce(ctx context.Context, req *callRequest) *wire.CallAnswer {
+	held, answer := e.claim(ctx, req)
+	if answer != nil {
+		return answer
+	}
+	where, refusal := e.admit(ctx, req)
+	if refusal != nil {
+		return e.finish(held, asAnswer(refusal))
+	}
+	defer func() { e.sched.leave(e.clock(), req.team) }()
+	if refusal := e.beforeDispatch(req, held); refusal != nil {
+		e.sched.release(req.service, where, routing.Unused, 0)
+		return e.finish(held, asAnswer(refusal))
+	}
+	return e.finish(held, e.dispatchOnce(ctx, req, where))
+}
+
+// beforeDispatch records the dispatch durably, between two checks of the right to
+// run: the first spares the ledger, and the second covers the time it took.
+func (e *Entry) beforeDispatch(req *callRequest, held claim) *api.Refusal {
+	if refusal := e.permitted(req); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+	defer cancel()
+	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner}
+	if err := e.pool.Call(ctx, held.home, wire.TypeLedgerDispatch, update, nil); err != nil {
+		e.log.Warn().Err(err).Str("request_id", held.id).Msg("dispatch was not recorded")
+		return api.ComeBack(api.CodeLedger, "the request ledger did not record the dispatch", defaultRetryAfter)
+	}
+	return e.permitted(req)
+}
+
+// dispatchOnce tries places until one may have run the call.
+func (e *Entry) dispatchOnce(ctx context.Context, req *callRequest, where place) *wire.CallAnswer {
+	tried := map[string]bool{}
+	for n := 1; ; n++ {
+		if !e.sched.current(where) {
+			e.sched.release(req.service, where, routing.Unused, 0)
+			return notRun(routing.Unused, api.CodeNoBackend, "the backend server left").answer
+		}
+		got := e.try(ctx, req, where, n)
+		if got.effect != effectNotRun {
+			return got.answer
+		}
+		tried[where.name()] = true
+		next, ok := e.elsewhere(req, got, tried, n)
+		if !ok {
+			return got.answer
+		}
+		if refusal := e.permitted(req); refusal != nil {
+			e.sched.release(req.service, next, routing.Unused, 0)
+			return asAnswer(refusal)
+		}
+		where = next
+	}
+}
+
+// finish records the outcome, and returns the answer. An outcome that can't be
+// recorded leaves a record that was dispatched, which stands for may_have_run.
+func (e *Entry) finish(held claim, answer *wire.CallAnswer) *wire.CallAnswer {
+	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: answer}
+	for range finishAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+		err := e.pool.Call(ctx, held.home, wire.TypeLedgerFinish, update, nil)
+		cancel()
+		if err == nil {
+			return answer
+		}
+		e.log.Warn().Err(err).Str("request_id", held.id).Msg("outcome was not recorded")
+		if errors.Is(err, wire.ErrNotSent) {
+			break
+		}
+	}
+	return answer
+}
+
+// claim claims the request identifier at its home ledger. The answer is not nil
+// when the call must not be dispatched.
+func (e *Entry) claim(ctx context.Context, req *callRequest) (claim, *wire.CallAnswer) {
+	held := claim{home: e.home(req.id), id: req.id, owner: e.nextOwner()}
+	wait := time.Duration(0)
+	for {
+		rec, err := e.askLedger(ctx, held, req, wait)
+		if err != nil {
+			return held, asAnswer(ledgerRefusal(req, err))
+		}
+		if rec.State == wire.LedgerNew {
+			req.retry = false
+			return held, nil
+		}
+		if answer := judgeRecord(req, rec); answer != nil {
+			return held, answer
+		}
+		if ctx.Err() != nil || !e.clock().Before(req.deadline) {
+			return held, asAnswer(api.Unknown(api.CodeOutcomeUnknown, "an earlier attempt is still in progress"))
+		}
+		wait = ledgerWait
+	}
+}
+
+func (e *Entry) askLedger(ctx context.Context, held claim, req *callRequest, wait time.Duration) (wire.LedgerRecord, error) {
+	left := max(req.deadline.Sub(e.clock()), time.Millisecond)
+	wait = min(wait, left)
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout+wait)
+	defer cancel()
+	msg := wire.LedgerClaimRequest{
+		RequestID:    req.id,
+		Owner:        held.owner,
+		Fingerprint:  req.fingerprint(),
+		FirstAttempt: req.first,
+		WaitMS:       wait.Milliseconds(),
+		DeadlineMS:   left.Milliseconds(),
+	}
+	var rec wire.LedgerRecord
+	if held.home == "" {
+		return rec, wire.ErrNotSent
+	}
+	err := e.pool.Call(ctx, held.home, wire.TypeLedgerClaim, msg, &rec)
+	return rec, err
+}
+
+// ledgerRefusal answers a call whose home ledger can't be asked. Only a first
+// attempt has certainly not run.
+func ledgerRefusal(req *callRequest, err error) *api.Refusal {
+	message := "the request ledger can't be reached"
+	var body *wire.ErrorBody
+	if errors.As(err, &body) {
+		message = "the request ledger can't answer: " + string(body.Code)
+	}
+	if req.first {
+		return api.ComeBack(api.CodeLedger, message, defaultRetryAfter)
+	}
+	refusal := api.Unknown(api.CodeLedger, message)
+	refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
+	return refusal
+}
+
+// judgeRecord answers from a record of an earlier attempt; nil means that the
+// attempt is still in progress.
+func judgeRecord(req *callRequest, rec wire.LedgerRecord) *wire.CallAnswer {
+	if rec.Fingerprint != 0 && rec.Fingerprint != req.fingerprint() {
+		return asAnswer(api.Refuse(http.StatusConflict, api.CodeConflict, "the request identifier was used for another request"))
+	}
+	switch rec.State {
+	case wire.LedgerFinished:
+		return rec.Answer
+	case wire.LedgerExpired:
+		refusal := api.Unknown(api.CodeExpired, "the request identifier is too old; its answer is no longer kept")
+		refusal.Status = http.StatusGone
+		return asAnswer(refusal)
+	case wire.LedgerForgotten:
+		return asAnswer(api.Unknown(api.CodeOutcomeUnknown, "an earlier attempt may have run"))
+	case wire.LedgerDispatched:
+		if rec.Answer != nil {
+			return rec.Answer
+		}
+	}
+	return nil
+}
+
+// home returns the peer address of the ledger that an identifier belongs to.
+func (e *Entry) home(id string) string {
+	prefix, _, _ := strings.Cut(id, ".")
+	if addr, ok := e.set.Ledgers[prefix]; ok {
+		return addr
+	}
+	names := make([]string, 0, len(e.set.Ledgers))
+	for name := range e.set.Ledgers {
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	return e.set.Ledgers[names[xxhash.Sum64String(id)%uint64(len(names))]]
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,242 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	// defaultRetryAfter is stated when no queue gives a better estimate.
+	defaultRetryAfter = 500 * time.Millisecond
+	// leaseRetryAfter is the time in which a lease is usually renewed.
+	leaseRetryAfter = time.Second
+	maxIDBytes      = 128
+)
+
+// callRequest is one direct call.
+type callRequest struct {
+	id          string
+	service     string
+	team        string
+	key         string
+	open        bool
+	idempotent  bool
+	contentType string
+	body        []byte
+	deadline    time.Time
+	// first is true when certainly no attempt with this identifier was made before.
+	first bool
+	// retry is true when an earlier attempt is known of.
+	retry bool
+	// entry is the instance that sends the call to a backend server.
+	entry string
+	// forwarded calls were admitted by an entry of another data centre.
+	forwarded bool
+}
+
+// caller is what the headers of a request say about its sender.
+type caller struct {
+	id    string
+	first bool
+	retry bool
+}
+
+// identify reads the request identifier, or mints one in this data centre.
+func (e *Entry) identify(c echo.Context) (caller, *api.Refusal) {
+	header := c.Request().Header
+	out := caller{id: header.Get(api.HeaderRequestID)}
+	if out.id == "" {
+		out.id = e.mint()
+		out.first = true
+		return out, nil
+	}
+	if len(out.id) > maxIDBytes || strings.ContainsFunc(out.id, notIDByte) {
+		out.id = ""
+		return out, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request identifier is too long or has characters other than letters, digits and .-_:")
+	}
+	switch text := header.Get(api.HeaderAttempt); text {
+	case "":
+	case "1":
+		out.first = true
+	default:
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return out, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, api.HeaderAttempt+" is not a positive number")
+		}
+		out.retry = n > 1
+	}
+	if e.sched.repeated(out.id) {
+		out.first, out.retry = false, true
+	}
+	return out, nil
+}
+
+func notIDByte(r rune) bool {
+	letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+	digit := r >= '0' && r <= '9'
+	return !letter && !digit && !strings.ContainsRune(".-_:", r)
+}
+
+// mint returns a new request identifier whose home is this data centre.
+func (e *Entry) mint() string {
+	var random [12]byte
+	_, _ = rand.Read(random[:])
+	ms := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	return e.set.DataCentre + "." + ms + "-" + hex.EncodeToString(random[:])
+}
+
+// authorize checks a key against the leased configuration and returns its team.
+func (e *Entry) authorize(key string) (team, keyID string, refusal *api.Refusal) {
+	config, valid := e.lease.view(e.clock())
+	if key == "" {
+		return "", "", api.Refuse(http.StatusUnauthorized, api.CodeKeyMissing, "the request needs a key")
+	}
+	if !valid {
+		return "", "", api.ComeBack(api.CodeNoLease, "this entry has no valid configuration lease", leaseRetryAfter)
+	}
+	keyID, secret, _ := strings.Cut(key, ".")
+	known, ok := config.Keys[keyID]
+	sum := sha256.Sum256([]byte(secret))
+	presented := hex.EncodeToString(sum[:])
+	if !ok || subtle.ConstantTimeCompare([]byte(presented), []byte(known.SecretSHA256)) != 1 {
+		return "", "", api.Refuse(http.StatusUnauthorized, api.CodeKeyUnknown, "the key is not known")
+	}
+	if known.Withdrawn {
+		return "", "", api.Refuse(http.StatusForbidden, api.CodeKeyWithdrawn, "the key was withdrawn")
+	}
+	return known.Team, keyID, nil
+}
+
+// permitted checks again, just before a dispatch, that the call may run.
+func (e *Entry) permitted(req *callRequest) *api.Refusal {
+	if !e.clock().Before(req.deadline) {
+		return api.ComeBack(api.CodeLate, "the time limit passed before the call started", defaultRetryAfter)
+	}
+	if req.open || req.forwarded {
+		return nil
+	}
+	team, _, refusal := e.authorize(req.key)
+	if refusal != nil {
+		return refusal
+	}
+	if team != req.team {
+		return api.Refuse(http.StatusForbidden, api.CodeWrongTeam, "the key belongs to another team")
+	}
+	return nil
+}
+
+// parseCall reads a direct call and checks it against the configuration.
+func (e *Entry) parseCall(c echo.Context) (*callRequest, *api.Refusal) {
+	from, refusal := e.identify(c)
+	req := &callRequest{id: from.id, first: from.first, retry: from.retry, entry: e.set.Instance, service: c.Param("service")}
+	if refusal != nil {
+		return req, refusal
+	}
+	header := c.Request().Header
+	req.key = header.Get(api.HeaderKey)
+	req.idempotent = header.Get(api.HeaderIdempotent) == "true"
+	req.contentType = header.Get(api.HeaderContentType)
+	service, refusal := e.lookUp(req.service)
+	if refusal != nil {
+		return req, refusal
+	}
+	req.open = service.Open
+	if !req.open {
+		if req.team, _, refusal = e.authorize(req.key); refusal != nil {
+			return req, refusal
+		}
+	}
+	limit, refusal := timeLimit(header.Get(api.HeaderTimeoutMS), service)
+	if refusal != nil {
+		return req, refusal
+	}
+	req.deadline = e.clock().Add(limit)
+	req.body, refusal = readBody(c)
+	return req, refusal
+}
+
+// lookUp finds a service in the configuration, with or without a valid lease.
+func (e *Entry) lookUp(name string) (fleet.Service, *api.Refusal) {
+	config, _ := e.lease.view(e.clock())
+	if config == nil {
+		return fleet.Service{}, api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetryAfter)
+	}
+	service, ok := config.Services[name]
+	if !ok {
+		return service, api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such service")
+	}
+	return service, nil
+}
+
+func timeLimit(text string, service fleet.Service) (time.Duration, *api.Refusal) {
+	limit := time.Duration(service.TimeoutMS) * time.Millisecond
+	if text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms < 1 {
+			return 0, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, api.HeaderTimeoutMS+" is not a positive number")
+		}
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	if limit <= 0 || limit > fleet.MaxCallTime {
+		limit = fleet.MaxCallTime
+	}
+	return limit, nil
+}
+
+func readBody(c echo.Context) ([]byte, *api.Refusal) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRequestBytes+1))
+	if err != nil {
+		return nil, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body was cut off")
+	}
+	if len(body) > maxRequestBytes {
+		return nil, api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body exceeds 1 MiB")
+	}
+	return body, nil
+}
+
+// fingerprint tells whether two requests with one identifier are the same.
+func (r *callRequest) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{r.service, r.team, r.contentType} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.body)
+	return d.Sum64()
+}
+
+// asAnswer returns a refusal in the form in which answers are stored and forwarded.
+func asAnswer(r *api.Refusal) *wire.CallAnswer {
+	return &wire.CallAnswer{
+		Verdict:      string(r.Verdict),
+		Code:         string(r.Code),
+		Status:       r.Status,
+		Message:      r.Message,
+		RetryAfterMS: r.RetryAfterMS,
+	}
+}
+
+// asRefusal is the inverse of asAnswer.
+func asRefusal(a *wire.CallAnswer) *api.Refusal {
+	return &api.Refusal{
+		Verdict:      api.Verdict(a.Verdict),
+		Code:         api.Code(a.Code),
+		Status:       a.Status,
+		Message:      a.Message,
+		RetryAfterMS: a.RetryAfterMS,
+	}
+}
--- /dev/null
+++ b/internal/ledger/journal.go
@@ -0,0 +1,287 @@
+package ledger
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// The journal is a header and a sequence of frames, one for each synced batch:
+//
+//	header: magic (8 bytes), salt (8 bytes), epoch (8 bytes), CRC-32C of these
+//	frame:  mark (4 bytes), length (4 bytes), CRC-32C of salt, length and payload (4 bytes), payload
+//
+// A payload is a CBOR array of changes. The salt keeps bytes of a caller's
+// answer from being taken for a frame.
+const (
+	fileName      = "ledger.journal"
+	temporaryName = "ledger.journal.new"
+	headerBytes   = 28
+	frameBytes    = 12
+	// maxPayloadBytes bounds a frame; a single change is far smaller.
+	maxPayloadBytes = 16 << 20
+)
+
+var (
+	magic     = []byte("SFLEDG01")
+	frameMark = []byte{0xf1, 'S', 'F', 0x1f}
+	table32   = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// ErrCorrupt is a journal with a damaged frame before valid ones. The ledger
+// doesn't start on it, since later records would be lost.
+type ErrCorrupt struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrCorrupt) Error() string {
+	return fmt.Sprintf("ledger: %s is corrupt at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// header identifies one journal file.
+type header struct {
+	salt  [8]byte
+	epoch int64
+}
+
+func newHeader(epoch int64) (header, error) {
+	h := header{epoch: epoch}
+	_, err := rand.Read(h.salt[:])
+	return h, errors.Wrap(err, "ledger: salt")
+}
+
+func (h header) encode() []byte {
+	out := append([]byte(nil), magic...)
+	out = append(out, h.salt[:]...)
+	out = binary.BigEndian.AppendUint64(out, uint64(h.epoch))
+	return binary.BigEndian.AppendUint32(out, crc32.Checksum(out, table32))
+}
+
+func decodeHeader(data []byte) (header, error) {
+	var h header
+	if len(data) < headerBytes || !bytes.Equal(data[:8], magic) {
+		return h, errors.New("not a ledger journal")
+	}
+	sum := binary.BigEndian.Uint32(data[24:28])
+	if crc32.Checksum(data[:24], table32) != sum {
+		return h, errors.New("header checksum does not match")
+	}
+	copy(h.salt[:], data[8:16])
+	h.epoch = int64(binary.BigEndian.Uint64(data[16:24]))
+	return h, nil
+}
+
+func (h header) checksum(length uint32, payload []byte) uint32 {
+	var buf [12]byte
+	copy(buf[:8], h.salt[:])
+	binary.BigEndian.PutUint32(buf[8:], length)
+	return crc32.Update(crc32.Checksum(buf[:], table32), table32, payload)
+}
+
+func (h header) encodeFrame(ops []op) ([]byte, error) {
+	payload, err := cbor.Marshal(ops)
+	if err != nil {
+		return nil, errors.Wrap(err, "ledger: encode")
+	}
+	length := uint32(len(payload))
+	out := make([]byte, 0, frameBytes+len(payload))
+	out = append(out, frameMark...)
+	out = binary.BigEndian.AppendUint32(out, length)
+	out = binary.BigEndian.AppendUint32(out, h.checksum(length, payload))
+	return append(out, payload...), nil
+}
+
+// decodeFrame decodes the frame at the start of data and returns its size.
+func (h header) decodeFrame(data []byte) (ops []op, size int, reason string) {
+	if len(data) < frameBytes || !bytes.Equal(data[:4], frameMark) {
+		return nil, 0, "no frame starts here"
+	}
+	length := binary.BigEndian.Uint32(data[4:8])
+	if length > maxPayloadBytes || int(length) > len(data)-frameBytes {
+		return nil, 0, "the frame is cut off"
+	}
+	payload := data[frameBytes : frameBytes+int(length)]
+	if h.checksum(length, payload) != binary.BigEndian.Uint32(data[8:12]) {
+		return nil, 0, "the frame's checksum does not match"
+	}
+	if err := cbor.Unmarshal(payload, &ops); err != nil {
+		return nil, 0, "the frame does not decode"
+	}
+	return ops, frameBytes + int(length), ""
+}
+
+// decodeFrames decodes all frames and returns the length of the valid part. A
+// damaged frame that a valid one follows is an *ErrCorrupt; a damaged tail is
+// what a crash leaves of a batch that was never acknowledged.
+func (h header) decodeFrames(data []byte, take func(op)) (int, error) {
+	offset := 0
+	for offset < len(data) {
+		ops, size, reason := h.decodeFrame(data[offset:])
+		if reason != "" {
+			if h.frameFollows(data[offset+1:]) {
+				return offset, &ErrCorrupt{Offset: int64(headerBytes + offset), Reason: reason}
+			}
+			return offset, nil
+		}
+		for _, change := range ops {
+			take(change)
+		}
+		offset += size
+	}
+	return offset, nil
+}
+
+func (h header) frameFollows(data []byte) bool {
+	for {
+		i := bytes.Index(data, frameMark)
+		if i < 0 {
+			return false
+		}
+		if _, _, reason := h.decodeFrame(data[i:]); reason == "" {
+			return true
+		}
+		data = data[i+1:]
+	}
+}
+
+// load reads the journal in folder into take. It cuts a torn tail off. A folder
+// without a journal gives os.ErrNotExist.
+func load(folder string, take func(op)) (header, *os.File, int64, error) {
+	path := filepath.Join(folder, fileName)
+	file, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return header{}, nil, 0, err
+	}
+	h, size, err := read(file, path, take)
+	if err != nil {
+		_ = file.Close()
+		return header{}, nil, 0, err
+	}
+	return h, file, size, nil
+}
+
+func read(file *os.File, path string, take func(op)) (header, int64, error) {
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return header{}, 0, errors.Wrap(err, "ledger: read")
+	}
+	h, err := decodeHeader(data)
+	if err != nil {
+		return header{}, 0, &ErrCorrupt{File: path, Reason: err.Error()}
+	}
+	valid, err := h.decodeFrames(data[headerBytes:], take)
+	if err != nil {
+		var corrupt *ErrCorrupt
+		if errors.As(err, &corrupt) {
+			corrupt.File = path
+		}
+		return header{}, 0, err
+	}
+	size := int64(headerBytes + valid)
+	if size < int64(len(data)) {
+		if err := cutTail(file, size); err != nil {
+			return header{}, 0, err
+		}
+	}
+	_, err = file.Seek(size, io.SeekStart)
+	return h, size, errors.Wrap(err, "ledger: seek")
+}
+
+func cutTail(file *os.File, size int64) error {
+	if err := file.Truncate(size); err != nil {
+		return errors.Wrap(err, "ledger: cut torn tail")
+	}
+	return errors.Wrap(file.Sync(), "ledger: sync after cutting the tail")
+}
+
+// create writes a new journal with the changes and puts it in place atomically.
+func create(folder string, epoch int64, ops []op) (header, *os.File, int64, error) {
+	h, err := newHeader(epoch)
+	if err != nil {
+		return h, nil, 0, err
+	}
+	temporary := filepath.Join(folder, temporaryName)
+	file, err := os.OpenFile(temporary, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return h, nil, 0, errors.Wrap(err, "ledger: create")
+	}
+	size, err := fill(file, h, ops)
+	if err == nil {
+		err = errors.Wrap(os.Rename(temporary, filepath.Join(folder, fileName)), "ledger: rename")
+	}
+	if err == nil {
+		err = syncFolder(folder)
+	}
+	if err != nil {
+		_ = file.Close()
+		return h, nil, 0, err
+	}
+	return h, file, size, nil
+}
+
+// fill writes the header and the changes, split into frames of bounded size.
+func fill(file *os.File, h header, ops []op) (int64, error) {
+	out := bytes.NewBuffer(h.encode())
+	size := int64(0)
+	for start := 0; start < len(ops); {
+		end := batchEnd(ops, start)
+		frame, err := h.encodeFrame(ops[start:end])
+		if err != nil {
+			return 0, err
+		}
+		out.Write(frame)
+		start = end
+		n, err := out.WriteTo(file)
+		size += n
+		if err != nil {
+			return 0, errors.Wrap(err, "ledger: write")
+		}
+	}
+	n, err := out.WriteTo(file)
+	if err != nil {
+		return 0, errors.Wrap(err, "ledger: write")
+	}
+	return size + n, errors.Wrap(file.Sync(), "ledger: sync")
+}
+
+// batchEnd returns the end of the batch from start that fits a frame.
+func batchEnd(ops []op, start int) int {
+	size := 0
+	for i := start; i < len(ops); i++ {
+		size += opSize(ops[i])
+		if i > start && size > maxPayloadBytes/2 {
+			return i
+		}
+	}
+	return len(ops)
+}
+
+// opSize is an upper bound of a change's encoded size but for the body's
+// constant overhead.
+func opSize(change op) int {
+	size := 128 + len(change.ID) + len(change.Owner)
+	if change.Answer != nil {
+		size += 128 + len(change.Answer.Body) + len(change.Answer.Message) + len(change.Answer.ContentType)
+	}
+	return size
+}
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "ledger: open folder")
+	}
+	defer dir.Close()
+	return errors.Wrap(dir.Sync(), "ledger: sync folder")
+}
--- /dev/null
+++ b/internal/ledger/serve.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// Register adds the handlers of the ledger's messages. A store mounts its ledger
+// with one line: ledger.Register(mux).
+func (l *Ledger) Register(mux wire.Mux) {
+	mux[wire.TypeLedgerClaim] = l.serveClaim
+	mux[wire.TypeLedgerDispatch] = l.serveDispatch
+	mux[wire.TypeLedgerFinish] = l.serveFinish
+}
+
+func (l *Ledger) serveClaim(ctx context.Context, req wire.Request) (any, error) {
+	var msg wire.LedgerClaimRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	if msg.RequestID == "" || msg.Owner == "" {
+		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: "request identifier and owner are required"}
+	}
+	return l.Claim(ctx, msg)
+}
+
+func (l *Ledger) serveDispatch(ctx context.Context, req wire.Request) (any, error) {
+	var msg wire.LedgerUpdate
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	return nil, l.Dispatch(ctx, msg.RequestID, msg.Owner)
+}
+
+func (l *Ledger) serveFinish(ctx context.Context, req wire.Request) (any, error) {
+	var msg wire.LedgerUpdate
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	return nil, l.Finish(ctx, msg.RequestID, msg.Owner, msg.Answer)
+}
+
+// unknownOutcome is the answer for a request whose owner did not report an
+// outcome in time.
+func unknownOutcome() *wire.CallAnswer {
+	return &wire.CallAnswer{
+		Verdict: string(api.MayHaveRun),
+		Code:    string(api.CodeOutcomeUnknown),
+		Status:  http.StatusGatewayTimeout,
+		Message: "the entry that ran the request did not report its outcome",
+	}
+}
--- /dev/null
+++ b/internal/ledger/table.go
@@ -0,0 +1,272 @@
+// Package ledger keeps the request ledger of one data centre: for each request
+// identifier whether it was claimed, dispatched or finished, with its answer. A
+// request is dispatched at most once, and a stored answer never changes.
+package ledger
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+const (
+	// keepAnswer is the time for which a finished record keeps its answer.
+	keepAnswer = 10 * time.Minute
+	// keepTombstone is the time after the claim for which an identifier stays refused.
+	keepTombstone = 24 * time.Hour
+	// ownerMargin is added to an owner's deadline before it counts as dead, for
+	// clocks that run at unequal rates and messages on their way.
+	ownerMargin = 500 * time.Millisecond
+	// MaxAnswerBytes bounds a stored answer's body.
+	MaxAnswerBytes = 256 << 10
+)
+
+// CodeAnswerNotKept marks a finished request whose answer was too large to keep.
+const CodeAnswerNotKept = "answer_not_kept"
+
+// opKind is the kind of a journalled change.
+type opKind uint8
+
+const (
+	opDispatch opKind = iota + 1
+	opFinish
+	opRelease
+	opTombstone
+)
+
+// op is one journalled change. Times are Unix milliseconds.
+type op struct {
+	Kind        opKind           `cbor:"1,keyasint"`
+	ID          string           `cbor:"2,keyasint,omitempty"`
+	Owner       string           `cbor:"3,keyasint,omitempty"`
+	Fingerprint uint64           `cbor:"4,keyasint,omitempty"`
+	ClaimedAt   int64            `cbor:"5,keyasint,omitempty"`
+	Deadline    int64            `cbor:"6,keyasint,omitempty"`
+	FinishedAt  int64            `cbor:"7,keyasint,omitempty"`
+	Answer      *wire.CallAnswer `cbor:"8,keyasint,omitempty"`
+	// Hash is the hash of the identifier of a tombstone.
+	Hash uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+// record is the present state of one identifier.
+type record struct {
+	state       wire.LedgerState
+	owner       string
+	fingerprint uint64
+	claimedAt   int64
+	deadline    int64
+	finishedAt  int64
+	answer      *wire.CallAnswer
+	// seq is the journal position of the last change.
+	seq uint64
+}
+
+// table is the state machine of the ledger. It reads no clock and does no I/O.
+type table struct {
+	// epoch is when the ledger started without its former records; 0 for a
+	// ledger that never had any.
+	epoch      int64
+	records    map[string]*record
+	tombstones map[uint64]int64
+}
+
+func newTable(epoch int64) *table {
+	return &table{epoch: epoch, records: map[string]*record{}, tombstones: map[uint64]int64{}}
+}
+
+// claim decides on a claim at now. With wire.LedgerNew the record belongs to the
+// request's owner.
+func (t *table) claim(now int64, req wire.LedgerClaimRequest) wire.LedgerState {
+	rec, ok := t.records[req.RequestID]
+	if !ok {
+		if state := t.unknown(now, req); state != wire.LedgerNew {
+			return state
+		}
+		t.records[req.RequestID] = newRecord(now, req)
+		return wire.LedgerNew
+	}
+	if rec.state != wire.LedgerClaimed || rec.fingerprint != req.Fingerprint {
+		return rec.state
+	}
+	if rec.owner != req.Owner && !rec.ownerLapsed(now) {
+		return wire.LedgerClaimed
+	}
+	t.records[req.RequestID] = newRecord(now, req)
+	return wire.LedgerNew
+}
+
+func newRecord(now int64, req wire.LedgerClaimRequest) *record {
+	return &record{
+		state:       wire.LedgerClaimed,
+		owner:       req.Owner,
+		fingerprint: req.Fingerprint,
+		claimedAt:   now,
+		deadline:    now + max(req.DeadlineMS, 0),
+	}
+}
+
+// unknown decides on an identifier without a record.
+func (t *table) unknown(now int64, req wire.LedgerClaimRequest) wire.LedgerState {
+	if _, ok := t.tombstones[idHash(req.RequestID)]; ok {
+		return wire.LedgerExpired
+	}
+	minted, known := mintedAt(req.RequestID)
+	if known && now-minted > keepTombstone.Milliseconds() {
+		return wire.LedgerExpired
+	}
+	if req.FirstAttempt || t.epoch == 0 || now-t.epoch > keepTombstone.Milliseconds() {
+		return wire.LedgerNew
+	}
+	if known && minted > t.epoch {
+		return wire.LedgerNew
+	}
+	return wire.LedgerForgotten
+}
+
+// mintedAt returns the creation time in an identifier that the system generated.
+func mintedAt(id string) (int64, bool) {
+	_, opaque, _ := strings.Cut(id, ".")
+	ms, _, found := strings.Cut(opaque, "-")
+	if !found {
+		return 0, false
+	}
+	at, err := strconv.ParseInt(ms, 10, 64)
+	return at, err == nil && at > 0
+}
+
+func (r *record) ownerLapsed(now int64) bool {
+	return now > r.deadline+ownerMargin.Milliseconds()
+}
+
+// dispatch returns the change that records a dispatch, or false when owner does
+// not hold the claim.
+func (t *table) dispatch(now int64, id, owner string) (op, bool) {
+	rec, ok := t.records[id]
+	if !ok || rec.owner != owner || rec.state != wire.LedgerClaimed || rec.ownerLapsed(now) {
+		return op{}, false
+	}
+	return op{
+		Kind:        opDispatch,
+		ID:          id,
+		Owner:       owner,
+		Fingerprint: rec.fingerprint,
+		ClaimedAt:   rec.claimedAt,
+		Deadline:    rec.deadline,
+	}, true
+}
+
+// finish returns the change that records an outcome. changed is false when there
+// is nothing to record; held is false when owner does not hold the record.
+func (t *table) finish(now int64, id, owner string, answer *wire.CallAnswer) (change op, changed, held bool) {
+	rec, ok := t.records[id]
+	if !ok || rec.owner != owner {
+		return op{}, false, false
+	}
+	if rec.state == wire.LedgerFinished {
+		return op{}, false, true
+	}
+	if answer.Verdict == string(api.NotRun) {
+		return op{Kind: opRelease, ID: id, Owner: owner}, true, true
+	}
+	if rec.state != wire.LedgerDispatched {
+		return op{}, false, false
+	}
+	return op{Kind: opFinish, ID: id, Owner: owner, FinishedAt: now, Answer: storable(answer)}, true, true
+}
+
+// storable returns the answer as it is kept.
+func storable(answer *wire.CallAnswer) *wire.CallAnswer {
+	if len(answer.Body) <= MaxAnswerBytes {
+		return answer
+	}
+	kept := *answer
+	kept.Body = nil
+	kept.Code = CodeAnswerNotKept
+	return &kept
+}
+
+// apply makes a change. It tolerates changes that are already made, since a
+// compacted journal may repeat them.
+func (t *table) apply(change op, seq uint64) {
+	rec := t.records[change.ID]
+	switch change.Kind {
+	case opDispatch:
+		if rec != nil && rec.owner == change.Owner && rec.state != wire.LedgerClaimed {
+			return
+		}
+		t.records[change.ID] = &record{
+			state:       wire.LedgerDispatched,
+			owner:       change.Owner,
+			fingerprint: change.Fingerprint,
+			claimedAt:   change.ClaimedAt,
+			deadline:    change.Deadline,
+			seq:         seq,
+		}
+	case opFinish:
+		if rec == nil || rec.owner != change.Owner || rec.state == wire.LedgerFinished {
+			return
+		}
+		rec.state = wire.LedgerFinished
+		rec.finishedAt = change.FinishedAt
+		rec.answer = change.Answer
+		rec.seq = seq
+	case opRelease:
+		if rec != nil && rec.owner == change.Owner && rec.state != wire.LedgerFinished {
+			delete(t.records, change.ID)
+		}
+	case opTombstone:
+		t.tombstones[change.Hash] = change.ClaimedAt
+	}
+}
+
+// expire turns old finished records into tombstones and drops old tombstones and
+// lapsed claims. Both follow from times in the journal and need no change of their own.
+func (t *table) expire(now int64) {
+	for id, rec := range t.records {
+		switch {
+		case rec.state == wire.LedgerClaimed:
+			if rec.ownerLapsed(now) {
+				delete(t.records, id)
+			}
+		case now-rec.claimedAt > keepTombstone.Milliseconds():
+			delete(t.records, id)
+		case rec.state == wire.LedgerFinished && now-rec.finishedAt > keepAnswer.Milliseconds():
+			delete(t.records, id)
+			t.tombstones[idHash(id)] = rec.claimedAt
+		}
+	}
+	for hash, claimedAt := range t.tombstones {
+		if now-claimedAt > keepTombstone.Milliseconds() {
+			delete(t.tombstones, hash)
+		}
+	}
+}
+
+// snapshot returns the changes that rebuild the durable part of the table.
+func (t *table) snapshot() []op {
+	var out []op
+	for id, rec := range t.records {
+		if rec.state == wire.LedgerClaimed {
+			continue
+		}
+		out = append(out, op{
+			Kind: opDispatch, ID: id, Owner: rec.owner, Fingerprint: rec.fingerprint,
+			ClaimedAt: rec.claimedAt, Deadline: rec.deadline,
+		})
+		if rec.state == wire.LedgerFinished {
+			out = append(out, op{Kind: opFinish, ID: id, Owner: rec.owner, FinishedAt: rec.finishedAt, Answer: rec.answer})
+		}
+	}
+	for hash, claimedAt := range t.tombstones {
+		out = append(out, op{Kind: opTombstone, Hash: hash, ClaimedAt: claimedAt})
+	}
+	return out
+}
+
+// idHash is stable across processes, as tombstones are stored.
+func idHash(id string) uint64 { return xxhash.Sum64String(id) }
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// writeLoop writes and syncs pending changes, one batch after the other, until
+// the ledger is closed or fails.
+func (l *Ledger) writeLoop() {
+	defer close(l.done)
+	defer func() { _ = l.file.Close() }()
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.work:
+			if !l.writeBatch() {
+				return
+			}
+		case <-ticker.C:
+			if !l.maintain() {
+				return
+			}
+		case <-l.closed:
+			l.writeBatch()
+			return
+		}
+	}
+}
+
+// writeBatch makes all pending changes durable with one sync, or with more when
+// they don't fit one frame.
+func (l *Ledger) writeBatch() bool {
+	l.mu.Lock()
+	batch := l.pending
+	l.pending = nil
+	first := l.seq - uint64(len(batch))
+	l.mu.Unlock()
+	for start := 0; start < len(batch); {
+		end := batchEnd(batch, start)
+		if err := l.writeFrame(batch[start:end]); err != nil {
+			l.mu.Lock()
+			l.fail(err)
+			l.mu.Unlock()
+			return false
+		}
+		start = end
+		l.mu.Lock()
+		l.synced = first + uint64(end)
+		l.notify()
+		l.mu.Unlock()
+	}
+	return true
+}
+
+func (l *Ledger) writeFrame(ops []op) error {
+	frame, err := l.header.encodeFrame(ops)
+	if err != nil {
+		return err
+	}
+	n, err := l.file.Write(frame)
+	l.size += int64(n)
+	if err != nil {
+		return errors.Wrap(err, "ledger: write")
+	}
+	return errors.Wrap(l.opts.Sync(l.file), "ledger: sync")
+}
+
+// maintain expires old records, wakes waiting claims whose owner may have
+// lapsed, and compacts the journal when it has grown.
+func (l *Ledger) maintain() bool {
+	l.mu.Lock()
+	l.table.expire(l.now())
+	l.notify()
+	l.mu.Unlock()
+	if l.size < compactBytes || l.size < compactRatio*l.baseSize {
+		return true
+	}
+	if err := l.compact(); err != nil {
+		l.mu.Lock()
+		l.fail(err)
+		l.mu.Unlock()
+		return false
+	}
+	return true
+}
+
+// compact replaces the journal by one with the present records. Changes that are
+// pending are in it as well, and are written again behind it.
+func (l *Ledger) compact() error {
+	l.mu.Lock()
+	ops := l.table.snapshot()
+	epoch := l.table.epoch
+	l.mu.Unlock()
+	h, file, size, err := create(l.folder, epoch, ops)
+	if err != nil {
+		return err
+	}
+	_ = l.file.Close()
+	l.header, l.file, l.size, l.baseSize = h, file, size, size
+	return nil
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,77 @@
+package settings
+
+import "github.com/rs/zerolog"
+
+// minSecretBytes is the shortest shared secret.
+const minSecretBytes = 16
+
+// checkCommon checks the settings that all processes share.
+func (c *Common) checkCommon(file string) error {
+	if c.Instance == "" {
+		return &Error{File: file, Field: "instance", Reason: "is required"}
+	}
+	if c.DataCentre == "" {
+		return &Error{File: file, Field: "data_centre", Reason: "is required"}
+	}
+	if len(c.SharedSecret) < minSecretBytes {
+		return &Error{File: file, Field: "shared_secret", Reason: "has fewer than 16 bytes"}
+	}
+	if _, err := zerolog.ParseLevel(c.LogLevel); err != nil {
+		return &Error{File: file, Field: "log_level", Reason: err.Error()}
+	}
+	return nil
+}
+
+// Validate checks the settings of an entry; file names them in the error.
+func (e *Entry) Validate(file string) error {
+	if err := e.checkCommon(file); err != nil {
+		return err
+	}
+	if err := CheckAddress(file, "listen", e.Listen); err != nil {
+		return err
+	}
+	if err := CheckAddress(file, "peer_listen", e.PeerListen); err != nil {
+		return err
+	}
+	if err := e.checkPeers(file); err != nil {
+		return err
+	}
+	if e.OperatorToken == "" {
+		return &Error{File: file, Field: "operator_token", Reason: "is required"}
+	}
+	switch e.Policies["admission"] {
+	case "", "fair", "fifo":
+		return nil
+	}
+	return &Error{File: file, Field: "policies", Reason: "admission is not one of fair, fifo"}
+}
+
+func (e *Entry) checkPeers(file string) error {
+	if e.PeerAdvertise != "" {
+		if err := CheckAddress(file, "peer_advertise", e.PeerAdvertise); err != nil {
+			return err
+		}
+	}
+	if len(e.Stores) == 0 {
+		return &Error{File: file, Field: "stores", Reason: "names no store"}
+	}
+	for _, addr := range e.Stores {
+		if err := CheckAddress(file, "stores", addr); err != nil {
+			return err
+		}
+	}
+	for _, addr := range e.Peers {
+		if err := CheckAddress(file, "peers", addr); err != nil {
+			return err
+		}
+	}
+	if _, ok := e.Ledgers[e.DataCentre]; !ok {
+		return &Error{File: file, Field: "ledgers", Reason: "has no ledger for the entry's own data centre"}
+	}
+	for name, addr := range e.Ledgers {
+		if err := CheckAddress(file, "ledgers."+name, addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
