Let the state list open jobs and bound overcommitment

Cause: the controllers need the waiting and assigned jobs on each pass, and finished records are retained for 24 hours, so a scan of all jobs grows with history. Declared sizes may be far above the use, and a throttled task gives back processors, but the room check counted declared sizes only, so the leader could neither correct sizes downwards nor place urgent work beside throttled tasks.

EachQueued, EachAssigned and EachAssignedTo read the index. The room check allows declared sizes up to MaxOvercommit (2) times the processors and memory of a worker; accelerators are not shared. Ruled out: sizes in each assignment, which would put observations into the log.

--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"slices"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/placement"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+type orderKey struct {
+	kind wire.OrderKind
+	task wire.TaskKey
+}
+
+// sending is when an order was last sent.
+type sending struct {
+	at fleet.Time
+}
+
+// maxUndrains is the number of times that a worker is told to take work again.
+// The order has no visible effect, so a lost one can't be told from a late one.
+const maxUndrains = 3
+
+// orders returns the orders that are due for the workers of an entry. An order
+// is due when it was not sent yet, or without effect for resendAfter.
+func (c *Controller) orders(entry string) (*wire.WorkerOrders, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, leading := c.leading()
+	if !leading {
+		return nil, c.notLeader(l)
+	}
+	now := c.log.Now()
+	reply := &wire.WorkerOrders{Term: l.Term}
+	c.log.Read(func(s *fleet.State) {
+		byWorker := jobsByWorker(s)
+		for _, name := range sortedKeys(c.workers) {
+			w := c.workers[name]
+			if w.entry != entry || !w.heard(now) {
+				continue
+			}
+			all := c.taskOrders(s, w, byWorker[name], now)
+			all = append(all, c.phaseOrders(s, w)...)
+			reply.Orders = append(reply.Orders, w.due(all, now)...)
+		}
+	})
+	return reply, nil
+}
+
+// due keeps the orders that are to be sent now and notes them as sent.
+func (w *worker) due(all []wire.Order, now fleet.Time) []wire.Order {
+	var due []wire.Order
+	sent := make(map[orderKey]sending, len(all))
+	for _, o := range all {
+		k := orderKey{o.Kind, o.Task}
+		last, ok := w.sent[k]
+		if ok && now.Sub(last.at) < resendAfter {
+			sent[k] = last
+			continue
+		}
+		sent[k] = sending{at: now}
+		if o.Kind == wire.OrderUndrain {
+			w.undrains++
+		}
+		due = append(due, o)
+	}
+	w.sent = sent
+	return due
+}
+
+func (w *worker) order(kind wire.OrderKind, key wire.TaskKey) wire.Order {
+	return wire.Order{Worker: w.state.Instance, Incarnation: w.state.Incarnation, Kind: kind, Task: key}
+}
+
+// taskOrders compares the tasks that a worker reports with the jobs assigned to it.
+func (c *Controller) taskOrders(s *fleet.State, w *worker, jobs []*fleet.Job, now fleet.Time) []wire.Order {
+	var orders []wire.Order
+	reported := map[wire.TaskKey]bool{}
+	for _, t := range w.state.Tasks {
+		key := wire.TaskKey{JobID: t.JobID, Attempt: t.Attempt}
+		reported[key] = true
+		if kind, ok := c.reportedOrder(s.Jobs[t.JobID], w, t); ok {
+			orders = append(orders, w.order(kind, key))
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *fleet.Job) int { return compareText(a.ID, b.ID) })
+	for _, j := range jobs {
+		key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
+		if j.WorkerIncarnation != w.state.Incarnation || reported[key] {
+			continue
+		}
+		if _, seen := w.seen[key]; seen || j.Started {
+			continue
+		}
+		orders = append(orders, startOrder(s, w, j, now))
+	}
+	return orders
+}
+
+// startOrder starts an attempt that the worker never reported. A cancelled or
+// late one is stopped instead; the worker answers that it was not started, and
+// refuses a start that arrives after the stop.
+func startOrder(s *fleet.State, w *worker, j *fleet.Job, now fleet.Time) wire.Order {
+	key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
+	if j.CancelRequested || late(j, now) {
+		return w.order(wire.OrderStop, key)
+	}
+	o := w.order(wire.OrderStart, key)
+	spec := j.Spec
+	o.Spec = &spec
+	o.OnPartition = s.Config.Queues[j.Queue].OnPartition
+	if o.OnPartition == "" {
+		o.OnPartition = fleet.PartitionStop
+	}
+	return o
+}
+
+// reportedOrder returns the order for a task that the worker reports, if any.
+func (c *Controller) reportedOrder(j *fleet.Job, w *worker, t wire.TaskReport) (wire.OrderKind, bool) {
+	_, final := outcomeKinds[t.State]
+	if final {
+		return wire.OrderAck, !c.pending(j, w, t)
+	}
+	if j == nil || !assignedTo(j, w, t.Attempt) || j.CancelRequested {
+		return wire.OrderStop, true
+	}
+	a, ok := c.actions[t.JobID]
+	if !ok || a.key.Attempt != t.Attempt {
+		return "", false
+	}
+	switch a.kind {
+	case placement.ActionThrottle:
+		return wire.OrderThrottle, t.State == wire.TaskRunning
+	case placement.ActionUnthrottle:
+		return wire.OrderUnthrottle, t.State == wire.TaskThrottled
+	case placement.ActionCheckpoint:
+		return wire.OrderCheckpoint, true
+	case placement.ActionStop:
+		return wire.OrderStop, true
+	}
+	return "", false
+}
+
+// phaseOrders returns the orders that follow from the maintenance phase.
+func (c *Controller) phaseOrders(s *fleet.State, w *worker) []wire.Order {
+	st := s.Status[w.state.Instance]
+	switch st.Phase {
+	case fleet.PhaseDraining:
+		w.undrains = 0
+		return []wire.Order{w.order(wire.OrderDrain, wire.TaskKey{})}
+	case fleet.PhaseRebooting:
+		if w.rebootFrom == "" {
+			// A new leader can't know whether the reboot happened, and orders it.
+			w.rebootFrom = w.state.Incarnation
+		}
+		if w.rebootFrom == w.state.Incarnation {
+			return []wire.Order{w.order(wire.OrderReboot, wire.TaskKey{})}
+		}
+	case fleet.PhaseActive:
+		w.rebootFrom = ""
+		if w.undrains < maxUndrains {
+			return []wire.Order{w.order(wire.OrderUndrain, wire.TaskKey{})}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,349 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// worker is what the leader heard of one worker in its term.
+type worker struct {
+	state   wire.WorkerState
+	entry   string
+	heardAt fleet.Time
+	// healthySince is the time since which this incarnation announces itself
+	// without a break.
+	healthySince fleet.Time
+	dirty        bool
+	// candidate is another incarnation that announces itself, since candidateAt.
+	candidate   string
+	candidateAt fleet.Time
+	// retired holds earlier incarnations, whose late reports are ignored.
+	retired map[string]bool
+	// seen holds the attempts that this incarnation reported, with the latest time.
+	seen map[wire.TaskKey]fleet.Time
+	sent map[orderKey]sending
+	// rebootFrom is the incarnation that was ordered to reboot.
+	rebootFrom string
+	skippedAt  fleet.Time
+	undrains   int
+}
+
+// heard reports whether the worker announced itself a short time ago.
+func (w *worker) heard(now fleet.Time) bool {
+	return now.Sub(w.heardAt) <= unheardAfter
+}
+
+// Register adds the handler of worker reports.
+func (c *Controller) Register(mux wire.Mux) {
+	mux[wire.TypeWorkerReport] = func(ctx context.Context, req wire.Request) (any, error) {
+		var rep wire.WorkerReport
+		if err := req.Decode(&rep); err != nil {
+			return nil, err
+		}
+		return c.Report(ctx, rep)
+	}
+}
+
+// Report takes the announcements of workers and returns the orders for all
+// workers of the reporting entry. The reply is held until there are orders, at
+// most for the time that the entry states. When this store doesn't lead, the
+// error is a *wire.ErrorBody with CodeNotLeader.
+func (c *Controller) Report(ctx context.Context, rep wire.WorkerReport) (*wire.WorkerOrders, error) {
+	if err := c.record(rep); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(time.Duration(max(rep.HoldMS, 0)) * time.Millisecond)
+	defer timer.Stop()
+	held := rep.HoldMS > 0
+	for {
+		c.mu.Lock()
+		wake := c.wake
+		c.mu.Unlock()
+		orders, err := c.orders(rep.Entry)
+		if err != nil || len(orders.Orders) > 0 || !held {
+			return orders, err
+		}
+		select {
+		case <-ctx.Done():
+			return orders, nil
+		case <-timer.C:
+			held = false
+		case <-wake:
+		}
+	}
+}
+
+func (c *Controller) notLeader(l fleet.Leadership) error {
+	return &wire.ErrorBody{Code: wire.CodeNotLeader, Message: "this store is not the leader", Leader: l.Leader}
+}
+
+// record keeps the latest announcement of each worker.
+func (c *Controller) record(rep wire.WorkerReport) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, leading := c.leading()
+	if !leading {
+		return c.notLeader(l)
+	}
+	now := c.log.Now()
+	committed := map[string]string{}
+	c.log.Read(func(s *fleet.State) {
+		for _, st := range rep.Workers {
+			committed[st.Instance] = s.Status[st.Instance].Incarnation
+		}
+	})
+	for _, st := range rep.Workers {
+		c.hear(rep.Entry, st, committed[st.Instance], now)
+	}
+	if len(rep.Workers) > 0 {
+		select {
+		case c.reported <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+func (c *Controller) hear(entry string, st wire.WorkerState, committed string, now fleet.Time) {
+	w := c.workers[st.Instance]
+	if w == nil {
+		w = &worker{retired: map[string]bool{}, healthySince: now}
+		w.begin()
+		c.workers[st.Instance] = w
+	}
+	if w.retired[st.Incarnation] || !w.accepts(st.Incarnation, committed, now) {
+		return
+	}
+	if w.state.Incarnation != st.Incarnation {
+		if w.state.Incarnation != "" {
+			w.retired[w.state.Incarnation] = true
+		}
+		if committed != "" && committed != st.Incarnation {
+			w.retired[committed] = true
+		}
+		w.begin()
+		w.healthySince = now
+	} else if !w.heard(now) {
+		w.healthySince = now
+	}
+	w.state = st
+	w.entry = entry
+	w.heardAt = now
+	w.dirty = true
+	for _, t := range st.Tasks {
+		w.seen[wire.TaskKey{JobID: t.JobID, Attempt: t.Attempt}] = now
+	}
+}
+
+// begin forgets what concerns an earlier incarnation.
+func (w *worker) begin() {
+	w.seen = map[wire.TaskKey]fleet.Time{}
+	w.sent = map[orderKey]sending{}
+	w.undrains = 0
+}
+
+// accepts reports whether the incarnation is the committed one, or has replaced it.
+func (w *worker) accepts(incarnation, committed string, now fleet.Time) bool {
+	if committed == "" || incarnation == committed || incarnation == w.state.Incarnation {
+		w.candidate = ""
+		return true
+	}
+	if w.candidate != incarnation {
+		w.candidate = incarnation
+		w.candidateAt = now
+		return false
+	}
+	return now.Sub(w.candidateAt) >= restartConfirm
+}
+
+// commitReports commits what the reports since the last pass changed.
+func (c *Controller) commitReports(ctx context.Context) error {
+	observe, outcomes := c.changes()
+	if len(observe) > 0 {
+		cmd := fleet.Command{Observe: &fleet.Observe{Observations: observe}}
+		if _, err := c.propose(ctx, "observe", cmd); err != nil {
+			c.markDirty()
+			return err
+		}
+	}
+	if len(outcomes) > 0 {
+		return c.commitOutcomes(ctx, outcomes)
+	}
+	return nil
+}
+
+func (c *Controller) commitOutcomes(ctx context.Context, found []finding) error {
+	outcomes := c.judge(found)
+	res, err := c.propose(ctx, "outcome", fleet.Command{Outcome: &fleet.JobOutcomes{Outcomes: outcomes}})
+	if err != nil {
+		c.markDirty()
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.log.Now()
+	for i, f := range found {
+		if _, refused := res.Rejected[i]; refused || res.Refusal != nil {
+			c.handled[f.key] = now
+			continue
+		}
+		c.learn(f, now)
+	}
+	return nil
+}
+
+// markDirty makes the next pass examine all workers again.
+func (c *Controller) markDirty() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		w.dirty = true
+	}
+}
+
+// finding is an attempt that ended, as a worker reports it.
+type finding struct {
+	key    wire.TaskKey
+	worker string
+	pool   string
+	team   string
+	report wire.TaskReport
+	kind   fleet.OutcomeKind
+	// failedOn includes the worker when the attempt failed.
+	failedOn []string
+}
+
+// changes returns the differences between the latest reports and the state.
+func (c *Controller) changes() ([]fleet.Observation, []finding) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.log.Now()
+	var observe []fleet.Observation
+	var found []finding
+	c.log.Read(func(s *fleet.State) {
+		for _, name := range sortedKeys(c.workers) {
+			w := c.workers[name]
+			if !w.dirty {
+				continue
+			}
+			w.dirty = false
+			if _, declared := s.Config.Instances[name]; !declared {
+				continue
+			}
+			if o, changed := observation(s, w); changed {
+				observe = append(observe, o)
+			}
+			found = append(found, c.findings(s, w)...)
+			found = append(found, c.vanished(s, w, now)...)
+		}
+	})
+	return observe, found
+}
+
+// observation returns what changed of a worker, and whether anything did.
+func observation(s *fleet.State, w *worker) (fleet.Observation, bool) {
+	st := s.Status[w.state.Instance]
+	o := fleet.Observation{
+		Instance:    w.state.Instance,
+		Incarnation: w.state.Incarnation,
+		Address:     w.state.Address,
+		Capacity:    w.state.Capacity,
+	}
+	for _, t := range w.state.Tasks {
+		j := s.Jobs[t.JobID]
+		if t.State == wire.TaskNotStarted || j == nil || j.Started || !assignedTo(j, w, t.Attempt) {
+			continue
+		}
+		o.Started = append(o.Started, t.JobID)
+	}
+	changed := !st.Seen || st.Lost || st.Incarnation != o.Incarnation ||
+		st.Address != o.Address || st.Capacity != o.Capacity
+	return o, changed || len(o.Started) > 0
+}
+
+// assignedTo reports whether the attempt is the present one of the job on this
+// incarnation of the worker.
+func assignedTo(j *fleet.Job, w *worker, attempt int) bool {
+	return j.State == fleet.JobAssigned && j.Attempt == attempt &&
+		j.Worker == w.state.Instance && j.WorkerIncarnation == w.state.Incarnation
+}
+
+var outcomeKinds = map[wire.TaskState]fleet.OutcomeKind{
+	wire.TaskDone:         fleet.OutcomeDone,
+	wire.TaskFailed:       fleet.OutcomeFailed,
+	wire.TaskStopped:      fleet.OutcomeStopped,
+	wire.TaskCheckpointed: fleet.OutcomeCheckpointed,
+	wire.TaskNotStarted:   fleet.OutcomeNotStarted,
+}
+
+// findings returns the reported ends of attempts that the state does not know.
+func (c *Controller) findings(s *fleet.State, w *worker) []finding {
+	var found []finding
+	for _, t := range w.state.Tasks {
+		kind, final := outcomeKinds[t.State]
+		j := s.Jobs[t.JobID]
+		if !final || !c.pending(j, w, t) {
+			continue
+		}
+		f := finding{
+			key:    wire.TaskKey{JobID: t.JobID, Attempt: t.Attempt},
+			worker: w.state.Instance,
+			pool:   s.Config.Queues[j.Queue].Pool,
+			team:   j.Team,
+			report: t,
+			kind:   kind,
+		}
+		f.failedOn = slices.Clone(j.FailedOn)
+		if kind == fleet.OutcomeFailed && !slices.Contains(f.failedOn, f.worker) {
+			f.failedOn = append(f.failedOn, f.worker)
+		}
+		found = append(found, f)
+	}
+	return found
+}
+
+// pending reports whether a reported end still has to be committed. A result
+// that comes after its attempt was given up is still worth keeping.
+func (c *Controller) pending(j *fleet.Job, w *worker, t wire.TaskReport) bool {
+	if j == nil {
+		return false
+	}
+	if _, done := c.handled[wire.TaskKey{JobID: t.JobID, Attempt: t.Attempt}]; done {
+		return false
+	}
+	if assignedTo(j, w, t.Attempt) {
+		return true
+	}
+	late := j.State == fleet.JobQueued || j.State == fleet.JobMayHaveRun
+	return t.State == wire.TaskDone && late && j.Attempt == t.Attempt && j.Worker == w.state.Instance
+}
+
+// vanished returns the started attempts that the worker no longer reports. Their
+// results can't be learned any more.
+func (c *Controller) vanished(s *fleet.State, w *worker, now fleet.Time) []finding {
+	if now.Sub(w.healthySince) < vanishedAfter {
+		return nil
+	}
+	var found []finding
+	for key, last := range w.seen {
+		if now.Sub(last) < vanishedAfter {
+			continue
+		}
+		j := s.Jobs[key.JobID]
+		if j == nil || !assignedTo(j, w, key.Attempt) {
+			delete(w.seen, key)
+			continue
+		}
+		found = append(found, finding{
+			key: key, worker: w.state.Instance, kind: fleet.OutcomeLost,
+			pool: s.Config.Queues[j.Queue].Pool, team: j.Team,
+			report: wire.TaskReport{JobID: key.JobID, Attempt: key.Attempt, Reason: "the worker no longer reports the task"},
+		})
+	}
+	slices.SortFunc(found, func(a, b finding) int { return compareText(a.key.JobID, b.key.JobID) })
+	return found
+}
--- /dev/null
+++ b/internal/controller/upkeep.go
@@ -0,0 +1,275 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/maintenance"
+	"github.com/samphirefork/samphirefork/internal/placement"
+	"github.com/samphirefork/samphirefork/internal/poolmove"
+	"github.com/samphirefork/samphirefork/internal/retry"
+	"github.com/samphirefork/samphirefork/internal/share"
+)
+
+// upkeep runs maintenance, quarantines and pool moves when they are due.
+func (c *Controller) upkeep(ctx context.Context) error {
+	c.mu.Lock()
+	now := c.log.Now()
+	due := now.Sub(c.upkeepAt) >= upkeepInterval
+	if due {
+		c.upkeepAt = now
+	}
+	c.mu.Unlock()
+	if !due {
+		return nil
+	}
+	for _, step := range []func(context.Context) error{c.maintain, c.quarantine, c.movePools} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// expire removes old records once a minute.
+func (c *Controller) expire(ctx context.Context) error {
+	c.mu.Lock()
+	now := c.log.Now()
+	due := now.Sub(c.expireAt) >= expireInterval
+	if due {
+		c.expireAt = now
+		c.blame.Forget(now)
+		for key, at := range c.handled {
+			if now.Sub(at) >= expireInterval {
+				delete(c.handled, key)
+			}
+		}
+	}
+	c.mu.Unlock()
+	if !due {
+		return nil
+	}
+	_, err := c.propose(ctx, "expire", fleet.Command{Expire: &fleet.Expire{}})
+	return err
+}
+
+// maintain commits the next steps of the maintenance plans.
+func (c *Controller) maintain(ctx context.Context) error {
+	c.mu.Lock()
+	now := c.log.Now()
+	snap := maintenance.Snapshot{Now: now, Pools: map[string]fleet.Pool{}}
+	waiting := map[string]string{}
+	c.log.Read(func(s *fleet.State) {
+		for name, p := range s.Plans {
+			waiting[name] = p.WaitingFor
+			snap.Plans = append(snap.Plans, p)
+		}
+		if len(snap.Plans) == 0 {
+			return
+		}
+		for name, p := range s.Config.Pools {
+			snap.Pools[name] = p
+		}
+		snap.Instances = c.maintained(s, now)
+	})
+	if len(snap.Plans) == 0 {
+		c.mu.Unlock()
+		return nil
+	}
+	plan := maintenance.Compute(c.maintenancePolicy(), snap)
+	for _, name := range plan.Skipped {
+		c.workers[name].skippedAt = now
+	}
+	c.log.Read(func(s *fleet.State) { c.clear(s, plan.Clear, now) })
+	c.mu.Unlock()
+	return c.commitPhases(ctx, plan, waiting)
+}
+
+func (c *Controller) commitPhases(ctx context.Context, plan maintenance.Plan, waiting map[string]string) error {
+	changed := map[string]string{}
+	for name, reason := range plan.Waiting {
+		if waiting[name] != reason {
+			changed[name] = reason
+		}
+	}
+	if len(plan.Steps) == 0 && len(changed) == 0 {
+		return nil
+	}
+	cmd := fleet.Command{Maintenance: &fleet.PhaseChange{Steps: plan.Steps, Waiting: changed}}
+	res, err := c.propose(ctx, "maintenance", cmd)
+	if err != nil || res.Refusal != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, step := range plan.Steps {
+		_, refused := res.Rejected[i]
+		if w := c.workers[step.Instance]; w != nil && !refused && step.Phase == fleet.PhaseRebooting {
+			w.rebootFrom = w.state.Incarnation
+		}
+	}
+	return nil
+}
+
+func (c *Controller) maintained(s *fleet.State, now fleet.Time) []maintenance.Instance {
+	byWorker := jobsByWorker(s)
+	instances := make([]maintenance.Instance, 0, len(s.Config.Instances))
+	for name, in := range s.Config.Instances {
+		st := s.Status[name]
+		i := maintenance.Instance{
+			Name: name, Pool: in.Pool, Rack: in.Rack, DataCentre: in.DataCentre,
+			Phase: st.Phase, PhaseSince: st.PhaseSince, Plan: st.Plan, Lost: st.Lost,
+			Down: st.QuarantinedUntil > now || (in.Kind == fleet.KindWorker && !st.Seen),
+		}
+		if w := c.workers[name]; w != nil {
+			i.Healthy = w.heard(now)
+			i.HealthySince = w.healthySince
+			i.SkippedAt = w.skippedAt
+			i.Rebooted = i.Healthy && w.rebootFrom != "" && w.rebootFrom != w.state.Incarnation
+		}
+		for _, j := range byWorker[name] {
+			i.Tasks++
+			if s.Config.Queues[j.Queue].Class == fleet.ClassWatch {
+				i.Watch++
+			}
+			if !j.Spec.Idempotent {
+				i.Pinned++
+			}
+		}
+		instances = append(instances, i)
+	}
+	return instances
+}
+
+// clear orders checkpoints and stops for the tasks of draining instances.
+func (c *Controller) clear(s *fleet.State, levels map[string]maintenance.Clearing, now fleet.Time) {
+	if len(levels) == 0 {
+		return
+	}
+	byWorker := jobsByWorker(s)
+	for name, level := range levels {
+		for _, j := range byWorker[name] {
+			watch := s.Config.Queues[j.Queue].Class == fleet.ClassWatch
+			pinned := !j.Spec.Idempotent
+			switch {
+			case level == maintenance.ClearWatch && !watch:
+			case pinned && !c.opts.ResumesCheckpoints:
+			case level == maintenance.ClearStop && !pinned:
+				c.order(j, placement.ActionStop, now)
+			default:
+				c.order(j, placement.ActionCheckpoint, now)
+			}
+		}
+	}
+}
+
+// quarantine commits the verdicts on workers.
+func (c *Controller) quarantine(ctx context.Context) error {
+	if !c.blames() {
+		return nil
+	}
+	pools := c.poolWorkers()
+	c.mu.Lock()
+	now := c.log.Now()
+	var observe []fleet.Observation
+	for _, pool := range sortedKeys(pools) {
+		state := retry.PoolState{Workers: pools[pool]}
+		c.log.Read(func(s *fleet.State) {
+			for _, name := range pools[pool] {
+				if s.Status[name].QuarantinedUntil > now {
+					state.Quarantined = append(state.Quarantined, name)
+				}
+			}
+		})
+		for _, q := range c.blame.Quarantines(state, now) {
+			observe = append(observe, fleet.Observation{Instance: q.Worker, QuarantineMS: max(-1, q.For.Milliseconds())})
+		}
+	}
+	c.mu.Unlock()
+	if len(observe) == 0 {
+		return nil
+	}
+	_, err := c.propose(ctx, "quarantine", fleet.Command{Observe: &fleet.Observe{Observations: observe}})
+	return err
+}
+
+// movePools commits the pool moves that pay off.
+func (c *Controller) movePools(ctx context.Context) error {
+	c.mu.Lock()
+	snap := poolmove.Snapshot{Now: c.log.Now()}
+	c.log.Read(func(s *fleet.State) { snap.Pools = c.movable(s, snap.Now) })
+	moves := c.moves.Plan(snap)
+	c.mu.Unlock()
+	for _, m := range moves {
+		res, err := c.propose(ctx, "move", fleet.Command{Move: &m})
+		if err != nil {
+			return err
+		}
+		if res.Refusal == nil {
+			c.noteMove(m)
+		}
+	}
+	return nil
+}
+
+func (c *Controller) noteMove(m fleet.PoolMove) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.borrowed[m.To]++
+	c.borrowed[m.From] = max(0, c.borrowed[m.From]-1)
+}
+
+func (c *Controller) movable(s *fleet.State, now fleet.Time) []poolmove.Pool {
+	byWorker := jobsByWorker(s)
+	pools := map[string]*poolmove.Pool{}
+	capacity := map[string]fleet.Resources{}
+	for name, p := range s.Config.Pools {
+		pools[name] = &poolmove.Pool{
+			Name: name, Spare: p.Spare, MaxUnavailable: p.MaxUnavailable, Borrowed: c.borrowed[name],
+		}
+	}
+	members := map[string][]string{}
+	for _, w := range c.placementWorkers(s, now) {
+		p := pools[w.Pool]
+		members[w.Pool] = append(members[w.Pool], w.Name)
+		if !w.Usable {
+			p.Unavailable++
+			continue
+		}
+		p.Usable++
+		capacity[w.Pool] = capacity[w.Pool].Plus(w.Capacity)
+		p.Workers = append(p.Workers, poolmove.Worker{
+			Name: w.Name, Rack: w.Rack, DataCentre: w.DataCentre, Idle: len(byWorker[w.Name]) == 0,
+		})
+	}
+	demand := demandByPool(s, now)
+	out := make([]poolmove.Pool, 0, len(pools))
+	for _, name := range sortedKeys(pools) {
+		p := pools[name]
+		p.Wave = c.blame.Wave(members[name], now)
+		p.Demand = share.Dominant(demand[name], capacity[name]) * float64(p.Usable)
+		sortWorkers(p.Workers)
+		out = append(out, *p)
+	}
+	return out
+}
+
+// demandByPool sums the sizes of running and waiting jobs.
+func demandByPool(s *fleet.State, now fleet.Time) map[string]fleet.Resources {
+	demand := map[string]fleet.Resources{}
+	add := func(j *fleet.Job) {
+		pool := s.Config.Queues[j.Queue].Pool
+		demand[pool] = demand[pool].Plus(j.Spec.Size)
+	}
+	for _, jobs := range jobsByWorker(s) {
+		for _, j := range jobs {
+			add(j)
+		}
+	}
+	for _, j := range queuedJobs(s) {
+		if !late(j, now) && j.RetryNotBefore <= now {
+			add(j)
+		}
+	}
+	return demand
+}
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -19,6 +19,8 @@
 	open     map[string]int
 	teamOpen map[string]int
 	load     map[string]*workerLoad
+	// waiting holds the queued jobs, which are few among the retained records.
+	waiting map[string]*Job
 	// retained is the number of bytes of payloads and results.
 	retained int
 	tombs    map[uint64]struct{}
@@ -42,6 +44,7 @@
 		open:     map[string]int{},
 		teamOpen: map[string]int{},
 		load:     map[string]*workerLoad{},
+		waiting:  map[string]*Job{},
 		tombs:    make(map[uint64]struct{}, len(s.Tombstones)),
 	}
 	for i, a := range s.Answers {
@@ -71,6 +74,11 @@
 	addTo(x.teamOpen, j.Team, sign)
 	if j.State == JobQueued {
 		addTo(x.queued, queueTeam{j.Queue, j.Team}, sign)
+		if sign > 0 {
+			x.waiting[j.ID] = j
+		} else {
+			delete(x.waiting, j.ID)
+		}
 		return
 	}
 	addTo(x.running, j.Team, sign)
@@ -158,5 +166,30 @@
 	return slices.Sorted(maps.Keys(l.jobs))
 }
 
+// EachQueued calls f with each waiting job, in no order. f must not change or keep it.
+func (s *State) EachQueued(f func(*Job)) {
+	for _, j := range s.index.waiting {
+		f(j)
+	}
+}
+
+// EachAssigned calls f with each assigned job, in no order. f must not change or keep it.
+func (s *State) EachAssigned(f func(*Job)) {
+	for worker := range s.index.load {
+		s.EachAssignedTo(worker, f)
+	}
+}
+
+// EachAssignedTo is EachAssigned for the jobs of one worker.
+func (s *State) EachAssignedTo(worker string, f func(*Job)) {
+	l := s.index.load[worker]
+	if l == nil {
+		return
+	}
+	for id := range l.jobs {
+		f(s.Jobs[id])
+	}
+}
+
 // RetainedBytes returns the bytes of retained payloads and results.
 func (s *State) RetainedBytes() int { return s.index.retained }
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -241,12 +241,23 @@
 	if in.Pool != s.Config.Queues[j.Queue].Pool {
 		return refusal(CodeStale, "worker %s is in pool %s", a.Worker, in.Pool)
 	}
-	if !s.Used(a.Worker).Plus(j.Spec.Size).Fits(st.Capacity) {
+	if !s.Used(a.Worker).Plus(j.Spec.Size).Fits(st.Capacity.overcommitted()) {
 		return refusal(CodeStale, "worker %s has no room for job %s", a.Worker, j.ID)
 	}
 	return nil
 }
 
+// MaxOvercommit is the largest ratio of the declared sizes on a worker to its
+// processors and memory. Declared sizes may be far above the use, and the leader
+// places by observed use. Accelerators are not shared.
+const MaxOvercommit = 2
+
+func (r Resources) overcommitted() Resources {
+	r.CPUMilli *= MaxOvercommit
+	r.MemoryMiB *= MaxOvercommit
+	return r
+}
+
 // checkLimit verifies that a team may run one more job. Open jobs have no team.
 func (s *State) checkLimit(team string) *Refusal {
 	if team == "" {
--- /dev/null
+++ b/internal/retry/blame.go
@@ -0,0 +1,214 @@
+package retry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+)
+
+// Rules of blame.
+const (
+	// Distinct is the number of distinct workers or jobs that a verdict needs.
+	Distinct = 3
+	// MaxFailures ends a job that no evidence clears or convicts.
+	MaxFailures = 10
+	// suspectAfter is the number of healthy workers on which a job failed before
+	// its failures no longer speak against other workers.
+	suspectAfter = 2
+	// recent is the time for which an event counts.
+	recent = 10 * time.Minute
+	// maxEvents bounds the events that are kept for each worker.
+	maxEvents = 32
+	// judged is the number of latest events by which a worker is judged, so that
+	// scattered failures between successes don't add up to a verdict.
+	judged = 8
+	// WaveWindow and WavePercent define a failure wave: more than this part of a
+	// pool's workers fail something within the window.
+	WaveWindow  = 30 * time.Second
+	WavePercent = 20
+	// QuarantinePercent bounds the workers of a pool that are quarantined at once.
+	QuarantinePercent = 10
+	// FirstQuarantine is the length of a first quarantine. It doubles with each
+	// failed probe up to MaxQuarantine.
+	FirstQuarantine = 30 * time.Second
+	MaxQuarantine   = 30 * time.Minute
+)
+
+type event struct {
+	job string
+	ok  bool
+	at  fleet.Time
+}
+
+type workerRecord struct {
+	events []event
+	lostAt fleet.Time
+	lost   bool
+	// quarantines counts quarantines since the last successful probe.
+	quarantines int
+	until       fleet.Time
+}
+
+// Blame attributes failures to jobs or to workers. It is not safe for concurrent use.
+type Blame struct {
+	workers   map[string]*workerRecord
+	succeeded map[string]fleet.Time
+	failedOn  map[string]map[string]fleet.Time
+}
+
+// NewBlame returns a record without events.
+func NewBlame() *Blame {
+	return &Blame{
+		workers:   map[string]*workerRecord{},
+		succeeded: map[string]fleet.Time{},
+		failedOn:  map[string]map[string]fleet.Time{},
+	}
+}
+
+func (b *Blame) worker(name string) *workerRecord {
+	w := b.workers[name]
+	if w == nil {
+		w = &workerRecord{}
+		b.workers[name] = w
+	}
+	return w
+}
+
+func (b *Blame) note(worker string, e event) {
+	w := b.worker(worker)
+	w.events = append(w.events, e)
+	if len(w.events) > maxEvents {
+		w.events = slices.Delete(w.events, 0, 1)
+	}
+}
+
+// Succeeded records that a job ended well on a worker. A success after a
+// quarantine is a passed probe.
+func (b *Blame) Succeeded(worker, job string, at fleet.Time) {
+	b.note(worker, event{job: job, ok: true, at: at})
+	b.succeeded[job] = at
+	if w := b.worker(worker); at >= w.until {
+		w.quarantines = 0
+	}
+}
+
+// Failed records that a job failed on a worker.
+func (b *Blame) Failed(worker, job string, at fleet.Time) {
+	b.note(worker, event{job: job, at: at})
+	if b.failedOn[job] == nil {
+		b.failedOn[job] = map[string]fleet.Time{}
+	}
+	b.failedOn[job][worker] = at
+}
+
+// Lost records the loss of a worker, which counts towards a failure wave.
+func (b *Blame) Lost(worker string, at fleet.Time) {
+	w := b.worker(worker)
+	w.lost, w.lostAt = true, at
+}
+
+// Forget removes events that no longer count.
+func (b *Blame) Forget(now fleet.Time) {
+	for job, at := range b.succeeded {
+		if now.Sub(at) > recent {
+			delete(b.succeeded, job)
+		}
+	}
+	for job, on := range b.failedOn {
+		for worker, at := range on {
+			if now.Sub(at) > recent {
+				delete(on, worker)
+			}
+		}
+		if len(on) == 0 {
+			delete(b.failedOn, job)
+		}
+	}
+}
+
+// Healthy reports whether a worker succeeded recently with jobs other than the
+// given one, and not less often than it failed.
+func (b *Blame) Healthy(worker, except string, now fleet.Time) bool {
+	w := b.workers[worker]
+	if w == nil {
+		return false
+	}
+	good, bad := 0, 0
+	for _, e := range b.latest(w, now) {
+		switch {
+		case e.job == except:
+		case e.ok:
+			good++
+		case !b.suspectExcept(e.job, worker, now):
+			bad++
+		}
+	}
+	return good > 0 && good >= bad
+}
+
+// latest returns the events by which a worker is judged.
+func (b *Blame) latest(w *workerRecord, now fleet.Time) []event {
+	var events []event
+	for _, e := range w.events[max(0, len(w.events)-judged):] {
+		if now.Sub(e.at) <= recent {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+// JobAtFault reports whether a job fails for good: it failed on enough distinct
+// workers that are healthy with other jobs, or on all workers of a smaller pool.
+// Where no other jobs run, nothing proves a worker healthy; then MaxFailures
+// attempts decide.
+func (b *Blame) JobAtFault(job string, failedOn []string, failures, poolSize int, now fleet.Time) bool {
+	healthy := 0
+	for _, worker := range failedOn {
+		if b.Healthy(worker, job, now) {
+			healthy++
+		}
+	}
+	return healthy >= min(Distinct, max(poolSize, 1)) || failures >= MaxFailures
+}
+
+// suspectExcept reports whether a job's failures elsewhere explain its failure on
+// the worker: it never succeeded, and failed on other workers that had successes.
+func (b *Blame) suspectExcept(job, worker string, now fleet.Time) bool {
+	if _, ok := b.succeeded[job]; ok {
+		return false
+	}
+	others := 0
+	for other := range b.failedOn[job] {
+		if other != worker && b.hadSuccess(other, now) {
+			others++
+		}
+	}
+	return others >= suspectAfter
+}
+
+func (b *Blame) hadSuccess(worker string, now fleet.Time) bool {
+	return slices.ContainsFunc(b.latest(b.workers[worker], now), func(e event) bool { return e.ok })
+}
+
+// workerAtFault reports whether enough distinct jobs that are not suspect failed
+// on a worker, and at least half of its latest events are such failures.
+func (b *Blame) workerAtFault(worker string, now fleet.Time) bool {
+	w := b.workers[worker]
+	if w == nil {
+		return false
+	}
+	jobs := map[string]bool{}
+	good, bad := 0, 0
+	for _, e := range b.latest(w, now) {
+		if e.ok {
+			good++
+			continue
+		}
+		if !b.suspectExcept(e.job, worker, now) {
+			bad++
+			jobs[e.job] = true
+		}
+	}
+	return len(jobs) >= Distinct && bad >= good
+}
