--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,7 +46,10 @@
 	idleInterval = 100 * time.Millisecond
 	// upkeepInterval separates runs of maintenance and pool moves.
 	upkeepInterval = 500 * time.Millisecond
-	expireInterval = time.Minute
+	// expireInterval bounds the time for which a late job stays queued.
+	expireInterval = 5 * time.Second
+	// memoryInterval is the time for which observations of ended attempts are kept.
+	memoryInterval = time.Minute
 	// resendAfter is the time after which an order without visible effect is
 	// repeated. Workers announce each second.
 	resendAfter = 1200 * time.Millisecond
@@ -89,6 +92,7 @@
 	reserved []placement.Reservation
 	borrowed map[string]int
 	shares   *share.Accounts
+	sizer    *placement.Sizer
 	blame    *retry.Blame
 	budget   *retry.Budget
 	moves    *poolmove.Tracker
@@ -131,6 +135,7 @@
 	c.reserved = nil
 	c.borrowed = map[string]int{}
 	c.shares = share.New(share.Policy(c.opts.Policies[PolicyShare]))
+	c.sizer = placement.NewSizer()
 	c.blame = retry.NewBlame()
 	c.budget = retry.NewBudget()
 	c.moves = poolmove.New(poolmove.Policy(c.opts.Policies[PolicyPoolMove]))
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// finishing runs each task to its end with the given state.
+func finishing(state wire.TaskState) func(*wire.WorkerState, wire.Order) {
+	return func(w *wire.WorkerState, o wire.Order) {
+		obey(w, o)
+		for i := range w.Tasks {
+			if w.Tasks[i].State == wire.TaskRunning {
+				w.Tasks[i].State = state
+				w.Tasks[i].Result = []byte("r")
+			}
+		}
+	}
+}
+
+// Guards against a job that is not started, whose result is not committed, or
+// whose report is never acknowledged.
+func TestJobRunsToItsResult(t *testing.T) {
+	r := newRig(t, 2, Options{})
+	r.round(obey)
+	id := r.submit("normal", 1000, false)
+	for range 3 {
+		r.round(finishing(wire.TaskDone))
+	}
+	j := r.job(id)
+	require.Equal(t, fleet.JobDone, j.State)
+	require.Equal(t, 1, j.Attempt)
+	require.Equal(t, []byte("r"), j.Result)
+	for _, w := range r.workers {
+		require.Empty(t, w.Tasks, "the outcome was not acknowledged")
+	}
+}
+
+// Guards against a start order for an assignment that is not committed.
+func TestStartOnlyAfterCommit(t *testing.T) {
+	r := newRig(t, 2, Options{})
+	r.round(obey)
+	r.submit("normal", 1000, false)
+	r.log.before = func(cmd fleet.Command) {
+		if cmd.Assign == nil {
+			return
+		}
+		for _, o := range r.orders {
+			require.NotEqual(t, wire.OrderStart, o.Kind)
+		}
+	}
+	r.round(obey)
+	require.True(t, slices.ContainsFunc(r.orders, func(o wire.Order) bool { return o.Kind == wire.OrderStart }))
+}
+
+// Guards against a lost start order that is never repeated, and against one that
+// is repeated on every report.
+func TestLostStartOrderIsRepeated(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.round(obey)
+	id := r.submit("normal", 1000, false)
+	starts := 0
+	lose := func(w *wire.WorkerState, o wire.Order) {
+		if o.Kind != wire.OrderStart {
+			return
+		}
+		starts++
+		if starts == 3 {
+			obey(w, o)
+		}
+	}
+	for range 8 {
+		r.round(lose)
+	}
+	require.Equal(t, 3, starts)
+	require.True(t, r.job(id).Started)
+	require.Equal(t, 1, r.job(id).Attempt)
+}
+
+// Guards against a follower that gives orders or hides the leader's address.
+func TestFollowerRefusesReports(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.log.lead = fleet.Leadership{Leader: "there", Term: 2}
+	_, err := r.c.Report(context.Background(), wire.WorkerReport{Entry: "e"})
+	var body *wire.ErrorBody
+	require.ErrorAs(t, err, &body)
+	require.Equal(t, wire.CodeNotLeader, body.Code)
+	require.Equal(t, "there", body.Leader)
+}
+
+// Guards against a silent worker whose tasks stay counted, against a kept watch
+// task that is given up, and against a new leader that declares workers lost on
+// the silence of its own first seconds.
+func TestSilentWorkerIsLost(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.round(obey)
+	normal, watch := r.submit("normal", 1000, true), r.submit("watch", 1000, true)
+	r.round(obey)
+	r.silent["w00"] = true
+	for range 4 {
+		r.round(obey)
+	}
+	r.log.lead.Term = 2
+	for range 6 {
+		r.round(obey)
+	}
+	require.Equal(t, fleet.JobAssigned, r.job(normal).State, "lost before the new leader waited")
+	r.round(obey)
+	require.Equal(t, fleet.JobQueued, r.job(normal).State)
+	require.Equal(t, fleet.JobAssigned, r.job(watch).State)
+	r.silent["w00"] = false
+	for range 3 {
+		r.round(obey)
+	}
+	require.Equal(t, 2, r.job(normal).Attempt)
+	require.Equal(t, 1, r.job(watch).Attempt)
+}
+
+// Guards against a late report of an earlier process that ends the tasks of the
+// present one, and against a restart that is never noticed.
+func TestRestartNeedsConfirmation(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.round(obey)
+	id := r.submit("normal", 1000, true)
+	r.round(obey)
+	stale := wire.WorkerState{Instance: "w00", Incarnation: "0", Capacity: capacity}
+	_, err := r.c.Report(context.Background(), wire.WorkerReport{Entry: "e", Workers: []wire.WorkerState{stale}})
+	require.NoError(t, err)
+	r.round(obey)
+	require.Equal(t, 1, r.job(id).Attempt)
+	r.workers["w00"].Incarnation, r.workers["w00"].Tasks = "2", nil
+	for range 4 {
+		r.round(obey)
+	}
+	require.Equal(t, 2, r.job(id).Attempt)
+	require.Equal(t, "2", r.job(id).WorkerIncarnation)
+}
+
+// Guards against a cancelled job that goes on running.
+func TestCancelledJobIsStopped(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.round(obey)
+	id := r.submit("normal", 1000, false)
+	r.round(obey)
+	r.propose(fleet.Command{Cancel: &fleet.JobCancel{ID: id, Team: "a"}})
+	for range 3 {
+		r.round(obey)
+	}
+	require.Equal(t, fleet.JobCancelled, r.job(id).State)
+}
+
+// Guards against a held reply that misses orders or outlasts its limit.
+func TestHeldReplyEndsWithOrders(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	for range 4 {
+		r.round(obey)
+	}
+	r.submit("normal", 1000, false)
+	got := make(chan *wire.WorkerOrders, 1)
+	go func() {
+		orders, _ := r.c.Report(context.Background(), wire.WorkerReport{Entry: "e", HoldMS: 60_000})
+		got <- orders
+	}()
+	require.Eventually(t, func() bool {
+		require.NoError(t, r.c.Pass(context.Background()))
+		return len(got) == 1
+	}, 20*time.Second, time.Millisecond)
+	require.Len(t, (<-got).Orders, 1)
+	empty, err := r.c.Report(context.Background(), wire.WorkerReport{Entry: "e", HoldMS: 1})
+	require.NoError(t, err)
+	require.Empty(t, empty.Orders)
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"slices"
-
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/placement"
 	"github.com/samphirefork/samphirefork/internal/wire"
@@ -34,13 +32,12 @@
 	now := c.log.Now()
 	reply := &wire.WorkerOrders{Term: l.Term}
 	c.log.Read(func(s *fleet.State) {
-		byWorker := jobsByWorker(s)
 		for _, name := range sortedKeys(c.workers) {
 			w := c.workers[name]
 			if w.entry != entry || !w.heard(now) {
 				continue
 			}
-			all := c.taskOrders(s, w, byWorker[name], now)
+			all := c.taskOrders(s, w, now)
 			all = append(all, c.phaseOrders(s, w)...)
 			reply.Orders = append(reply.Orders, w.due(all, now)...)
 		}
@@ -74,7 +71,7 @@
 }
 
 // taskOrders compares the tasks that a worker reports with the jobs assigned to it.
-func (c *Controller) taskOrders(s *fleet.State, w *worker, jobs []*fleet.Job, now fleet.Time) []wire.Order {
+func (c *Controller) taskOrders(s *fleet.State, w *worker, now fleet.Time) []wire.Order {
 	var orders []wire.Order
 	reported := map[wire.TaskKey]bool{}
 	for _, t := range w.state.Tasks {
@@ -84,8 +81,7 @@
 			orders = append(orders, w.order(kind, key))
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *fleet.Job) int { return compareText(a.ID, b.ID) })
-	for _, j := range jobs {
+	for _, j := range assignedJobs(s, w.state.Instance) {
 		key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
 		if j.WorkerIncarnation != w.state.Incarnation || reported[key] {
 			continue
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/placement"
@@ -93,22 +94,21 @@
 	reported := c.reportedTasks()
 	c.log.Read(func(s *fleet.State) {
 		snap.Workers = c.placementWorkers(s, now)
-		for _, jobs := range jobsByWorker(s) {
-			for _, j := range jobs {
-				snap.Tasks = append(snap.Tasks, c.placementTask(s, j, reported))
-			}
-		}
-		for _, j := range queuedJobs(s) {
+		largest := largestByPool(snap.Workers)
+		s.EachAssigned(func(j *fleet.Job) {
+			snap.Tasks = append(snap.Tasks, c.placementTask(s, j, reported))
+		})
+		s.EachQueued(func(j *fleet.Job) {
 			if late(j, now) || j.RetryNotBefore > now {
-				continue
+				return
 			}
-			snap.Jobs = append(snap.Jobs, placementJob(s, j))
+			snap.Jobs = append(snap.Jobs, c.placementJob(s, j, largest))
 			if j.Attempt == 0 {
 				first[j.ID] = j.Team
 			}
-		}
+		})
 		for name, t := range s.Config.Teams {
-			snap.Teams[name] = placement.Team{Limit: t.Limit, Units: granted(s, name)}
+			snap.Teams[name] = placement.Team{Limit: t.Limit, Units: s.Granted(name)}
 		}
 		c.account(s, &snap)
 	})
@@ -125,14 +125,6 @@
 	return tasks
 }
 
-func granted(s *fleet.State, team string) int {
-	units := 0
-	for _, grants := range s.Grants {
-		units += grants[team]
-	}
-	return units
-}
-
 func (c *Controller) placementWorkers(s *fleet.State, now fleet.Time) []placement.Worker {
 	workers := make([]placement.Worker, 0, len(s.Config.Instances))
 	for name, in := range s.Config.Instances {
@@ -155,12 +147,13 @@
 func (c *Controller) placementTask(s *fleet.State, j *fleet.Job, reported map[wire.TaskKey]wire.TaskReport) placement.Task {
 	t := placement.Task{
 		JobID: j.ID, Worker: j.Worker, Team: j.Team, Queue: j.Queue,
-		Class: s.Config.Queues[j.Queue].Class, Size: j.Spec.Size,
+		Class: s.Config.Queues[j.Queue].Class, Declared: j.Spec.Size,
 		Idempotent:   j.Spec.Idempotent,
 		NoCheckpoint: !j.Spec.Idempotent && !c.opts.ResumesCheckpoints,
 		StartedAt:    j.AssignedAt,
 	}
 	key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
+	t.Size = c.sizer.TaskSize(key, j.Spec.Size)
 	t.Throttled = reported[key].State == wire.TaskThrottled
 	a, ok := c.actions[j.ID]
 	if !ok || a.key != key {
@@ -173,11 +166,30 @@
 	return t
 }
 
-func placementJob(s *fleet.State, j *fleet.Job) placement.Job {
+// largestByPool returns the largest amount of each resource kind that one worker
+// of a pool has.
+func largestByPool(workers []placement.Worker) map[string]fleet.Resources {
+	largest := map[string]fleet.Resources{}
+	for _, w := range workers {
+		l := largest[w.Pool]
+		l.CPUMilli = max(l.CPUMilli, w.Capacity.CPUMilli)
+		l.MemoryMiB = max(l.MemoryMiB, w.Capacity.MemoryMiB)
+		largest[w.Pool] = l
+	}
+	return largest
+}
+
+// placementJob corrects the size of a job, but not beyond the largest worker,
+// since it would then never start.
+func (c *Controller) placementJob(s *fleet.State, j *fleet.Job, largest map[string]fleet.Resources) placement.Job {
 	q := s.Config.Queues[j.Queue]
+	size := c.sizer.JobSize(j.Team, j.Queue, j.Spec.Size)
+	bound := largest[q.Pool]
+	size.CPUMilli = min(size.CPUMilli, max(j.Spec.Size.CPUMilli, bound.CPUMilli))
+	size.MemoryMiB = min(size.MemoryMiB, max(j.Spec.Size.MemoryMiB, bound.MemoryMiB))
 	return placement.Job{
 		ID: j.ID, Team: j.Team, Queue: j.Queue, Pool: q.Pool, Class: q.Class,
-		Size: j.Spec.Size, AcceptedAt: j.AcceptedAt, Avoid: append([]string(nil), j.FailedOn...),
+		Size: size, AcceptedAt: j.AcceptedAt, Avoid: slices.Clone(j.FailedOn),
 	}
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -237,6 +237,7 @@
 			if o, changed := observation(s, w); changed {
 				observe = append(observe, o)
 			}
+			c.measure(s, w, now)
 			found = append(found, c.findings(s, w)...)
 			found = append(found, c.vanished(s, w, now)...)
 		}
@@ -322,12 +323,29 @@
 	return t.State == wire.TaskDone && late && j.Attempt == t.Attempt && j.Worker == w.state.Instance
 }
 
+// measure passes the reported usage on to the correction of sizes.
+func (c *Controller) measure(s *fleet.State, w *worker, now fleet.Time) {
+	for _, t := range w.state.Tasks {
+		j := s.Jobs[t.JobID]
+		if t.State == wire.TaskRunning && j != nil && assignedTo(j, w, t.Attempt) {
+			key := wire.TaskKey{JobID: t.JobID, Attempt: t.Attempt}
+			c.sizer.Observe(key, j.Team, j.Queue, j.Spec.Size, t.Usage, now)
+		}
+	}
+}
+
 // vanished returns the started attempts that the worker no longer reports. Their
 // results can't be learned any more.
 func (c *Controller) vanished(s *fleet.State, w *worker, now fleet.Time) []finding {
 	if now.Sub(w.healthySince) < vanishedAfter {
 		return nil
 	}
+	for _, j := range assignedJobs(s, w.state.Instance) {
+		key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
+		if _, seen := w.seen[key]; !seen && j.Started && assignedTo(j, w, j.Attempt) {
+			w.seen[key] = w.healthySince
+		}
+	}
 	var found []finding
 	for key, last := range w.seen {
 		if now.Sub(last) < vanishedAfter {
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -15,26 +15,12 @@
 
 func compareText(a, b string) int { return cmp.Compare(a, b) }
 
-// jobsByWorker groups the assigned jobs by worker. The jobs must not be kept
-// beyond the read of the state.
-func jobsByWorker(s *fleet.State) map[string][]*fleet.Job {
-	byWorker := map[string][]*fleet.Job{}
-	for _, j := range s.Jobs {
-		if j.State == fleet.JobAssigned {
-			byWorker[j.Worker] = append(byWorker[j.Worker], j)
-		}
-	}
-	return byWorker
-}
-
-// queuedJobs returns the waiting jobs, in no order.
-func queuedJobs(s *fleet.State) []*fleet.Job {
+// assignedJobs returns the jobs assigned to a worker, sorted. They must not be
+// kept beyond the read of the state.
+func assignedJobs(s *fleet.State, worker string) []*fleet.Job {
 	var jobs []*fleet.Job
-	for _, j := range s.Jobs {
-		if j.State == fleet.JobQueued {
-			jobs = append(jobs, j)
-		}
-	}
+	s.EachAssignedTo(worker, func(j *fleet.Job) { jobs = append(jobs, j) })
+	slices.SortFunc(jobs, func(a, b *fleet.Job) int { return compareText(a.ID, b.ID) })
 	return jobs
 }
 
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -31,7 +31,7 @@
 	return nil
 }
 
-// expire removes old records once a minute.
+// expire ends late jobs and removes old records, when there are any.
 func (c *Controller) expire(ctx context.Context) error {
 	c.mu.Lock()
 	now := c.log.Now()
@@ -39,14 +39,19 @@
 	if due {
 		c.expireAt = now
 		c.blame.Forget(now)
+		c.sizer.Forget(now)
 		for key, at := range c.handled {
-			if now.Sub(at) >= expireInterval {
+			if now.Sub(at) >= memoryInterval {
 				delete(c.handled, key)
 			}
 		}
 	}
+	needed := false
+	if due {
+		c.log.Read(func(s *fleet.State) { needed = s.ExpireDue(now) })
+	}
 	c.mu.Unlock()
-	if !due {
+	if !needed {
 		return nil
 	}
 	_, err := c.propose(ctx, "expire", fleet.Command{Expire: &fleet.Expire{}})
@@ -112,7 +117,6 @@
 }
 
 func (c *Controller) maintained(s *fleet.State, now fleet.Time) []maintenance.Instance {
-	byWorker := jobsByWorker(s)
 	instances := make([]maintenance.Instance, 0, len(s.Config.Instances))
 	for name, in := range s.Config.Instances {
 		st := s.Status[name]
@@ -127,7 +131,7 @@
 			i.SkippedAt = w.skippedAt
 			i.Rebooted = i.Healthy && w.rebootFrom != "" && w.rebootFrom != w.state.Incarnation
 		}
-		for _, j := range byWorker[name] {
+		for _, j := range assignedJobs(s, name) {
 			i.Tasks++
 			if s.Config.Queues[j.Queue].Class == fleet.ClassWatch {
 				i.Watch++
@@ -146,9 +150,8 @@
 	if len(levels) == 0 {
 		return
 	}
-	byWorker := jobsByWorker(s)
 	for name, level := range levels {
-		for _, j := range byWorker[name] {
+		for _, j := range assignedJobs(s, name) {
 			watch := s.Config.Queues[j.Queue].Class == fleet.ClassWatch
 			pinned := !j.Spec.Idempotent
 			switch {
@@ -220,7 +223,6 @@
 }
 
 func (c *Controller) movable(s *fleet.State, now fleet.Time) []poolmove.Pool {
-	byWorker := jobsByWorker(s)
 	pools := map[string]*poolmove.Pool{}
 	capacity := map[string]fleet.Resources{}
 	for name, p := range s.Config.Pools {
@@ -239,7 +241,7 @@
 		p.Usable++
 		capacity[w.Pool] = capacity[w.Pool].Plus(w.Capacity)
 		p.Workers = append(p.Workers, poolmove.Worker{
-			Name: w.Name, Rack: w.Rack, DataCentre: w.DataCentre, Idle: len(byWorker[w.Name]) == 0,
+			Name: w.Name, Rack: w.Rack, DataCentre: w.DataCentre, Idle: len(s.AssignedTo(w.Name)) == 0,
 		})
 	}
 	demand := demandByPool(s, now)
@@ -261,15 +263,11 @@
 		pool := s.Config.Queues[j.Queue].Pool
 		demand[pool] = demand[pool].Plus(j.Spec.Size)
 	}
-	for _, jobs := range jobsByWorker(s) {
-		for _, j := range jobs {
-			add(j)
-		}
-	}
-	for _, j := range queuedJobs(s) {
+	s.EachAssigned(add)
+	s.EachQueued(func(j *fleet.Job) {
 		if !late(j, now) && j.RetryNotBefore <= now {
 			add(j)
 		}
-	}
+	})
 	return demand
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -183,7 +183,7 @@
 		if t.Throttled {
 			return fleet.Resources{}
 		}
-		return fleet.Resources{CPUMilli: t.Size.CPUMilli - t.Size.CPUMilli*ThrottledCPUPercent/100}
+		return fleet.Resources{CPUMilli: t.Size.CPUMilli - throttledCPU(t)}
 	case ActionCheckpoint, ActionStop:
 		return held(t)
 	default:
--- a/internal/placement/resources.go
+++ b/internal/placement/resources.go
@@ -26,14 +26,20 @@
 }
 
 // held returns the room that a task takes, which is less while it is throttled.
+// It stays above the bound that the state machine sets on overcommitment.
 func held(t Task) fleet.Resources {
 	size := t.Size
 	if t.Throttled {
-		size.CPUMilli = size.CPUMilli * ThrottledCPUPercent / 100
+		size.CPUMilli = throttledCPU(t)
 	}
 	return size
 }
 
+func throttledCPU(t Task) int64 {
+	kept := t.Size.CPUMilli * ThrottledCPUPercent / 100
+	return min(t.Size.CPUMilli, max(kept, t.Declared.CPUMilli/fleet.MaxOvercommit))
+}
+
 func ratio(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -35,12 +35,14 @@
 
 // Task is a job that holds room on a worker.
 type Task struct {
-	JobID      string
-	Worker     string
-	Team       string
-	Queue      string
-	Class      fleet.JobClass
+	JobID  string
+	Worker string
+	Team   string
+	Queue  string
+	Class  fleet.JobClass
+	// Size is the room that the task takes, and Declared the size that its job declares.
 	Size       fleet.Resources
+	Declared   fleet.Resources
 	Idempotent bool
 	// NoCheckpoint is true when a checkpoint would end the task for good.
 	NoCheckpoint bool
