Join the parts into processes; refuse to start a member without its log

Cause: an empty data folder of a configured member was taken for a new fleet, so a voter that lost its disk would have voted as its former self. A new fleet's folder is now created by samphire-store -init, and a member without a log does not start. Ruled out: asking the peers at start-up whether they have a log, which says nothing when they can't be reached. The simulated backend server records through internal/history; it records a finish before the answer leaves, since the entry may reuse the unit from then on. The whole path is not run yet, as the control server is still to come.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(GO) test -count=1 -p 4 ./...
 
 demo: build
-	$(BIN)/samphire-demo -bin $(BIN) -examples examples
+	$(BIN)/samphire-demo -bin $(BIN) -examples examples/carregaguia
 
 measure: build
 	$(BIN)/samphire-measure -bin $(BIN)
--- a/cmd/samphire-backend/main.go
+++ b/cmd/samphire-backend/main.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/backendsim"
+	"github.com/samphirefork/samphirefork/internal/history"
 )
 
 func main() {
@@ -50,12 +51,12 @@
 		}
 	}
 	if *historyPath != "" {
-		file, err := os.OpenFile(*historyPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		record, err := history.NewWriter(*historyPath, cfg.Instance)
 		if err != nil {
-			return errors.Wrap(err, "-history")
+			return err
 		}
-		defer file.Close()
-		cfg.History = file
+		defer func() { _ = record.Close() }()
+		cfg.History = record
 	}
 	listener, err := net.Listen("tcp", *listen)
 	if err != nil {
--- a/cmd/samphire-entry/main.go
+++ b/cmd/samphire-entry/main.go
@@ -5,14 +5,18 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/labstack/echo/v4"
 
 	"github.com/samphirefork/samphirefork/internal/entry"
+	"github.com/samphirefork/samphirefork/internal/operator"
+	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/settings"
 )
 
@@ -25,25 +29,34 @@
 	}
 }
 
-func run(path string) error {
+func run(file string) error {
 	var set settings.Entry
-	if err := settings.Load(path, &set); err != nil {
+	if err := settings.Load(file, &set); err != nil {
 		return err
 	}
-	if err := set.Validate(path); err != nil {
+	if err := set.Validate(file); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	seed := uint64(time.Now().UnixNano())
-	return entry.New(set, entry.Options{Log: newLog(set.LogLevel), Seed: seed}).Run(ctx)
+	log := set.NewLogger()
+	e := entry.New(set, entry.Options{Log: log, Seed: seed})
+	workers := platform.NewManager(set.Instance, e.Leader(), platform.HTTPDriver{Client: &http.Client{}}, log)
+	workers.Mount(e.Echo())
+	path, handler := operator.NewHandler(e.Leader(), operator.Options{Token: set.OperatorToken, KeySecret: []byte(set.SharedSecret)})
+	e.Echo().Any(path+"*", echo.WrapHandler(handler))
+	return serve(ctx, e, workers)
 }
 
-func newLog(level string) zerolog.Logger {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	parsed, err := zerolog.ParseLevel(level)
-	if err != nil || level == "" {
-		parsed = zerolog.InfoLevel
-	}
-	return log.Level(parsed)
+// serve runs the workers' sessions as long as the entry serves, also while it
+// finishes its requests in flight.
+func serve(ctx context.Context, e *entry.Entry, workers *platform.Manager) error {
+	sessions, end := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { workers.Run(sessions) })
+	err := e.Run(ctx)
+	end()
+	running.Wait()
+	return err
 }
--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -15,7 +16,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirefork/samphirefork/internal/controller"
 	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/store"
 )
@@ -33,6 +36,7 @@
 func run(args []string) int {
 	flags := flag.NewFlagSet("samphire-store", flag.ContinueOnError)
 	path := flags.String("config", "", "path of the JSON settings")
+	initialize := flags.Bool("init", false, "create the data folder of a new fleet's member, and exit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("SAMPHIRE_STORE")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -42,8 +46,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	log := newLogger(cfg.Common)
-	err := serve(cfg, log)
+	log := cfg.NewLogger()
+	work := serve
+	if *initialize {
+		work = createFolder
+	}
+	err := work(cfg, log)
 	if rejected := asSettingsError(*path, err); rejected != nil {
 		fmt.Fprintln(os.Stderr, rejected)
 		return exitSettings
@@ -74,19 +82,25 @@
 	if err := settings.Load(path, cfg); err != nil {
 		return err
 	}
-	if _, err := zerolog.ParseLevel(cfg.LogLevel); err != nil {
-		return &settings.Error{File: path, Field: "log_level", Reason: err.Error()}
-	}
 	return cfg.Validate(path)
 }
 
-func newLogger(c settings.Common) zerolog.Logger {
-	level, err := zerolog.ParseLevel(c.LogLevel)
-	if err != nil || c.LogLevel == "" {
-		level = zerolog.InfoLevel
+// createFolder starts the log and the ledger of a new fleet's member.
+func createFolder(cfg settings.Store, log zerolog.Logger) error {
+	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Log: log, Metrics: metrics.NewRegistry(), Initialize: true})
+	if err != nil {
+		return err
+	}
+	node.Close()
+	requests, err := ledger.Open(ledgerFolder(cfg), ledger.Options{FirstStart: true})
+	if err != nil {
+		return err
 	}
-	return zerolog.New(os.Stderr).Level(level).With().Timestamp().
-		Str("instance", c.Instance).Str("data_centre", c.DataCentre).Logger()
+	return requests.Close()
+}
+
+func ledgerFolder(cfg settings.Store) string {
+	return filepath.Join(cfg.DataFolder, "ledger")
 }
 
 func serve(cfg settings.Store, log zerolog.Logger) error {
@@ -97,11 +111,17 @@
 	if err != nil {
 		return err
 	}
+	requests, err := ledger.Open(ledgerFolder(cfg), ledger.Options{})
+	if err != nil {
+		node.Close()
+		return err
+	}
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		node.Close()
 		return errors.Wrap(err, "listen")
 	}
+	controllers := controller.New(node, controller.Options{Policies: cfg.Policies, Seed: int64(cfg.ID), Logger: log})
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
-	return store.NewServer(node, registry, log).Run(ctx, listener)
+	return store.NewServer(node, registry, log, requests, controllers).Run(ctx, listener)
 }
--- a/internal/backendsim/announce.go
+++ b/internal/backendsim/announce.go
@@ -44,7 +44,6 @@
 	for i := range s.cfg.Entries {
 		addr := s.cfg.Entries[(int(info.Sequence)+i)%len(s.cfg.Entries)]
 		if s.send(addr, body) == nil {
-			s.record(EventAnnounce, "", "", addr)
 			return
 		}
 	}
--- a/internal/backendsim/server.go
+++ b/internal/backendsim/server.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/history"
 )
 
 const maxBodyBytes = 4 << 20
@@ -32,8 +33,9 @@
 	Distribution string
 	Seed         uint64
 	// Grace is the time for which a leaving backend server goes on serving.
-	Grace   time.Duration
-	History io.Writer
+	Grace time.Duration
+	// History records starts, ends and the leave; nil records nothing.
+	History *history.Writer
 	Faults  Faults
 }
 
@@ -55,7 +57,6 @@
 type Server struct {
 	cfg         Config
 	incarnation string
-	history     history
 	listener    net.Listener
 	client      *http.Client
 
@@ -73,13 +74,9 @@
 
 // New returns a server on an open listener.
 func New(cfg Config, listener net.Listener) *Server {
-	if cfg.History == nil {
-		cfg.History = io.Discard
-	}
 	s := &Server{
 		cfg:         cfg,
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
-		history:     history{out: cfg.History},
 		listener:    listener,
 		client:      &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
 		rnd:         rand.New(rand.NewPCG(cfg.Seed, 2)),
@@ -112,7 +109,6 @@
 	endAnnounce()
 	wg.Wait()
 	s.client.CloseIdleConnections()
-	s.record(EventExit, "", "", "")
 	return err
 }
 
@@ -120,7 +116,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.record(EventLeave, "", "", "")
+	s.record(history.Leave, "", "", "")
 	s.announce()
 	timer := time.NewTimer(s.cfg.Grace)
 	defer timer.Stop()
@@ -152,21 +148,18 @@
 		return
 	}
 	if r.PathValue("service") != s.cfg.Service || !s.begin() {
-		s.record(EventRefuse, id, r.Header.Get(api.HeaderTeam), from)
 		w.Header().Set(api.HeaderNotRun, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.record(EventStart, id, r.Header.Get(api.HeaderTeam), from)
-	kind := EventAborted
-	defer func() {
-		s.end()
-		s.record(kind, id, r.Header.Get(api.HeaderTeam), from)
-	}()
+	team := r.Header.Get(api.HeaderTeam)
+	s.record(history.Start, id, team, from)
 	s.work()
-	if s.respond(w, id, body) {
-		kind = EventFinish
-	}
+	// The finish is recorded before the answer leaves, since the entry may start
+	// another call of the team as soon as it has the answer.
+	s.record(history.Finish, id, team, from)
+	s.end()
+	s.respond(w, id, body)
 }
 
 func (s *Server) begin() bool {
@@ -212,9 +205,8 @@
 	}
 }
 
-// respond writes the answer, or what a fault makes of it. It reports whether the
-// answer was right.
-func (s *Server) respond(w http.ResponseWriter, id string, body []byte) bool {
+// respond writes the answer, or what a fault makes of it.
+func (s *Server) respond(w http.ResponseWriter, id string, body []byte) {
 	s.mu.Lock()
 	faults := s.faults
 	otherID, otherBody := s.lastID, s.lastBody
@@ -233,7 +225,7 @@
 		header.Set(api.HeaderRequestID, otherID)
 		header.Set("Content-Length", strconv.Itoa(len(answer)))
 		_, _ = w.Write(answer)
-		return false
+		return
 	}
 	if draw -= faults.TruncatedShare; draw < 0 {
 		_, _ = w.Write(answer[:len(answer)/2])
@@ -242,13 +234,12 @@
 	}
 	if draw -= faults.FailShare; draw < 0 {
 		http.Error(w, "injected failure", http.StatusInternalServerError)
-		return false
+		return
 	}
 	if draw -= faults.DropShare; draw < 0 {
 		panic(http.ErrAbortHandler)
 	}
-	_, err := w.Write(answer)
-	return err == nil
+	_, _ = w.Write(answer)
 }
 
 // handleFaults serves PUT /faults: it replaces the injected faults.
@@ -274,19 +265,6 @@
 	s.faults = faults
 }
 
-func (s *Server) record(kind, id, team, from string) {
-	s.mu.Lock()
-	ev := Event{
-		Kind:        kind,
-		Instance:    s.cfg.Instance,
-		Incarnation: s.incarnation,
-		Service:     s.cfg.Service,
-		RequestID:   id,
-		Team:        team,
-		Entry:       from,
-		Running:     s.running,
-		Connections: s.conns,
-	}
-	s.mu.Unlock()
-	s.history.write(ev)
+func (s *Server) record(kind history.Kind, id, team, from string) {
+	s.cfg.History.Record(history.Event{Kind: kind, RequestID: id, Team: team, Target: s.cfg.Service, Entry: from})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,7 +88,7 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(rand.Uint64(), 36),
 		peerAddress: set.PeerAdvertise,
 		mux:         wire.Mux{},
-		creds:       wire.Credentials{Instance: set.Instance, Secret: []byte(set.SharedSecret)},
+		creds:       wire.Credentials{Instance: set.Instance, Secret: []byte(set.SharedSecret), LocalIP: wire.ListenIP(set.PeerListen)},
 		lease:       newHolder(),
 		backends:    newBackendClient(),
 		metrics:     newCounters(),
--- /dev/null
+++ b/internal/harness/caller.go
@@ -0,0 +1,303 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/backendsim"
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/simworker"
+)
+
+const (
+	callerTimeout = 12 * time.Second
+	jobWait       = 2 * time.Second
+	maxRetryAfter = 2 * time.Second
+	minRetryAfter = 20 * time.Millisecond
+)
+
+// Balancer hands requests to entries at random, as the platform's balancer does,
+// and avoids those whose last connection was refused.
+type Balancer struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	entries []*Process
+	badTill map[*Process]time.Time
+}
+
+// badTime is how long an entry that refused a connection gets no requests.
+const badTime = 300 * time.Millisecond
+
+// NewBalancer returns a balancer over entries with a seeded choice.
+func NewBalancer(entries []*Process, seed uint64) *Balancer {
+	return &Balancer{rng: rand.New(rand.NewPCG(seed, seed)), entries: entries, badTill: map[*Process]time.Time{}}
+}
+
+func (b *Balancer) pick() *Process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	start := b.rng.IntN(len(b.entries))
+	for i := range b.entries {
+		e := b.entries[(start+i)%len(b.entries)]
+		if now.After(b.badTill[e]) {
+			return e
+		}
+	}
+	return b.entries[start]
+}
+
+func (b *Balancer) refused(e *Process) {
+	b.mu.Lock()
+	b.badTill[e] = time.Now().Add(badTime)
+	b.mu.Unlock()
+}
+
+// Caller sends the requests of one team and records what it hears.
+type Caller struct {
+	Team     string
+	Key      string
+	KeyID    string
+	Balancer *Balancer
+	Record   *history.Writer
+	// HomeDataCentre prefixes request identifiers when it is set.
+	HomeDataCentre string
+	// Attempts is the largest number of times that a request is sent.
+	Attempts int
+	// Open names the queues and services that take requests without a key;
+	// requests to them belong to no team.
+	Open map[string]bool
+
+	client *http.Client
+	serial atomic.Uint64
+	prefix string
+}
+
+// NewCaller returns a caller with its own connections.
+func NewCaller(team, keyID, key string, b *Balancer, record *history.Writer, prefix string) *Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
+	return &Caller{
+		Team:     team,
+		Key:      key,
+		KeyID:    keyID,
+		Balancer: b,
+		Record:   record,
+		Attempts: 1,
+		client:   &http.Client{Timeout: callerTimeout, Transport: transport},
+		prefix:   prefix,
+	}
+}
+
+func (c *Caller) nextID() string {
+	id := fmt.Sprintf("%s-%s-%d", c.prefix, c.Team, c.serial.Add(1))
+	if c.HomeDataCentre != "" {
+		id = c.HomeDataCentre + "." + id
+	}
+	return id
+}
+
+// Outcome is the end of a request as its caller knows it.
+type Outcome struct {
+	RequestID string
+	Verdict   string
+	Code      string
+	Attempts  int
+	Took      time.Duration
+	Body      []byte
+}
+
+// reply is the answer to one attempt.
+type reply struct {
+	verdict, code string
+	retryAfter    time.Duration
+	status        int
+	body          []byte
+	lost          bool
+}
+
+// Call makes a direct call and sends it again, with the same identifier, while
+// the answer is not final and attempts are left.
+func (c *Caller) Call(ctx context.Context, service string, body []byte, idempotent bool, timeout time.Duration) Outcome {
+	out := Outcome{RequestID: c.nextID()}
+	began := time.Now()
+	for out.Attempts < max(c.Attempts, 1) && ctx.Err() == nil {
+		out.Attempts++
+		entry := c.Balancer.pick()
+		c.recordSend(out, service, entry, idempotent)
+		r := c.attempt(ctx, entry, service, "/v1/call/"+service, body, out.RequestID, out.Attempts, idempotent, timeout)
+		c.recordReply(out.RequestID, out.Attempts, r, backendsim.CheckAnswer(out.RequestID, body, r.body))
+		out.Verdict, out.Code, out.Body = r.verdict, r.code, r.body
+		if r.verdict == string(api.Done) {
+			break
+		}
+		sleep(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
+	}
+	out.Took = time.Since(began)
+	return out
+}
+
+// attempt sends a request once, without the key where none is needed.
+func (c *Caller) attempt(ctx context.Context, entry *Process, target, path string, body []byte, id string, n int, idempotent bool, timeout time.Duration) reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{lost: true}
+	}
+	req.Header.Set(api.HeaderRequestID, id)
+	req.Header.Set(api.HeaderAttempt, strconv.Itoa(n))
+	req.Header.Set(api.HeaderIdempotent, strconv.FormatBool(idempotent))
+	if timeout > 0 {
+		req.Header.Set(api.HeaderTimeoutMS, strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
+	if !c.Open[target] {
+		req.Header.Set(api.HeaderKey, c.Key)
+	}
+	return c.do(req, entry)
+}
+
+// do sends a request. A connection that breaks before the whole answer is lost.
+func (c *Caller) do(req *http.Request, entry *Process) reply {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		c.Balancer.refused(entry)
+		return reply{lost: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{lost: true}
+	}
+	r := reply{status: resp.StatusCode, body: data, verdict: resp.Header.Get(api.HeaderVerdict)}
+	if resp.StatusCode >= http.StatusBadRequest {
+		var refusal api.Refusal
+		if json.Unmarshal(data, &refusal) == nil {
+			r.verdict, r.code = string(refusal.Verdict), string(refusal.Code)
+			r.retryAfter = time.Duration(refusal.RetryAfterMS) * time.Millisecond
+		}
+	}
+	return r
+}
+
+func (c *Caller) recordSend(out Outcome, target string, entry *Process, idempotent bool) {
+	e := history.Event{
+		Kind: history.Send, RequestID: out.RequestID, Attempt: out.Attempts, Team: c.Team, KeyID: c.KeyID,
+		Target: target, Entry: entry.Name, Idempotent: idempotent,
+	}
+	if c.Open[target] {
+		e.Team, e.KeyID = "", ""
+	}
+	c.Record.Record(e)
+}
+
+func (c *Caller) recordReply(id string, attempt int, r reply, intact error) {
+	e := history.Event{Kind: history.Answer, RequestID: id, Attempt: attempt, Team: c.Team, Verdict: r.verdict, Code: r.code, Intact: intact == nil}
+	if r.lost {
+		e.Kind = history.ConnectionLost
+	}
+	if intact != nil && r.verdict == string(api.Done) {
+		e.Detail = intact.Error()
+	}
+	c.Record.Record(e)
+}
+
+// ErrJobResult is a job result that does not belong to the job.
+var ErrJobResult = errors.New("harness: the result does not belong to the job")
+
+// Job submits a job and waits for its end.
+func (c *Caller) Job(ctx context.Context, queue string, spec fleet.JobSpec) Outcome {
+	out := Outcome{RequestID: c.nextID()}
+	began := time.Now()
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return out
+	}
+	if c.submit(ctx, &out, queue, body, spec.Idempotent) {
+		c.await(ctx, &out)
+	}
+	out.Took = time.Since(began)
+	return out
+}
+
+// submit sends the job until it is accepted or refused for good.
+func (c *Caller) submit(ctx context.Context, out *Outcome, queue string, body []byte, idempotent bool) bool {
+	for out.Attempts < max(c.Attempts, 1) && ctx.Err() == nil {
+		out.Attempts++
+		entry := c.Balancer.pick()
+		c.recordSend(*out, queue, entry, idempotent)
+		r := c.attempt(ctx, entry, queue, "/v1/queues/"+queue+"/jobs", body, out.RequestID, out.Attempts, idempotent, 0)
+		out.Verdict, out.Code = r.verdict, r.code
+		if r.status == http.StatusAccepted {
+			return true
+		}
+		c.recordReply(out.RequestID, out.Attempts, r, nil)
+		sleep(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
+	}
+	return false
+}
+
+// await asks for the job until it is final.
+func (c *Caller) await(ctx context.Context, out *Outcome) {
+	for ctx.Err() == nil {
+		entry := c.Balancer.pick()
+		url := fmt.Sprintf("http://%s/v1/jobs/%s?wait_ms=%d", entry.Address, out.RequestID, jobWait.Milliseconds())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return
+		}
+		req.Header.Set(api.HeaderKey, c.Key)
+		r := c.do(req, entry)
+		var job fleet.Job
+		if r.status != http.StatusOK || json.Unmarshal(r.body, &job) != nil || !job.State.Final() {
+			sleep(ctx, minRetryAfter)
+			continue
+		}
+		c.finishJob(out, job)
+		return
+	}
+}
+
+func (c *Caller) finishJob(out *Outcome, job fleet.Job) {
+	r := reply{verdict: jobVerdict(job), code: string(job.State)}
+	var intact error
+	if job.State == fleet.JobDone && !bytes.Equal(job.Result, simworker.Result(job.ID)) {
+		intact = ErrJobResult
+	}
+	out.Verdict, out.Code, out.Body = r.verdict, r.code, job.Result
+	c.recordReply(out.RequestID, out.Attempts, r, intact)
+}
+
+// jobVerdict translates a final job into one of the three verdicts; a failed job has run.
+func jobVerdict(job fleet.Job) string {
+	switch {
+	case job.State == fleet.JobDone || job.State == fleet.JobFailed:
+		return string(api.Done)
+	case job.State == fleet.JobCancelled && !job.Started:
+		return string(api.NotRun)
+	default:
+		return string(api.MayHaveRun)
+	}
+}
+
+// Close ends the caller's idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/harness/load.go
@@ -0,0 +1,113 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/simworker"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	callPause    = 40 * time.Millisecond
+	jobPause     = 100 * time.Millisecond
+	maxRunMS     = 400
+	callAttempts = 4
+	bodyBytes    = 200
+)
+
+// TeamKey is a key as an operator issued it.
+type TeamKey struct {
+	ID  string
+	Key string
+}
+
+// IssueKeys issues a key to each declared team.
+func (o *Operator) IssueKeys(ctx context.Context, cfg fleet.Config) (map[string]TeamKey, error) {
+	keys := map[string]TeamKey{}
+	for _, team := range SortedKeys(cfg.Teams) {
+		id, key, err := o.IssueKey(ctx, team)
+		if err != nil {
+			return nil, err
+		}
+		keys[team] = TeamKey{ID: id, Key: key}
+	}
+	return keys, nil
+}
+
+// StartLoad starts callers of every team, half of whose requests are idempotent,
+// until ctx ends. One more caller of each data centre reaches only the entries of
+// its own data centre.
+func StartLoad(ctx context.Context, running *sync.WaitGroup, f *Fleet, cfg fleet.Config, keys map[string]TeamKey, record *history.Writer) {
+	l := &loader{cfg: cfg, running: running}
+	teams := SortedKeys(cfg.Teams)
+	for i, team := range teams {
+		seed := uint64(i + 1)
+		c := NewCaller(team, keys[team].ID, keys[team].Key, NewBalancer(f.Entries, seed), record, "any")
+		l.start(ctx, c, seed)
+	}
+	for i, dc := range SortedKeys(cfg.DataCentres) {
+		team := teams[i%len(teams)]
+		c := NewCaller(team, keys[team].ID, keys[team].Key, NewBalancer(f.EntriesOf(dc), uint64(i)), record, "local-"+dc)
+		c.HomeDataCentre = dc
+		l.start(ctx, c, uint64(100+i))
+	}
+}
+
+// OpenTargets returns the queues and services that need no key.
+func OpenTargets(cfg fleet.Config) map[string]bool {
+	open := map[string]bool{}
+	for name, q := range cfg.Queues {
+		open[name] = q.Open
+	}
+	for name, v := range cfg.Services {
+		open[name] = v.Open
+	}
+	return open
+}
+
+type loader struct {
+	cfg     fleet.Config
+	running *sync.WaitGroup
+}
+
+func (l *loader) start(ctx context.Context, c *Caller, seed uint64) {
+	c.Attempts = callAttempts
+	c.Open = OpenTargets(l.cfg)
+	l.running.Go(func() { l.callLoop(ctx, c, rand.New(rand.NewPCG(seed, 1))) })
+	l.running.Go(func() { l.jobLoop(ctx, c, rand.New(rand.NewPCG(seed, 2))) })
+}
+
+func (l *loader) callLoop(ctx context.Context, c *Caller, rng *rand.Rand) {
+	services := SortedKeys(l.cfg.Services)
+	for ctx.Err() == nil {
+		body := make([]byte, bodyBytes)
+		for i := range body {
+			body[i] = byte(rng.IntN(256))
+		}
+		service := services[rng.IntN(len(services))]
+		c.Call(context.WithoutCancel(ctx), service, body, rng.IntN(2) == 0, callTimeout)
+		sleep(ctx, callPause)
+	}
+}
+
+func (l *loader) jobLoop(ctx context.Context, c *Caller, rng *rand.Rand) {
+	queues := SortedKeys(l.cfg.Queues)
+	for ctx.Err() == nil {
+		run := 1 + rng.Int64N(maxRunMS)
+		payload, _ := json.Marshal(simworker.Payload{RunMS: run})
+		spec := fleet.JobSpec{
+			Size:       fleet.Resources{CPUMilli: 500 + rng.Int64N(1500), MemoryMiB: 256},
+			RunTimeMS:  run,
+			Idempotent: rng.IntN(2) == 0,
+			Payload:    payload,
+		}
+		c.Job(ctx, queues[rng.IntN(len(queues))], spec)
+		sleep(ctx, jobPause)
+	}
+}
--- a/internal/ledger/serve.go
+++ b/internal/ledger/serve.go
@@ -16,6 +16,17 @@
 	mux[wire.TypeLedgerFinish] = l.serveFinish
 }
 
+// Run waits until ctx ends and closes the ledger, or returns the error of the
+// journal when it has failed.
+func (l *Ledger) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return l.Close()
+	case <-l.Failed():
+		return l.Err()
+	}
+}
+
 func (l *Ledger) serveClaim(ctx context.Context, req wire.Request) (any, error) {
 	var msg wire.LedgerClaimRequest
 	if err := req.Decode(&msg); err != nil {
--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rs/zerolog"
+)
+
+// minSecretBytes is the shortest shared secret.
+const minSecretBytes = 16
+
+// checkCommon checks the settings that all processes share.
+func (c *Common) checkCommon(file string) error {
+	if c.Instance == "" {
+		return &Error{File: file, Field: "instance", Reason: "is required"}
+	}
+	if c.DataCentre == "" {
+		return &Error{File: file, Field: "data_centre", Reason: "is required"}
+	}
+	if len(c.SharedSecret) < minSecretBytes {
+		return &Error{File: file, Field: "shared_secret", Reason: fmt.Sprintf("has fewer than %d bytes", minSecretBytes)}
+	}
+	if _, err := zerolog.ParseLevel(c.LogLevel); err != nil {
+		return &Error{File: file, Field: "log_level", Reason: err.Error()}
+	}
+	return nil
+}
+
+// NewLogger returns the log of a process with its instance and data centre.
+func (c *Common) NewLogger() zerolog.Logger {
+	level, err := zerolog.ParseLevel(c.LogLevel)
+	if err != nil || c.LogLevel == "" {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(level).With().Timestamp().
+		Str("instance", c.Instance).Str("data_centre", c.DataCentre).Logger()
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,27 +1,5 @@
 package settings
 
-import "github.com/rs/zerolog"
-
-// minSecretBytes is the shortest shared secret.
-const minSecretBytes = 16
-
-// checkCommon checks the settings that all processes share.
-func (c *Common) checkCommon(file string) error {
-	if c.Instance == "" {
-		return &Error{File: file, Field: "instance", Reason: "is required"}
-	}
-	if c.DataCentre == "" {
-		return &Error{File: file, Field: "data_centre", Reason: "is required"}
-	}
-	if len(c.SharedSecret) < minSecretBytes {
-		return &Error{File: file, Field: "shared_secret", Reason: "has fewer than 16 bytes"}
-	}
-	if _, err := zerolog.ParseLevel(c.LogLevel); err != nil {
-		return &Error{File: file, Field: "log_level", Reason: err.Error()}
-	}
-	return nil
-}
-
 // Validate checks the settings of an entry; file names them in the error.
 func (e *Entry) Validate(file string) error {
 	if err := e.checkCommon(file); err != nil {
--- a/internal/settings/store.go
+++ b/internal/settings/store.go
@@ -7,10 +7,8 @@
 	"slices"
 )
 
-const (
-	minSecretBytes = 16
-	maxVoters      = 7
-)
+// maxVoters bounds the voters of the replicated log.
+const maxVoters = 7
 
 // Validate checks the settings of a store as they stand in the file, and that
 // its data folder can be written. A rejection is an *Error.
@@ -25,13 +23,10 @@
 }
 
 func (s *Store) checkIdentity(file string) error {
+	if err := s.checkCommon(file); err != nil {
+		return err
+	}
 	switch {
-	case s.Instance == "":
-		return &Error{File: file, Field: "instance", Reason: "is missing"}
-	case s.DataCentre == "":
-		return &Error{File: file, Field: "data_centre", Reason: "is missing"}
-	case len(s.SharedSecret) < minSecretBytes:
-		return &Error{File: file, Field: "shared_secret", Reason: fmt.Sprintf("has less than %d bytes", minSecretBytes)}
 	case s.ID == 0:
 		return &Error{File: file, Field: "id", Reason: "is missing or zero"}
 	case s.SnapshotEntries < 0:
--- a/internal/store/restore.go
+++ b/internal/store/restore.go
@@ -42,8 +42,12 @@
 }
 
 // startLog begins a new log with the members of the settings, or an empty one
-// that waits to be added as a learner.
+// that waits to be added as a learner. A member without its log may have voted
+// and acknowledged entries that it no longer knows of, so it does not start.
 func (n *Node) startLog() (raft.Restored, error) {
+	if !n.cfg.Join && !n.init {
+		return raft.Restored{}, &ErrNoLog{Folder: n.cfg.DataFolder}
+	}
 	var base raft.Position
 	if !n.cfg.Join {
 		for _, m := range n.cfg.Members {
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -53,7 +53,7 @@
 		node:    node,
 		parts:   parts,
 		mux:     wire.Mux{wire.TypeRaft: node.Handle, wire.TypeMembership: node.Handle},
-		creds:   wire.Credentials{Instance: node.cfg.Instance, Secret: []byte(node.cfg.SharedSecret)},
+		creds:   credentials(node.cfg),
 		metrics: registry,
 		log:     log,
 		conns:   map[*wire.Conn]struct{}{},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -53,6 +53,21 @@
 	return fmt.Sprintf("store: data folder %s belongs to member %d, but the settings name member %d", e.Folder, e.Found, e.Settled)
 }
 
+// ErrNoLog is an empty data folder of a member that should have a log.
+type ErrNoLog struct {
+	Folder string
+}
+
+// Error implements error.
+func (e *ErrNoLog) Error() string {
+	return fmt.Sprintf("store: data folder %s holds no log; start a new fleet with -init, or replace a member that lost its disk by one with a new id and join", e.Folder)
+}
+
+// credentials returns what the store shows to its peers.
+func credentials(cfg settings.Store) wire.Credentials {
+	return wire.Credentials{Instance: cfg.Instance, Secret: []byte(cfg.SharedSecret), LocalIP: wire.ListenIP(cfg.Listen)}
+}
+
 // Options are the dependencies of a Node. Machine is required.
 type Options struct {
 	Machine Machine
@@ -62,6 +77,9 @@
 	Metrics metrics.Registry
 	// Seed fixes the election timeouts; a random one by default.
 	Seed uint64
+	// Initialize starts a new log in an empty folder. Without it an empty folder
+	// is taken for a lost disk and refused, unless the settings say join.
+	Initialize bool
 }
 
 // Node is one member of the replicated log. It implements fleet.Log.
@@ -70,6 +88,7 @@
 	log     zerolog.Logger
 	meters  meters
 	started time.Time
+	init    bool
 
 	lock    *disk.Lock
 	wal     *wal.Log
@@ -148,6 +167,7 @@
 func open(cfg settings.Store, opts Options) (*Node, error) {
 	n := &Node{
 		cfg:       cfg,
+		init:      opts.Initialize,
 		log:       opts.Log,
 		meters:    newMeters(opts.Metrics),
 		started:   time.Now(),
@@ -168,7 +188,7 @@
 	}
 	n.applied, n.snapshotAt = found.Snapshot.Index, found.Snapshot.Index
 	n.core = raft.New(n.coreConfig(opts.Seed), found)
-	creds := wire.Credentials{Instance: cfg.Instance, Secret: []byte(cfg.SharedSecret)}
+	creds := credentials(cfg)
 	n.network = newNetwork(cfg, wire.NewPool(creds, n.Handle), n.meters)
 	n.publish()
 	return n, nil
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -67,7 +67,7 @@
 	}
 	s.machine = newCounter()
 	registry := metrics.NewRegistry()
-	node, err := Open(s.cfg, Options{Machine: s.machine, FS: s.fs, Log: zerolog.Nop(), Metrics: registry, Seed: 1})
+	node, err := Open(s.cfg, Options{Machine: s.machine, Initialize: true, FS: s.fs, Log: zerolog.Nop(), Metrics: registry, Seed: 1})
 	require.NoError(s.t, err)
 	s.node = node
 	ctx, cancel := context.WithCancel(context.Background())
