Extend the renewal by a delta and by the units acted on

RenewRequest gains Granted, RenewReply gains Delta, JobWaitReply gains Expired, and CodeOvertaken answers renewals out of order.

Ruled out: counting only the reported use of an entry, since a lost reply leaves the entry with its former grant.

--- a/internal/fleet/phases.go
+++ b/internal/fleet/phases.go
@@ -158,3 +158,14 @@
 	}
 	return Result{Revision: s.Config.Revision}
 }
+
+// InForceAt returns the time from which a revision was in force everywhere, or 0
+// when it is not yet or its audit record is gone.
+func (s *State) InForceAt(rev Revision) Time {
+	for i := len(s.Audit) - 1; i >= 0 && s.Audit[i].Revision >= rev; i-- {
+		if s.Audit[i].Revision == rev {
+			return s.Audit[i].InForceAt
+		}
+	}
+	return 0
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,6 +1,8 @@
 package fleet
 
 // Config is the declared configuration, which every entry holds a leased copy of.
+// The maps of a State's configuration are never changed in place: each change
+// replaces them, so a copy of the struct may be kept.
 type Config struct {
 	Revision    Revision              `cbor:"1,keyasint" json:"revision"`
 	DataCentres map[string]DataCentre `cbor:"2,keyasint" json:"data_centres"`
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,6 +43,11 @@
 	Used map[string]int `cbor:"8,keyasint,omitempty"`
 	// HoldMS is the time for which the leader may hold the reply when nothing is new.
 	HoldMS int64 `cbor:"9,keyasint,omitempty"`
+	// Granted is the number of units by team that the entry acts on, from the last
+	// reply that it took. The entry admits no more than this until it has the next
+	// reply, so the leader may take back units that it has asked for. Nil means
+	// that only Wanted bounds what the entry admits.
+	Granted map[string]int `cbor:"10,keyasint,omitempty"`
 }
 
 // RenewReply grants a lease that the holder counts from the moment it sent the request.
@@ -50,13 +55,19 @@
 	Term     uint64         `cbor:"1,keyasint"`
 	LeaseMS  int64          `cbor:"2,keyasint"`
 	Revision fleet.Revision `cbor:"3,keyasint"`
-	// Config is the full configuration when the entry's revision is not the present one.
-	Config *fleet.Config  `cbor:"4,keyasint,omitempty"`
+	// Config is the full configuration when the entry's revision is not the
+	// present one and the changes since it are no longer known.
+	Config *fleet.Config `cbor:"4,keyasint,omitempty"`
+	// Grants is the number of units by team that the entry may use; teams that are
+	// not named have none.
 	Grants map[string]int `cbor:"5,keyasint,omitempty"`
-	// TeamUsage is the number of running jobs and calls by team across the fleet.
+	// TeamUsage is the number of running jobs and calls across the fleet of the
+	// teams named in Wanted.
 	TeamUsage map[string]int `cbor:"6,keyasint,omitempty"`
 	// Entries lists the live entries, for the mesh between them.
 	Entries []EntryInfo `cbor:"7,keyasint,omitempty"`
+	// Delta holds the changes since the entry's revision, for fleet.Config.With.
+	Delta *fleet.ConfigDelta `cbor:"8,keyasint,omitempty"`
 }
 
 // EntryInfo is what entries know of each other.
@@ -173,6 +184,8 @@
 // JobWaitReply carries the job, or nil when no such job is remembered.
 type JobWaitReply struct {
 	Job *fleet.Job `cbor:"1,keyasint,omitempty"`
+	// Expired is true when the identifier belongs to a job whose record was removed.
+	Expired bool `cbor:"2,keyasint,omitempty"`
 }
 
 // LedgerState is the state of a request in the ledger of its home data centre.
@@ -329,6 +342,8 @@
 	CodeVersion     ErrorCode = "version"
 	CodeBusy        ErrorCode = "busy"
 	CodeInternal    ErrorCode = "internal"
+	// CodeOvertaken answers a renewal that a later one of the same process overtook.
+	CodeOvertaken ErrorCode = "overtaken"
 )
 
 // Error implements error.
