Add the leader's control server

Cause: entries need leases, grants, proposals and waits from the leader. Renewals, proposals, job waits and status are answered from the applied state; duties mark revisions in force and release the grants of silent processes. A renewal lowers a grant only to what the entry may have running before it takes the reply; a resent one, and the first in a term, lowers nothing. When demand exceeds a limit, jobs and calls have a right to one half each, and whatever one side does not ask for goes to the other.

Ruled out: grants by instance, since the calls of a replaced process may still run; planning grants of all entries at once, since the units of an entry that has not answered can't be moved.

Conclusion: tests with a log in memory and a manual clock cover a silent entry, a leader change, overtaken and resent renewals and equal revisions; they pass with -race.

--- /dev/null
+++ b/internal/control/helpers_test.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// manualClock advances only when told to.
+type manualClock struct {
+	mu     sync.Mutex
+	now    time.Time
+	timers map[chan time.Time]time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *manualClock) Timer(d time.Duration) (<-chan time.Time, func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch := make(chan time.Time, 1)
+	c.timers[ch] = c.now.Add(d)
+	return ch, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.timers, ch)
+	}
+}
+
+func (c *manualClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+	for ch, at := range c.timers {
+		if !c.now.Before(at) {
+			ch <- c.now
+			delete(c.timers, ch)
+		}
+	}
+}
+
+// fakeLog is a fleet.Log with a single state in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	clock   *manualClock
+	s       *fleet.State
+	changed chan struct{}
+	lead    fleet.Leadership
+	grants  int
+}
+
+func (l *fakeLog) Propose(_ context.Context, cmd fleet.Command) (fleet.Result, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.lead.Leading {
+		return fleet.Result{}, fleet.ErrNotLeader
+	}
+	if cmd.Grant != nil {
+		l.grants++
+	}
+	cmd.Time = l.Now()
+	r := l.s.Apply(l.s.Applied+1, cmd)
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return r, nil
+}
+
+func (l *fakeLog) Read(f func(*fleet.State)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l.s)
+}
+
+func (l *fakeLog) Leadership() fleet.Leadership {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lead
+}
+
+func (l *fakeLog) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *fakeLog) Now() fleet.Time { return fleet.Time(l.clock.Now().UnixMilli()) }
+
+func (l *fakeLog) setLeading(leading bool, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lead = fleet.Leadership{Leader: "other:1", Leading: leading, Term: term, Since: l.clock.Now()}
+}
+
+// bench is a server with its fake surroundings. Its duties run when the test says.
+type bench struct {
+	*Server
+	t     *testing.T
+	log   *fakeLog
+	clock *manualClock
+	seq   uint64
+	ids   int
+}
+
+// newBench starts a term whose predecessor's leases have lapsed, with one team of
+// the given limit and its key.
+func newBench(t *testing.T, limit int) *bench {
+	clock := &manualClock{now: time.Unix(1000, 0), timers: map[chan time.Time]time.Time{}}
+	log := &fakeLog{clock: clock, s: fleet.NewState(), changed: make(chan struct{})}
+	b := &bench{t: t, log: log, clock: clock, Server: NewServer(log, Options{Clock: clock})}
+	log.setLeading(true, 1)
+	size := fleet.Resources{CPUMilli: 100000}
+	b.change(fleet.ChangeItem{PutDataCentre: &fleet.DataCentre{Name: "dc"}},
+		fleet.ChangeItem{PutPool: &fleet.Pool{Name: "p"}},
+		fleet.ChangeItem{PutInstance: &fleet.Instance{Name: "w", Pool: "p", DataCentre: "dc", Kind: fleet.KindWorker}},
+		fleet.ChangeItem{PutQueue: &fleet.Queue{Name: "q", Pool: "p", Class: fleet.ClassNormal, MaxQueuedPerTeam: 100}},
+		fleet.ChangeItem{PutTeam: &fleet.Team{Name: "a", Share: 1, Limit: limit}},
+		fleet.ChangeItem{IssueKey: &fleet.Key{ID: "k", Team: "a", SecretSHA256: strings.Repeat("ab", 32)}})
+	b.propose(fleet.Command{Observe: &fleet.Observe{Observations: []fleet.Observation{{Instance: "w", Incarnation: "1", Capacity: size}}}})
+	require.NoError(t, b.confirm(1))
+	clock.advance(3 * time.Second)
+	b.duties(context.Background())
+	return b
+}
+
+func (b *bench) propose(cmd fleet.Command) fleet.Result {
+	reply, err := b.Propose(context.Background(), wire.ProposeRequest{Command: cmd})
+	require.NoError(b.t, err)
+	return reply.Result
+}
+
+func (b *bench) changeCommand(items ...fleet.ChangeItem) fleet.Command {
+	b.ids++
+	return fleet.Command{Change: &fleet.ConfigChange{RequestID: fmt.Sprint("c", b.ids), ExpectedRevision: b.revision(), Items: items}}
+}
+
+func (b *bench) change(items ...fleet.ChangeItem) fleet.Revision {
+	r := b.propose(b.changeCommand(items...))
+	require.Nil(b.t, r.Refusal)
+	return r.Revision
+}
+
+func (b *bench) revision() (rev fleet.Revision) {
+	b.log.Read(func(s *fleet.State) { rev = s.Config.Revision })
+	return rev
+}
+
+func (b *bench) inForce() (rev fleet.Revision) {
+	b.duties(context.Background())
+	b.log.Read(func(s *fleet.State) { rev = s.InForce })
+	return rev
+}
+
+func (b *bench) granted() (n int) {
+	b.log.Read(func(s *fleet.State) { n = s.Granted("a") })
+	return n
+}
+
+// request returns the next renewal of an entry that wants units of team a and
+// acts on what it was granted.
+func (b *bench) request(entry string, rev fleet.Revision, wanted, used, acts int) wire.RenewRequest {
+	b.seq++
+	m := func(n int) map[string]int { return map[string]int{"a": n} }
+	return wire.RenewRequest{Instance: entry, Incarnation: "1", Sequence: b.seq, Revision: rev, Wanted: m(wanted), Used: m(used), Granted: m(acts)}
+}
+
+func (b *bench) renew(req wire.RenewRequest) *wire.RenewReply {
+	reply, err := b.Renew(context.Background(), req)
+	require.NoError(b.t, err)
+	return reply
+}
+
+func (b *bench) wireCode(err error) wire.ErrorCode {
+	var body *wire.ErrorBody
+	require.ErrorAs(b.t, err, &body)
+	return body.Code
+}
