--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -18,6 +18,7 @@
 				t.Parallel()
 				s := newSimulation(t, seed, size)
 				s.loss = []float64{0, 0.05, 0.2}[seed%3]
+				s.stall = []float64{0.3, 0.9}[seed%2]
 				spare := uint64(100)
 				for i := range 600 {
 					if s.rng.IntN(3) == 0 {
@@ -156,6 +157,31 @@
 	core.Advance(rd)
 	rd, _ = core.Ready()
 	require.Len(t, rd.Committed, 1)
+	core.Advance(rd)
+	core.Step(21, Message{Kind: MsgAppend, From: 2, To: 1, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 1, Kind: EntryNoop}}})
+	require.Empty(t, core.Messages(), "the term is durable, but the entry is not")
+	core.Step(22, Message{Kind: MsgHeartbeat, From: 2, To: 1, Term: 1})
+	require.Len(t, core.Messages(), 1, "a heartbeat does not wait for the disk")
+}
+
+// Guards against a leader that commits an entry of an earlier term by counting
+// copies, which a later leader could still replace.
+func TestEarlierTermsAreNotCommittedByCount(t *testing.T) {
+	found := Restored{HardState: HardState{Term: 2}, Entries: []Entry{{Index: 1, Term: 2, Kind: EntryNoop}}}
+	found.Snapshot.Members = []Member{{ID: 1}, {ID: 2}, {ID: 3}}
+	core := New(simConfig(1, 0, newSimulation(t, 1, 1).rng), found)
+	for now := int64(1); core.role != PreCandidate; now++ {
+		core.Tick(now)
+	}
+	core.Step(30, Message{Kind: MsgPreVoteReply, From: 2, To: 1, Term: 3})
+	core.Step(30, Message{Kind: MsgVoteReply, From: 2, To: 1, Term: 3})
+	require.Equal(t, Leader, core.role)
+	core.Step(31, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 1})
+	require.Zero(t, core.Status().Committed)
+	rd, _ := core.Ready()
+	core.Advance(rd)
+	core.Step(32, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 2})
+	require.Equal(t, uint64(2), core.Status().Committed)
 }
 
 // Guards against membership changes that overlap, promote a learner that lacks
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -67,6 +67,8 @@
 	flights []flight
 	cut     map[[2]uint64]bool
 	loss    float64
+	// stall is the chance that a disk write is not finished at an attempt.
+	stall   float64
 	leaders map[uint64]uint64
 	// committed holds the digest of the state after each index, terms the term
 	// of each applied entry, seenIn the term in which it was first seen as committed.
@@ -176,7 +178,7 @@
 	s.post(n.core.Messages())
 	for {
 		if n.pending != nil {
-			if s.rng.Float64() < 0.3 {
+			if s.rng.Float64() < s.stall {
 				return
 			}
 			s.finish(n)
@@ -313,6 +315,7 @@
 	switch s.rng.IntN(9) {
 	case 0:
 		s.restart(id)
+		s.restart(other)
 	case 1:
 		s.nodes[id].paused = true
 	case 2, 3:
@@ -360,7 +363,7 @@
 
 func (s *simulation) heal() {
 	clear(s.cut)
-	s.loss = 0
+	s.loss, s.stall = 0, 0
 	for _, n := range s.nodes {
 		n.paused = false
 	}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,222 @@
+package wal
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/raft"
+)
+
+var errSync = errors.New("sync failed")
+
+// faultFS lets writes fail: after room bytes the disk is full, and noSync makes each sync fail.
+type faultFS struct {
+	disk.OS
+	room   int
+	short  bool
+	noSync bool
+}
+
+type faultFile struct {
+	disk.File
+	fs *faultFS
+}
+
+func (f *faultFS) Create(path string) (disk.File, error) {
+	file, err := f.OS.Create(path)
+	return &faultFile{File: file, fs: f}, err
+}
+
+func (f *faultFile) Write(p []byte) (int, error) {
+	if len(p) <= f.fs.room {
+		f.fs.room -= len(p)
+		return f.File.Write(p)
+	}
+	n, _ := f.File.Write(p[:f.fs.room])
+	f.fs.room = 0
+	if f.fs.short {
+		return n, nil
+	}
+	return n, syscall.ENOSPC
+}
+
+func (f *faultFile) Sync() error {
+	if f.fs.noSync {
+		return errSync
+	}
+	return f.File.Sync()
+}
+
+func entry(index, term uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: []byte("command")}
+}
+
+func entries(first, last, term uint64) []raft.Entry {
+	var out []raft.Entry
+	for i := first; i <= last; i++ {
+		out = append(out, entry(i, term))
+	}
+	return out
+}
+
+func started(t require.TestingT, folder string, opts Options) *Log {
+	l, contents, err := Open(folder, opts)
+	require.NoError(t, err)
+	require.True(t, contents.Empty())
+	require.NoError(t, l.Start(Meta{MemberID: 3}, raft.Position{Members: []raft.Member{{ID: 3}}}))
+	return l
+}
+
+func reopened(t require.TestingT, folder string, opts Options) (*Log, Contents) {
+	l, contents, err := Open(folder, opts)
+	require.NoError(t, err)
+	return l, contents
+}
+
+func newestSegment(t *testing.T, folder string) string {
+	names, err := disk.OS{}.Names(folder)
+	require.NoError(t, err)
+	return filepath.Join(folder, names[len(names)-1])
+}
+
+// Guards against lost, reordered or stale entries after a restart, over segment
+// changes, replaced suffixes, restarts from a snapshot and trimming.
+func TestContentsSurviveReopening(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folder, err := os.MkdirTemp("", "wal")
+		require.NoError(t, err)
+		defer os.RemoveAll(folder)
+		opts := Options{FS: disk.OS{}, SegmentBytes: rapid.IntRange(50, 400).Draw(t, "segment")}
+		l := started(t, folder, opts)
+		want := Contents{Base: raft.Position{Members: []raft.Member{{ID: 3}}}}
+		trimmed := uint64(0)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			last := want.Base.Index + uint64(len(want.Entries))
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				require.NoError(t, l.Close())
+				l, _ = reopened(t, folder, opts)
+			case 1:
+				base := raft.Position{Index: last + 5, Term: 9}
+				want.Base, want.Entries = base, nil
+				require.NoError(t, l.Append(Batch{Base: &base}))
+			case 2:
+				trimmed = max(trimmed, rapid.Uint64Range(want.Base.Index, last).Draw(t, "trim"))
+				require.NoError(t, l.Trim(trimmed))
+			default:
+				from := rapid.Uint64Range(max(trimmed, want.Base.Index)+1, max(last, trimmed)+1).Draw(t, "from")
+				want.HardState.Term++
+				batch := entries(from, from+rapid.Uint64Range(0, 3).Draw(t, "more"), want.HardState.Term)
+				want.Entries = append(want.Entries[:from-want.Base.Index-1], batch...)
+				hard := want.HardState
+				require.NoError(t, l.Append(Batch{HardState: &hard, Entries: batch}))
+			}
+		}
+		require.NoError(t, l.Close())
+		_, got := reopened(t, folder, opts)
+		require.Equal(t, uint64(3), got.Meta.MemberID)
+		require.Equal(t, want.HardState, got.HardState)
+		require.Equal(t, want.Base, got.Base)
+		missing := len(want.Entries) - len(got.Entries)
+		require.GreaterOrEqual(t, missing, 0)
+		require.LessOrEqual(t, want.Base.Index+uint64(missing), max(trimmed, want.Base.Index))
+		require.Equal(t, append([]raft.Entry{}, want.Entries[missing:]...), append([]raft.Entry{}, got.Entries...))
+	})
+}
+
+// Guards against a torn last batch that stops a store, that costs synced
+// entries, or that is taken as complete, for each length of the torn part.
+func TestTornTailIsCut(t *testing.T) {
+	folder := t.TempDir()
+	l := started(t, folder, Options{FS: disk.OS{}})
+	require.NoError(t, l.Append(Batch{Entries: entries(1, 2, 1)}))
+	path := newestSegment(t, folder)
+	intact := l.size
+	require.NoError(t, l.Append(Batch{Entries: entries(3, 4, 1)}))
+	require.NoError(t, l.Close())
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for size := intact; size < len(whole); size++ {
+		require.NoError(t, os.WriteFile(path, whole[:size], 0o600))
+		l, got := reopened(t, folder, Options{FS: disk.OS{}})
+		require.GreaterOrEqual(t, len(got.Entries), 2)
+		require.Less(t, len(got.Entries), 4)
+		require.NoError(t, l.Append(Batch{Entries: entries(uint64(len(got.Entries)+1), 9, 2)}))
+		require.NoError(t, l.Close())
+		_, got = reopened(t, folder, Options{FS: disk.OS{}})
+		require.Len(t, got.Entries, 9)
+	}
+	whole[intact+2] ^= 1
+	require.NoError(t, os.WriteFile(path, whole, 0o600))
+	_, got := reopened(t, folder, Options{FS: disk.OS{}})
+	require.Len(t, got.Entries, 2, "a batch whose first part is lost is cut as a whole")
+}
+
+// Guards against damage in the middle that is taken for a torn tail, which
+// would silently drop acknowledged entries.
+func TestFlippedByteIsCorrupt(t *testing.T) {
+	folder := t.TempDir()
+	l := started(t, folder, Options{FS: disk.OS{}})
+	for i := uint64(1); i <= 4; i++ {
+		require.NoError(t, l.Append(Batch{Entries: entries(i, i, 1)}))
+	}
+	synced := l.size
+	require.NoError(t, l.Append(Batch{Entries: entries(5, 5, 1)}))
+	require.NoError(t, l.Close())
+	path := newestSegment(t, folder)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for at := range synced {
+		damaged := append([]byte{}, whole...)
+		damaged[at] ^= 0x10
+		require.NoError(t, os.WriteFile(path, damaged, 0o600))
+		_, _, err := Open(folder, Options{FS: disk.OS{}})
+		var corrupt *ErrCorrupt
+		require.ErrorAs(t, err, &corrupt, "byte %d", at)
+		require.Equal(t, path, corrupt.File)
+		require.LessOrEqual(t, corrupt.Offset, int64(at))
+	}
+}
+
+// Guards against a log that goes on after a full disk, a short write or a failed
+// sync, when the content of the file is unknown.
+func TestFailuresAreFinal(t *testing.T) {
+	cases := map[string]func(*faultFS){
+		"full disk":   func(f *faultFS) { f.room = 20 },
+		"short write": func(f *faultFS) { f.room, f.short = 20, true },
+		"failed sync": func(f *faultFS) { f.noSync = true },
+	}
+	for name, inject := range cases {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			fs := &faultFS{room: 1 << 20}
+			l := started(t, folder, Options{FS: fs})
+			require.NoError(t, l.Append(Batch{Entries: entries(1, 2, 1)}))
+			inject(fs)
+			require.Error(t, l.Append(Batch{Entries: entries(3, 3, 1)}))
+			fs.room, fs.short, fs.noSync = 1<<20, false, false
+			require.ErrorIs(t, l.Append(Batch{Entries: entries(3, 3, 1)}), ErrFailed)
+			require.ErrorIs(t, l.Trim(2), ErrFailed)
+			_ = l.Close()
+			_, got := reopened(t, folder, Options{FS: disk.OS{}})
+			require.GreaterOrEqual(t, len(got.Entries), 2)
+		})
+	}
+}
+
+// Guards against a panic or an unbounded allocation on a damaged file.
+func FuzzReadRecord(f *testing.F) {
+	f.Add(appendRecord(nil, 0, kindEntry, []byte("payload")))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if _, _, ok := readRecord(data, 0); !ok {
+			tornAt(data, 0)
+		}
+	})
+}
