Mount the control server in the store; create the ledger's folder

Cause: samphire-store -init failed on a new data folder, since the ledger did not create its own. Measured: the stores start and elect a leader; entries do not get a lease yet.

--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirefork/samphirefork/internal/control"
 	"github.com/samphirefork/samphirefork/internal/controller"
 	"github.com/samphirefork/samphirefork/internal/disk"
 	"github.com/samphirefork/samphirefork/internal/ledger"
@@ -123,5 +124,6 @@
 	}
 	controllers := controller.New(node, controller.Options{Policies: cfg.Policies, Seed: int64(cfg.ID), Logger: log})
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
-	return store.NewServer(node, registry, log, requests, controllers).Run(ctx, listener)
+	leader := control.NewServer(node, control.Options{Members: node.Members})
+	return store.NewServer(node, registry, log, requests, controllers, leader).Run(ctx, listener)
 }
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -15,8 +15,8 @@
 
 // Run carries out the duties of the leader until the context ends: it marks
 // revisions in force and releases the grants of silent entries. While another
-// store leads it does nothing.
-func (s *Server) Run(ctx context.Context) {
+// store leads it does nothing. The error is always nil.
+func (s *Server) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := s.log.Changed()
 		s.duties(ctx)
@@ -29,6 +29,7 @@
 		}
 		stop()
 	}
+	return nil
 }
 
 func (s *Server) duties(ctx context.Context) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -88,6 +88,9 @@
 }
 
 func (l *Ledger) load() error {
+	if err := os.MkdirAll(l.folder, 0o750); err != nil {
+		return errors.Wrap(err, "ledger: folder")
+	}
 	var err error
 	l.header, l.file, l.size, err = load(l.folder, func(change op) { l.table.apply(change, 0) })
 	if errors.Is(err, os.ErrNotExist) {
