--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,6 +67,9 @@
 	slots  int
 	// mean is the smoothed run time of recent completions; 0 before the first.
 	mean time.Duration
+	// soonest is no later than the first deadline of a waiting call, so that the
+	// queues are searched for late calls only when there may be one.
+	soonest time.Time
 }
 
 // NewController returns an empty controller; an unknown policy is PolicyFair.
@@ -153,6 +156,7 @@
 	req.seq = c.seq
 	c.activate(now, req.Team)
 	s.queues[req.Team] = append(s.queues[req.Team], req)
+	s.note(req.Deadline)
 	s.total++
 	c.team(req.Team).queued++
 }
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,183 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+)
+
+var start = time.Unix(1000, 0)
+
+func anyTeam(string) bool { return true }
+
+func newTestController(policy Policy) *Controller {
+	c := NewController(policy, rand.New(rand.NewPCG(1, 2)))
+	c.SetSlots("s", 1)
+	c.Finished("s", 10*time.Millisecond)
+	return c
+}
+
+func request(team string, limit time.Duration) *Request {
+	return &Request{Team: team, Service: "s", Deadline: start.Add(limit)}
+}
+
+// Guards against calls that wait although they can't be finished on time, and
+// against refused callers that all return at the same moment.
+func TestRefusesWhatCannotBeOnTime(t *testing.T) {
+	c := newTestController(PolicyFair)
+	for range 10 {
+		_, err := c.Offer(start, request("a", time.Second))
+		require.Nil(t, err)
+	}
+	times := map[time.Duration]bool{}
+	for range 20 {
+		_, err := c.Offer(start, request("a", 105*time.Millisecond))
+		require.NotNil(t, err)
+		require.Equal(t, api.CodeLate, err.Code)
+		require.Positive(t, err.RetryAfter)
+		times[err.RetryAfter] = true
+	}
+	require.Greater(t, len(times), 10)
+	next, late := c.Next(start.Add(995*time.Millisecond), "s", anyTeam)
+	require.Nil(t, next)
+	require.Len(t, late, 10)
+}
+
+// Guards against retries that exceed a tenth of the first attempts, or that push
+// out first attempts when a queue is full.
+func TestRetriesAreShedFirst(t *testing.T) {
+	c := newTestController(PolicyFair)
+	c.SetSlots("s", 1000)
+	admitted := 0
+	for i := range 2000 {
+		_, _ = c.Offer(start, request("a", time.Hour))
+		retry := request("a", time.Hour)
+		retry.Retry = true
+		if _, err := c.Offer(start, retry); err == nil {
+			admitted++
+		}
+		if i < 1900 {
+			for c.Queued("s") > 0 {
+				c.Next(start, "s", anyTeam)
+			}
+		}
+	}
+	require.LessOrEqual(t, admitted, 200+int(retryStart))
+	require.Greater(t, admitted, 150)
+
+	c = newTestController(PolicyFair)
+	retry := request("a", time.Hour)
+	retry.Retry = true
+	_, err := c.Offer(start, retry)
+	require.Nil(t, err)
+	for range QueueLimit - 1 {
+		_, err := c.Offer(start, request("a", time.Hour))
+		require.Nil(t, err)
+	}
+	shed, err := c.Offer(start, request("a", time.Hour))
+	require.Nil(t, err)
+	require.Same(t, retry, shed)
+	_, err = c.Offer(start, request("a", time.Hour))
+	require.Equal(t, api.CodeQueueFull, err.Code)
+	_, err = c.Offer(start, request("b", time.Hour))
+	require.Nil(t, err, "another team's queue is its own")
+}
+
+// Guards against a team that gets more than its share while all are waiting,
+// also by running calls through other entries.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := map[string]int{}
+		sum := 0
+		for _, team := range []string{"a", "b", "c"} {
+			shares[team] = rapid.IntRange(1, 5).Draw(t, team)
+			sum += shares[team]
+		}
+		c := newTestController(PolicyFair)
+		c.SetShares(shares)
+		served := map[string]int{}
+		now := start
+		const calls = 1000
+		for range calls {
+			for team := range shares {
+				_, _ = c.Offer(now, &Request{Team: team, Service: "s", Deadline: now.Add(time.Hour)})
+			}
+			next, _ := c.Next(now, "s", anyTeam)
+			served[next.Team]++
+			now = now.Add(10 * time.Millisecond)
+		}
+		for team, share := range shares {
+			want := float64(calls) * float64(share) / float64(sum)
+			require.InEpsilon(t, want, float64(served[team]), 0.05, team)
+		}
+	})
+	c := newTestController(PolicyFair)
+	now := start
+	served := map[string]int{}
+	for i := range 4000 {
+		if i%50 == 0 {
+			c.SetElsewhere(now, map[string]int{"a": 1})
+		}
+		for _, team := range []string{"a", "b"} {
+			_, _ = c.Offer(now, &Request{Team: team, Service: "s", Deadline: now.Add(time.Hour)})
+		}
+		next, _ := c.Next(now, "s", anyTeam)
+		if i > 2000 {
+			served[next.Team]++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	require.Less(t, served["a"], served["b"]/10, "team a has a whole slot elsewhere")
+}
+
+// Guards against a call that is lost or served twice between the queues.
+func TestEachCallLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newTestController(rapid.SampledFrom([]Policy{PolicyFair, PolicyFIFO}).Draw(t, "policy"))
+		waiting := map[*Request]bool{}
+		leave := func(req *Request) {
+			require.True(t, waiting[req])
+			delete(waiting, req)
+		}
+		now := start
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				req := &Request{
+					Team: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "team"), Service: "s",
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "limit")) * time.Millisecond),
+					Retry:    rapid.Bool().Draw(t, "retry"),
+				}
+				shed, err := c.Offer(now, req)
+				if err == nil {
+					waiting[req] = true
+				}
+				if shed != nil {
+					leave(shed)
+				}
+			case 2:
+				next, late := c.Next(now, "s", func(team string) bool { return team != "b" })
+				for _, req := range late {
+					leave(req)
+				}
+				if next != nil {
+					require.NotEqual(t, "b", next.Team)
+					leave(next)
+				}
+			case 3:
+				for req := range waiting {
+					require.True(t, c.Cancel(req))
+					leave(req)
+					break
+				}
+			}
+			require.Equal(t, len(waiting), c.Queued("s"))
+		}
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -58,12 +59,18 @@
 
 // dropLate removes the waiting calls that can't finish before their deadline.
 func (c *Controller) dropLate(now time.Time, s *service) []*Request {
+	if !now.Add(s.mean).After(s.soonest) {
+		return nil
+	}
 	var late []*Request
+	s.soonest = now.Add(farFuture)
 	for _, name := range s.waitingTeams() {
 		for _, req := range s.queues[name] {
 			if now.Add(s.mean).After(req.Deadline) {
 				late = append(late, req)
+				continue
 			}
+			s.note(req.Deadline)
 		}
 	}
 	for _, req := range late {
@@ -89,7 +96,7 @@
 	queue := s.queues[req.Team]
 	for i, r := range queue {
 		if r == req {
-			s.queues[req.Team] = append(queue[:i:i], queue[i+1:]...)
+			s.queues[req.Team] = without(queue, i)
 			s.total--
 			c.team(req.Team).queued--
 			return true
@@ -98,6 +105,25 @@
 	return false
 }
 
+// without removes one element; the usual one is the first, which costs no copy.
+func without(queue []*Request, i int) []*Request {
+	if i == 0 {
+		queue[0] = nil
+		return queue[1:]
+	}
+	return slices.Delete(queue, i, i+1)
+}
+
+// farFuture is later than any deadline.
+const farFuture = 24 * time.Hour
+
+// note lowers the soonest deadline.
+func (s *service) note(deadline time.Time) {
+	if s.total == 0 || deadline.Before(s.soonest) {
+		s.soonest = deadline
+	}
+}
+
 // newestRetry returns the last queued retry of a team, or nil.
 func (s *service) newestRetry(team string) *Request {
 	queue := s.queues[team]
--- /dev/null
+++ b/internal/entry/backendsim_test.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/backendsim"
+)
+
+// lockedBuffer is a history that can be read while it is written.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) events(t *testing.T) []backendsim.Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []backendsim.Event
+	lines := bufio.NewScanner(bytes.NewReader(b.buf.Bytes()))
+	for lines.Scan() {
+		var ev backendsim.Event
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &ev))
+		out = append(out, ev)
+	}
+	return out
+}
+
+// startBackend runs a simulated backend server; the returned function stops it
+// and waits for its end.
+func startBackend(t *testing.T, te *testEntry, history *lockedBuffer, faults backendsim.Faults) func() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	cfg := backendsim.Config{
+		Instance: "sim", Service: "plan", Entries: []string{strings.TrimPrefix(te.url, "http://")},
+		Slots: 8, Connections: 64, Mean: time.Millisecond, Distribution: "exponential", Seed: 7,
+		Grace: 100 * time.Millisecond, History: history, Faults: faults,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	server := backendsim.New(cfg, listener)
+	go func() { done <- server.Run(ctx) }()
+	var once sync.Once
+	stop := func() { once.Do(func() { cancel(); require.NoError(t, <-done) }) }
+	t.Cleanup(stop)
+	return stop
+}
+
+// Guards, with all faults at once, against a wrong answer that is delivered, a
+// refusal as not run of a call that ran, a second run, and more running calls
+// than slots. After a planned leave there are no new starts.
+func TestFaultMix(t *testing.T) {
+	te := startEntry(t, newFakeStore(t), "e1", "dc1")
+	var history lockedBuffer
+	faults := backendsim.Faults{CrossedShare: 0.1, TruncatedShare: 0.1, FailShare: 0.05, DropShare: 0.1, LateShare: 0.02, LateMS: 700}
+	stop := startBackend(t, te, &history, faults)
+	require.Eventually(t, func() bool {
+		backends, _ := te.sched.summary()
+		return len(backends) == 1
+	}, generous, time.Millisecond)
+
+	const calls = 200
+	verdicts := make([]api.Verdict, calls)
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, 32)
+	for i := range calls {
+		wg.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-limit }()
+			id, body := fmt.Sprintf("dc1.c%d", i), fmt.Sprintf("body %d", i)
+			for range 2 {
+				got, err := te.call(http.MethodPost, "/v1/call/plan", body, api.HeaderKey, testKey,
+					api.HeaderRequestID, id, api.HeaderTimeoutMS, "500")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				verdicts[i] = got.verdict
+				if got.verdict == api.Done && backendsim.CheckAnswer(id, []byte(body), got.body) != nil {
+					t.Errorf("%s got a wrong answer", id)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	stop()
+	starts := map[string]int{}
+	left := false
+	for _, ev := range history.events(t) {
+		left = left || ev.Kind == backendsim.EventLeave
+		if ev.Kind == backendsim.EventStart {
+			require.False(t, left, "start after the announcement of leaving")
+			require.LessOrEqual(t, ev.Running, 8)
+			starts[ev.RequestID]++
+		}
+	}
+	completed := 0
+	for i, verdict := range verdicts {
+		n := starts[fmt.Sprintf("dc1.c%d", i)]
+		require.LessOrEqual(t, n, 1)
+		if verdict == api.NotRun {
+			require.Zero(t, n)
+		}
+		if verdict == api.Done {
+			completed++
+		}
+	}
+	require.Positive(t, completed)
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,171 @@
+package ledger
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+func open(t *testing.T, folder string, opts Options) *Ledger {
+	opts.FirstStart = true
+	l, err := Open(folder, opts)
+	require.NoError(t, err)
+	return l
+}
+
+func claimed(t *testing.T, l *Ledger, id, owner string) wire.LedgerRecord {
+	rec, err := l.Claim(context.Background(), wire.LedgerClaimRequest{RequestID: id, Owner: owner, DeadlineMS: 1000})
+	require.NoError(t, err)
+	return rec
+}
+
+func runCall(t *testing.T, l *Ledger, id, owner string) {
+	require.Equal(t, wire.LedgerNew, claimed(t, l, id, owner).State)
+	require.NoError(t, l.Dispatch(context.Background(), id, owner))
+	require.NoError(t, l.Finish(context.Background(), id, owner, done(id)))
+}
+
+// Guards against two claims of one identifier that may both dispatch.
+func TestConcurrentClaims(t *testing.T) {
+	l := open(t, t.TempDir(), Options{})
+	defer l.Close()
+	const owners = 20
+	won := make(chan string, owners)
+	answers := make(chan string, owners)
+	for i := range owners {
+		go func() {
+			owner := string(rune('a' + i))
+			rec, err := l.Claim(context.Background(), wire.LedgerClaimRequest{RequestID: "dc1.x", Owner: owner, WaitMS: 10_000, DeadlineMS: 10_000})
+			if err == nil && rec.State == wire.LedgerNew && l.Dispatch(context.Background(), "dc1.x", owner) == nil {
+				won <- owner
+				_ = l.Finish(context.Background(), "dc1.x", owner, done(owner))
+				answers <- owner
+				return
+			}
+			answers <- string(rec.Answer.Body)
+		}()
+	}
+	first := <-won
+	for range owners {
+		require.Equal(t, first, <-answers)
+	}
+	require.Empty(t, won)
+}
+
+// Guards against records that a restart loses, and against a claim that outlives
+// one although it was never durable.
+func TestRestart(t *testing.T) {
+	folder := t.TempDir()
+	l := open(t, folder, Options{})
+	runCall(t, l, "dc1.done", "o")
+	claimed(t, l, "dc1.dispatched", "o")
+	require.NoError(t, l.Dispatch(context.Background(), "dc1.dispatched", "o"))
+	claimed(t, l, "dc1.claimed", "o")
+	require.NoError(t, l.compact())
+	runCall(t, l, "dc1.later", "o")
+	require.NoError(t, l.Close())
+
+	l = open(t, folder, Options{})
+	defer l.Close()
+	require.Equal(t, "dc1.done", string(claimed(t, l, "dc1.done", "p").Answer.Body))
+	require.Equal(t, "dc1.later", string(claimed(t, l, "dc1.later", "p").Answer.Body))
+	require.Equal(t, wire.LedgerDispatched, claimed(t, l, "dc1.dispatched", "p").State)
+	require.Error(t, l.Dispatch(context.Background(), "dc1.claimed", "o"))
+	require.Equal(t, wire.LedgerNew, claimed(t, l, "dc1.claimed", "p").State)
+}
+
+// Guards against an owner that died: a claim is taken over after its deadline,
+// and a dispatch is answered as unknown.
+func TestSilentOwner(t *testing.T) {
+	var ahead atomic.Int64
+	clock := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	l := open(t, t.TempDir(), Options{Clock: clock})
+	defer l.Close()
+	claimed(t, l, "dc1.claimed", "dead")
+	claimed(t, l, "dc1.sent", "dead")
+	require.NoError(t, l.Dispatch(context.Background(), "dc1.sent", "dead"))
+	require.Equal(t, wire.LedgerClaimed, claimed(t, l, "dc1.claimed", "p").State)
+	ahead.Store(int64(time.Minute))
+	require.Equal(t, wire.LedgerNew, claimed(t, l, "dc1.claimed", "p").State)
+	require.Error(t, l.Dispatch(context.Background(), "dc1.claimed", "dead"))
+	rec := claimed(t, l, "dc1.sent", "p")
+	require.Equal(t, wire.LedgerDispatched, rec.State)
+	require.Equal(t, unknownOutcome(), rec.Answer)
+}
+
+// Guards against a torn tail that stops a start, and against a damaged middle
+// that silently drops later records.
+func TestDamagedJournal(t *testing.T) {
+	folder := t.TempDir()
+	l := open(t, folder, Options{})
+	runCall(t, l, "dc1.a", "o")
+	runCall(t, l, "dc1.b", "o")
+	require.NoError(t, l.Close())
+	path := filepath.Join(folder, fileName)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+
+	require.NoError(t, os.WriteFile(path, append(append([]byte(nil), whole...), whole[headerBytes:headerBytes+40]...), 0o644))
+	l = open(t, folder, Options{})
+	require.Equal(t, wire.LedgerFinished, claimed(t, l, "dc1.b", "p").State)
+	require.NoError(t, l.Close())
+	repaired, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, whole, repaired)
+
+	for _, at := range []int{4, headerBytes + 5, headerBytes + 20} {
+		damaged := append([]byte(nil), whole...)
+		damaged[at] ^= 0x40
+		require.NoError(t, os.WriteFile(path, damaged, 0o644))
+		_, err = Open(folder, Options{})
+		var corrupt *ErrCorrupt
+		require.ErrorAs(t, err, &corrupt)
+		require.Equal(t, path, corrupt.File)
+	}
+}
+
+// Guards against a ledger that acknowledges again after a sync failed.
+func TestFailingSyncIsFinal(t *testing.T) {
+	var broken atomic.Bool
+	l := open(t, t.TempDir(), Options{Sync: func(f *os.File) error {
+		if broken.Load() {
+			return errors.New("no space left")
+		}
+		return f.Sync()
+	}})
+	claimed(t, l, "dc1.a", "o")
+	broken.Store(true)
+	var body *wire.ErrorBody
+	require.ErrorAs(t, l.Dispatch(context.Background(), "dc1.a", "o"), &body)
+	require.Equal(t, wire.CodeUncertain, body.Code)
+	<-l.Failed()
+	broken.Store(false)
+	_, err := l.Claim(context.Background(), wire.LedgerClaimRequest{RequestID: "dc1.b", Owner: "o"})
+	require.Error(t, err)
+	require.Error(t, l.Close())
+}
+
+// Guards against a panic or an unbounded allocation on a damaged journal.
+func FuzzDecodeJournal(f *testing.F) {
+	var h header
+	frame, err := h.encodeFrame([]op{{Kind: opDispatch, ID: "dc1.a", Owner: "o"}})
+	require.NoError(f, err)
+	f.Add(append(h.encode(), frame...))
+	f.Add(append(h.encode(), append(frame[:20:20], frame...)...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decodeHeader(data)
+		if err != nil {
+			return
+		}
+		valid, _ := decoded.decodeFrames(data[headerBytes:], func(op) {})
+		require.LessOrEqual(t, valid, len(data)-headerBytes)
+	})
+}
--- /dev/null
+++ b/internal/ledger/table_test.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+func done(body string) *wire.CallAnswer {
+	return &wire.CallAnswer{Verdict: string(api.Done), Status: http.StatusOK, Body: []byte(body)}
+}
+
+func released() *wire.CallAnswer {
+	return &wire.CallAnswer{Verdict: string(api.NotRun), Status: http.StatusServiceUnavailable}
+}
+
+// model is a ledger whose journal is kept in memory, so that a crash can cut it
+// anywhere behind the last sync.
+type model struct {
+	table   *table
+	header  header
+	journal []byte
+	pending []op
+	now     int64
+	owners  int
+	// running holds the owner of each dispatch that was acknowledged and not released.
+	running map[string]string
+	answers map[string]string
+	// waiting holds dispatches whose record is not synced yet.
+	waiting map[string]string
+}
+
+func (m *model) change(change op, ok bool) {
+	if ok {
+		m.table.apply(change, 0)
+		m.pending = append(m.pending, change)
+	}
+}
+
+func (m *model) sync(t *rapid.T) {
+	frame, err := m.header.encodeFrame(m.pending)
+	require.NoError(t, err)
+	m.journal = append(m.journal, frame...)
+	m.pending = nil
+	for id, owner := range m.waiting {
+		if other, ok := m.running[id]; ok && other != owner {
+			t.Fatalf("%s was dispatched by %s and by %s", id, other, owner)
+		}
+		m.running[id] = owner
+	}
+	m.waiting = map[string]string{}
+}
+
+func (m *model) crash(t *rapid.T) {
+	frame, err := m.header.encodeFrame(m.pending)
+	require.NoError(t, err)
+	torn := frame[:rapid.IntRange(0, len(frame)-1).Draw(t, "torn")]
+	m.table = newTable(0)
+	valid, err := m.header.decodeFrames(append(append([]byte(nil), m.journal...), torn...), func(c op) { m.table.apply(c, 0) })
+	require.NoError(t, err)
+	require.Equal(t, len(m.journal), valid)
+	m.pending = nil
+	m.waiting = map[string]string{}
+}
+
+// call goes through one call as an entry does, stopping at a random step.
+func (m *model) call(t *rapid.T) {
+	id := fmt.Sprintf("dc1.%d", rapid.IntRange(0, 2).Draw(t, "id"))
+	m.owners++
+	owner := fmt.Sprint(m.owners)
+	steps := rapid.IntRange(1, 4).Draw(t, "steps")
+	state := m.table.claim(m.now, wire.LedgerClaimRequest{RequestID: id, Owner: owner, DeadlineMS: 1000})
+	if state != wire.LedgerNew {
+		m.checkAnswer(t, id, state)
+		return
+	}
+	if steps < 2 {
+		return
+	}
+	change, ok := m.table.dispatch(m.now, id, owner)
+	require.True(t, ok)
+	m.change(change, ok)
+	m.waiting[id] = owner
+	if steps < 3 {
+		return
+	}
+	m.sync(t)
+	answer := done(owner)
+	if steps == 3 {
+		answer = released()
+		delete(m.running, id)
+	}
+	change, changed, held := m.table.finish(m.now, id, owner, answer)
+	require.True(t, held)
+	m.change(change, changed)
+	if rapid.Bool().Draw(t, "synced") {
+		m.sync(t)
+		if steps == 4 {
+			m.answers[id] = owner
+		}
+	}
+}
+
+func (m *model) checkAnswer(t *rapid.T, id string, state wire.LedgerState) {
+	if want, ok := m.answers[id]; ok && state == wire.LedgerFinished {
+		require.Equal(t, want, string(m.table.records[id].answer.Body))
+	}
+}
+
+// Guards against a second dispatch of an identifier, or an answer that changes,
+// across crashes with torn tails, lapsed owners and expiry.
+func TestAtMostOneDispatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{table: newTable(0), now: 1, running: map[string]string{}, answers: map[string]string{}, waiting: map[string]string{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"call":  m.call,
+			"sync":  m.sync,
+			"crash": m.crash,
+			"time": func(t *rapid.T) {
+				m.now += int64(rapid.SampledFrom([]int{100, 2000, 700_000}).Draw(t, "ms"))
+				m.table.expire(m.now)
+			},
+			"late finish": func(t *rapid.T) {
+				for id, owner := range m.running {
+					if _, finished := m.answers[id]; !finished && rapid.Bool().Draw(t, "finish") {
+						change, changed, _ := m.table.finish(m.now, id, owner, done(owner))
+						m.change(change, changed)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against each rule for identifiers without a live record.
+func TestClaimStates(t *testing.T) {
+	const day = int64(24 * time.Hour / time.Millisecond)
+	now := 10 * day
+	finished := func(tb *table, ago int64) {
+		tb.apply(op{Kind: opDispatch, ID: "dc1.a", Owner: "o", ClaimedAt: now - ago, Deadline: now - ago}, 1)
+		tb.apply(op{Kind: opFinish, ID: "dc1.a", Owner: "o", FinishedAt: now - ago, Answer: done("x")}, 2)
+	}
+	cases := []struct {
+		name  string
+		epoch int64
+		setup func(*table)
+		req   wire.LedgerClaimRequest
+		want  wire.LedgerState
+	}{
+		{name: "unknown", req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerNew},
+		{name: "kept", setup: func(tb *table) { finished(tb, 1000) }, req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerFinished},
+		{name: "tombstone", setup: func(tb *table) { finished(tb, day/2) }, req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerExpired},
+		{name: "after the tombstone", setup: func(tb *table) { finished(tb, day+1) }, req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerNew},
+		{name: "minted long ago", req: wire.LedgerClaimRequest{RequestID: fmt.Sprintf("dc1.%d-x", now-day-1)}, want: wire.LedgerExpired},
+		{name: "lost disk", epoch: now - 1, req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerForgotten},
+		{name: "lost disk, first attempt", epoch: now - 1, req: wire.LedgerClaimRequest{RequestID: "dc1.a", FirstAttempt: true}, want: wire.LedgerNew},
+		{name: "lost disk, minted since", epoch: now - 9, req: wire.LedgerClaimRequest{RequestID: fmt.Sprintf("dc1.%d-x", now-1)}, want: wire.LedgerNew},
+		{name: "lost disk, a day ago", epoch: now - day - 1, req: wire.LedgerClaimRequest{RequestID: "dc1.a"}, want: wire.LedgerNew},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := newTable(tc.epoch)
+			if tc.setup != nil {
+				tc.setup(tb)
+			}
+			tb.expire(now)
+			require.Equal(t, tc.want, tb.claim(now, tc.req))
+		})
+	}
+}
