--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -24,6 +24,10 @@
 	// until the change is in force.
 	inForceWait = 2 * time.Second
 	retryDelay  = 100 * time.Millisecond
+	// minAttemptTime is the least time for a further attempt. One that is cut
+	// off by the command's own time limit would turn a known outcome into an
+	// unknown one.
+	minAttemptTime = 500 * time.Millisecond
 )
 
 // target is one entry instance.
@@ -173,8 +177,11 @@
 	return out, err
 }
 
-// pause waits and reports whether the context is still live.
+// pause waits before a further attempt and reports whether there is time for it.
 func pause(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d+minAttemptTime {
+		return false
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -47,7 +47,7 @@
 		WaitInForceMS: h.GetWaitInForceMs(),
 	}
 	hold := time.Duration(h.GetWaitInForceMs()) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout+hold)
+	ctx, cancel := s.deadline(ctx, hold)
 	defer cancel()
 	var reply wire.ProposeReply
 	if err := s.leader.Call(ctx, wire.TypePropose, req, &reply, hold); err != nil {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -7,6 +7,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
@@ -24,6 +25,8 @@
 	DefaultTimeout = 5 * time.Second
 	// maxRequestBytes leaves room for the message to the leader within its frame limit.
 	maxRequestBytes = 2 << 20
+	// maxAnswerMargin is kept from the caller's time limit for the answer's way.
+	maxAnswerMargin = 200 * time.Millisecond
 )
 
 // Options are the settings of the handler.
@@ -57,6 +60,17 @@
 	return path, requireToken(opts.Token, h)
 }
 
+// deadline bounds a request by the handler's time limit and by the caller's,
+// less a margin in which the answer reaches the caller.
+func (s *service) deadline(ctx context.Context, hold time.Duration) (context.Context, context.CancelFunc) {
+	limit := s.opts.Timeout + hold
+	if d, ok := ctx.Deadline(); ok {
+		left := time.Until(d)
+		limit = min(limit, left-min(left/10, maxAnswerMargin))
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
 // requireToken refuses a request without the token before its body is read.
 func requireToken(token string, next http.Handler) http.Handler {
 	writer := connect.NewErrorWriter()
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -18,7 +18,7 @@
 
 // status queries the leader; the reply always holds the configuration.
 func (s *service) status(ctx context.Context, auditLimit int) (wire.StatusReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
+	ctx, cancel := s.deadline(ctx, 0)
 	defer cancel()
 	var reply wire.StatusReply
 	req := wire.StatusRequest{Detail: true, AuditLimit: auditLimit}
@@ -118,7 +118,7 @@
 }
 
 func (s *service) changeMembers(ctx context.Context, change wire.MembershipChange) error {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
+	ctx, cancel := s.deadline(ctx, 0)
 	defer cancel()
 	if err := s.leader.Call(ctx, wire.TypeMembership, change, nil, 0); err != nil {
 		return changeFailed(err)
