Keep an outcome unknown after a refusal by another entry instance

Cause: after a lost reply, a refusal by the next entry instance itself (wrong token, no operators' interface) was reported as refused with exit code 1, although the first attempt may have been carried out.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -13,6 +13,7 @@
 
 	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/gen/samphirefork/v1/samphireforkv1connect"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/operator"
 )
 
@@ -106,6 +107,9 @@
 		}
 		last = err
 		final, mayHaveRun := judge(err)
+		if final != nil && uncertain && !answeredByStore(err) {
+			return zero, gaveUp(true, err)
+		}
 		if final != nil {
 			return zero, final
 		}
@@ -142,6 +146,16 @@
 	return refusalOf(d), false
 }
 
+// answeredByStore tells whether a refusal is the stored answer to the request.
+// One by the entry instance itself says nothing about earlier attempts at others.
+func answeredByStore(err error) bool {
+	switch detailOf(err).GetCode() {
+	case "", string(fleet.CodeUnauthorized), operator.CodeNoKeySecret:
+		return false
+	}
+	return true
+}
+
 // judgeTransport judges an error that did not come from the service. Only a
 // failed dial is sure not to have reached it.
 func judgeTransport(err error) (final error, mayHaveRun bool) {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -189,6 +189,19 @@
 	require.Contains(t, r.stderr, "accepted as revision 1, not yet known to be in force")
 }
 
+// Guards against a refusal by one entry instance that is taken as the outcome
+// of an attempt at another one, whose reply was lost.
+func TestRefusalByEntryAfterLostReplyIsUnknown(t *testing.T) {
+	b := newBench(t)
+	b.lead.LoseAllReplies()
+	stranger := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(stranger.Close)
+	b.entry += "," + strings.TrimPrefix(stranger.URL, "http://")
+	r := b.run(t, "-timeout", "10s", "drain", "-revision", "0", "dc1-w1")
+	require.Equal(t, ExitMayHaveRun, r.exit, r.stderr)
+	require.Equal(t, 1, b.lead.Accepted())
+}
+
 // Guards against an entry instance that is down and hides those that work.
 func TestEntriesAreTriedInTurn(t *testing.T) {
 	b := newBench(t)
