--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -76,8 +76,14 @@
 	})
 }
 
-// queryFailed converts a failed query; queries change nothing.
+// queryFailed converts a failed query; queries change nothing. A store's own
+// error is final, since a repetition meets it again.
 func queryFailed(err error) *connect.Error {
+	var body *wire.ErrorBody
+	var unavailable *leader.ErrUnavailable
+	if !errors.As(err, &unavailable) && errors.As(err, &body) {
+		return notRun(connect.CodeInternal, CodeStore, body.Message)
+	}
 	return newError(connect.CodeUnavailable, &samphireforkv1.ErrorDetail{
 		Code:         CodeNoLeader,
 		Message:      err.Error(),
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -13,7 +13,10 @@
 const (
 	defaultAuditRecords = 50
 	maxAuditRecords     = 1000
-	snapshotChunkBytes  = 256 << 10
+	// snapshotAuditRecords keeps the status reply within the frame limit when
+	// the records describe changes of a whole fleet.
+	snapshotAuditRecords = 200
+	snapshotChunkBytes   = 256 << 10
 )
 
 // status queries the leader; the reply always holds the configuration.
@@ -67,7 +70,7 @@
 
 // Snapshot implements the RPC.
 func (s *service) Snapshot(ctx context.Context, _ *connect.Request[samphireforkv1.SnapshotRequest], stream *connect.ServerStream[samphireforkv1.SnapshotChunk]) error {
-	reply, err := s.status(ctx, maxAuditRecords)
+	reply, err := s.status(ctx, snapshotAuditRecords)
 	if err != nil {
 		return err
 	}
