Refuse calls at once without a backend server, and record outcomes in the background

A call to a service without any backend server waited for its whole time limit, and a caller waited up to 3 s for its answer while the ledger did not reply. Both now get their final answer at once; the outcome is recorded in the background, and a planned stop waits for it.

A lapsed lease no longer ends readiness: a load balancer would otherwise take a cut-off data centre out of service, although its open services still work.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -163,7 +163,8 @@
 
 // wait estimates the time until a new call gets a slot: the calls ahead of it,
 // over the rate at which slots become free. The calls ahead are all waiting ones,
-// or those of its own team at the team's part of the rate, whichever is less.
+// or those of its own team at the team's part of the rate, whichever is less. A
+// team at its upper limit waits for its own calls to end.
 func (c *Controller) wait(s *service, req *Request) time.Duration {
 	if s.slots == 0 || s.mean == 0 {
 		return 0
@@ -171,7 +172,16 @@
 	perCall := float64(s.mean) / float64(s.slots)
 	all := float64(s.total) * perCall
 	own := float64(len(s.queues[req.Team])) * perCall / c.part(s, req.Team)
-	return time.Duration(min(all, own))
+	return time.Duration(max(min(all, own), c.limitWait(s, req)))
+}
+
+// limitWait estimates the wait for the team's own units under its upper limit.
+func (c *Controller) limitWait(s *service, req *Request) float64 {
+	limit := c.team(req.Team).limit
+	if limit == 0 {
+		return 0
+	}
+	return float64(len(s.queues[req.Team])) * float64(s.mean) / float64(limit)
 }
 
 // part returns the share of the team among the teams that wait for the service.
@@ -216,5 +226,8 @@
 	return out
 }
 
+// WaitingOf returns the number of waiting calls of a team.
+func (c *Controller) WaitingOf(name string) int { return c.team(name).queued }
+
 // Queued returns the number of waiting calls of a service.
 func (c *Controller) Queued(name string) int { return c.service(name).total }
--- a/internal/admission/team.go
+++ b/internal/admission/team.go
@@ -27,6 +27,8 @@
 	share  float64
 	budget budget
 	queued int
+	// limit is the number of the team's calls that may run at once here; 0 is unknown.
+	limit int
 	// usage is decayed slot seconds over share, valid at usageAt.
 	usage   float64
 	usageAt time.Time
@@ -63,6 +65,9 @@
 	}
 }
 
+// SetLimit sets the number of calls of a team that may run at once here.
+func (c *Controller) SetLimit(name string, limit int) { c.team(name).limit = limit }
+
 // SetElsewhere sets the units of each team that run through other entries. They
 // count as usage here, so a team gains nothing by spreading calls over entries.
 func (c *Controller) SetElsewhere(now time.Time, units map[string]int) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -77,6 +77,10 @@
 		return "the team's queue for this service is full"
 	case api.CodeRetryBudget:
 		return "the team's retry budget is used up"
+	case api.CodeLimit:
+		return "the team's upper limit is reached"
+	case api.CodeNoBackend:
+		return "no backend server of the service is known"
 	case api.CodeNoLease:
 		return "this entry has no valid configuration lease"
 	default:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,8 @@
 	forwarded atomic.Int64
 	stopping  atomic.Bool
 	conns     connSet
+	// background counts the goroutines that record outcomes.
+	background sync.WaitGroup
 }
 
 // New returns an entry that does not run yet. Handlers are mounted on Echo and
@@ -182,6 +184,7 @@
 	case err = <-failed:
 		_ = server.Close()
 	}
+	e.background.Wait()
 	endWork()
 	loops.Wait()
 	e.conns.closeAll()
@@ -223,15 +226,16 @@
 	}
 }
 
-// handleReady serves GET /readyz: ready with a lease and settled slots, until a
-// planned stop begins.
+// handleReady serves GET /readyz: ready with a configuration and settled slots,
+// until a planned stop begins. A lapsed lease doesn't end readiness, since a data
+// centre that is cut off goes on serving open work.
 func (e *Entry) handleReady(c echo.Context) error {
-	_, valid := e.lease.view(e.clock())
+	config, _ := e.lease.view(e.clock())
 	switch {
 	case e.stopping.Load():
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
-	case !valid:
-		return c.String(http.StatusServiceUnavailable, "no configuration lease\n")
+	case config == nil:
+		return c.String(http.StatusServiceUnavailable, "no configuration\n")
 	case !e.sched.settled():
 		return c.String(http.StatusServiceUnavailable, "slots are being divided\n")
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/routing"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
@@ -64,6 +65,7 @@
 	if !ok {
 		return asAnswer(refusal), nil
 	}
+	limit := min(time.Duration(fwd.RemainingMS)*time.Millisecond, fleet.MaxCallTime)
 	e.forwarded.Add(1)
 	defer e.forwarded.Add(-1)
 	req := &callRequest{
@@ -73,7 +75,7 @@
 		idempotent:  fwd.Idempotent,
 		contentType: fwd.ContentType,
 		body:        fwd.Body,
-		deadline:    e.clock().Add(time.Duration(fwd.RemainingMS) * time.Millisecond),
+		deadline:    e.clock().Add(limit),
 		entry:       e.set.Instance,
 		forwarded:   true,
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -171,6 +171,8 @@
 	}
 	clock := func() time.Time { return time.Now().Add(time.Duration(te.offset.Load())) }
 	te.Entry = New(set, Options{Log: zerolog.Nop(), Clock: clock, Seed: 1, StopGrace: time.Millisecond})
+	// Passes the time in which a new entry uses no slots.
+	te.offset.Store(int64(4 * time.Second))
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	peerListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -181,7 +183,6 @@
 	te.stop = stop
 	go func() { te.done <- te.Serve(ctx, callers, peerListener); close(te.done) }()
 	t.Cleanup(func() { stop(); <-te.done })
-	te.offset.Store(int64(4 * time.Second))
 	te.awaitReady(t)
 	return te
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -128,7 +128,8 @@
 	return c.JSON(http.StatusOK, job)
 }
 
-// waitJob asks for a job until it is final or the wait is over.
+// waitJob asks for a job until it is final, the wait is over, or a planned stop
+// begins.
 func (e *Entry) waitJob(ctx context.Context, id, team string, wait time.Duration) (*fleet.Job, *api.Refusal) {
 	end := e.clock().Add(wait)
 	for {
@@ -138,7 +139,7 @@
 		if err != nil {
 			return nil, api.ComeBack(api.CodeNoQuorum, "no leading store answered", defaultRetryAfter)
 		}
-		if reply.Job == nil || reply.Job.State.Final() || left <= hold || ctx.Err() != nil {
+		if reply.Job == nil || reply.Job.State.Final() || left <= hold || ctx.Err() != nil || e.stopping.Load() {
 			return reply.Job, nil
 		}
 	}
@@ -235,7 +236,7 @@
 	return e.respond(c, from.id, asAnswer(soften(req, refusal)))
 }
 
-// decodeJSON decodes a JSON body strictly.
+// decodeJSON decodes a JSON body of bounded size.
 func decodeJSON(c echo.Context, limit int64, v any) *api.Refusal {
 	body := io.LimitReader(c.Request().Body, limit+1)
 	data, err := io.ReadAll(body)
--- a/internal/entry/mesh.go
+++ b/internal/entry/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	// namedTerm is the time for which the leader's word makes an entry live.
 	namedTerm   = 2 * time.Second
 	sendTimeout = 400 * time.Millisecond
+	// forgetPeerAfter bounds the heartbeats to an address that is in no settings
+	// and no longer answers.
+	forgetPeerAfter = 10 * time.Minute
 )
 
 // peerEntry is what this entry knows of another one.
@@ -130,7 +134,12 @@
 	backends, free := m.entry.sched.summary()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.entry.clock()
 	for addr, p := range m.peers {
+		if m.lapsed(now, addr, p) {
+			delete(m.peers, addr)
+			continue
+		}
 		msg := wire.Registration{Entry: m.self(), Draining: m.entry.stopping.Load()}
 		if p.info.DataCentre == "" || p.info.DataCentre == m.entry.set.DataCentre {
 			msg.Backends = backends
@@ -142,6 +151,14 @@
 	}
 }
 
+func (m *mesh) lapsed(now time.Time, addr string, p *peerEntry) bool {
+	heard := p.heardAt
+	if p.namedAt.After(heard) {
+		heard = p.namedAt
+	}
+	return now.Sub(heard) > forgetPeerAfter && !slices.Contains(m.entry.set.Peers, addr)
+}
+
 // pass tells the entries of this data centre at once about new registrations.
 func (m *mesh) pass(ctx context.Context, news []wire.BackendInfo) {
 	if len(news) == 0 {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -21,8 +21,9 @@
 	// ledgerWait is the longest time for which one claim waits for an outcome, so
 	// that a frozen ledger is noticed.
 	ledgerWait = time.Second
-	// finishAttempts bounds the tries to record an outcome.
-	finishAttempts = 3
+	// finishAttempts bounds the further tries to record an outcome.
+	finishAttempts = 5
+	finishSpacing  = 500 * time.Millisecond
 )
 
 // claim is a request identifier that this entry may dispatch.
@@ -91,25 +92,42 @@
 	}
 }
 
-// finish records the outcome, and returns the answer. An outcome that can't be
-// recorded leaves a record that was dispatched, which stands for may_have_run.
+// finish records the outcome, and returns the answer. When the ledger doesn't
+// answer, the caller has its answer without the record, and the recording goes on
+// in the background. An outcome that is never recorded leaves a record that was
+// dispatched, which stands for may_have_run.
 func (e *Entry) finish(held claim, answer *wire.CallAnswer) *wire.CallAnswer {
-	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: answer}
-	for range finishAttempts {
-		ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
-		err := e.pool.Call(ctx, held.home, wire.TypeLedgerFinish, update, nil)
-		cancel()
-		if err == nil {
-			return answer
-		}
-		e.log.Warn().Err(err).Str("request_id", held.id).Msg("outcome was not recorded")
-		if errors.Is(err, wire.ErrNotSent) {
-			break
-		}
+	if e.recordOutcome(held, answer) {
+		return answer
 	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		for range finishAttempts {
+			if e.recordOutcome(held, answer) {
+				return
+			}
+			pause(context.Background(), finishSpacing)
+		}
+	}()
 	return answer
 }
 
+// recordOutcome makes one try to record an outcome. It reports whether a further
+// one is pointless.
+func (e *Entry) recordOutcome(held claim, answer *wire.CallAnswer) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
+	defer cancel()
+	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: answer}
+	err := e.pool.Call(ctx, held.home, wire.TypeLedgerFinish, update, nil)
+	if err == nil {
+		return true
+	}
+	e.log.Warn().Err(err).Str("request_id", held.id).Msg("outcome was not recorded")
+	var body *wire.ErrorBody
+	return errors.As(err, &body) && body.Code != wire.CodeUncertain && body.Code != wire.CodeBusy
+}
+
 // claim claims the request identifier at its home ledger. The answer is not nil
 // when the call must not be dispatched.
 func (e *Entry) claim(ctx context.Context, req *callRequest) (claim, *wire.CallAnswer) {
@@ -121,7 +139,6 @@
 			return held, asAnswer(ledgerRefusal(req, err))
 		}
 		if rec.State == wire.LedgerNew {
-			req.retry = false
 			return held, nil
 		}
 		if answer := judgeRecord(req, rec); answer != nil {
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -14,7 +14,7 @@
 	// renewTimeout bounds one renewal; a lease would not outlast a longer one.
 	renewTimeout = 1500 * time.Millisecond
 	// urgentSpacing is the shortest time between renewals for more units.
-	urgentSpacing = 20 * time.Millisecond
+	urgentSpacing = 100 * time.Millisecond
 	retrySpacing  = 50 * time.Millisecond
 )
 
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -42,11 +42,13 @@
 	// wake asks for a renewal because a team wants more units than it has.
 	wake func()
 
-	mu      sync.Mutex
-	admit   *admission.Controller
-	seen    *admission.Seen
-	routes  *routing.Registry
-	demand  *demand
+	mu     sync.Mutex
+	admit  *admission.Controller
+	seen   *admission.Seen
+	routes *routing.Registry
+	demand *demand
+	// asked holds the units of the latest renewal by team.
+	asked   map[string]int
 	running map[string]int
 	permits map[*admission.Request]chan permit
 	remotes map[string]*remoteFree
@@ -94,7 +96,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	s.updateSlots(now, req.Service)
+	if s.updateSlots(now, req.Service) == 0 && !s.routes.Known(now, req.Service) {
+		return nil, s.admit.Refusal(api.CodeNoBackend, req)
+	}
+	if req.Team != "" {
+		s.admit.SetLimit(req.Team, s.lease.units(now, req.Team))
+	}
 	shed, refused := s.admit.Offer(now, req)
 	if refused != nil {
 		return nil, refused
@@ -134,9 +141,9 @@
 	if team == "" {
 		return
 	}
-	units := s.running[team] + s.admit.Waiting()[team]
+	units := s.running[team] + s.admit.WaitingOf(team)
 	s.demand.note(now, team, units)
-	if units > s.lease.units(now, team) {
+	if units > s.asked[team] {
 		s.wake()
 	}
 }
@@ -211,8 +218,13 @@
 }
 
 func (s *scheduler) refuseLate(late []*admission.Request) {
+	now := s.clock()
 	for _, req := range late {
-		s.refuse(req, s.admit.Refusal(api.CodeLate, req))
+		code := api.CodeLate
+		if !s.allowed(now, req.Team) {
+			code = api.CodeLimit
+		}
+		s.refuse(req, s.admit.Refusal(code, req))
 	}
 }
 
@@ -266,7 +278,8 @@
 	return s.routes.Pick(s.clock(), service, nil)
 }
 
-func (s *scheduler) updateSlots(now time.Time, service string) {
+// updateSlots passes the present number of slots to the queues and returns it.
+func (s *scheduler) updateSlots(now time.Time, service string) int {
 	total, _ := s.routes.Capacity(now, service)
 	for _, r := range s.remotes {
 		if now.Sub(r.heardAt) < summaryTerm {
@@ -274,6 +287,7 @@
 		}
 	}
 	s.admit.SetSlots(service, total)
+	return total
 }
 
 // tick drops what became late, refuses keyed work without a lease, and matches
--- a/internal/entry/scheduler_view.go
+++ b/internal/entry/scheduler_view.go
@@ -72,7 +72,8 @@
 			used[name] = n
 		}
 	}
-	return s.demand.wanted(now, teams), used
+	s.asked = s.demand.wanted(now, teams)
+	return s.asked, used
 }
 
 // takeReply passes shares and usage across the fleet to the queues.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -123,6 +123,18 @@
 	return total, free
 }
 
+// Known reports whether a backend server of the service has a part for this
+// entry, be it ejected or fully used.
+func (r *Registry) Known(now time.Time, service string) bool {
+	r.dropFormer(now)
+	for _, b := range r.backends {
+		if b.info.Service == service && b.usable(now) && r.limit(b) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Services returns the services that have a registered backend server.
 func (r *Registry) Services() []string {
 	seen := map[string]bool{}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,6 +1,10 @@
 package settings
 
-import "github.com/rs/zerolog"
+import (
+	"net/netip"
+
+	"github.com/rs/zerolog"
+)
 
 // minSecretBytes is the shortest shared secret.
 const minSecretBytes = 16
@@ -52,6 +56,9 @@
 			return err
 		}
 	}
+	if addr, err := netip.ParseAddrPort(e.PeerListen); e.PeerAdvertise == "" && err == nil && addr.Addr().IsUnspecified() {
+		return &Error{File: file, Field: "peer_advertise", Reason: "is required when peer_listen names no address of its own"}
+	}
 	if len(e.Stores) == 0 {
 		return &Error{File: file, Field: "stores", Reason: "names no store"}
 	}
