--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -13,6 +13,7 @@
 
 	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/gen/samphirefork/v1/samphireforkv1connect"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/operator"
 )
 
@@ -24,6 +25,10 @@
 	// until the change is in force.
 	inForceWait = 2 * time.Second
 	retryDelay  = 100 * time.Millisecond
+	// minAttemptTime is the least time for a further attempt. One that is cut
+	// off by the command's own time limit would turn a known outcome into an
+	// unknown one.
+	minAttemptTime = 500 * time.Millisecond
 )
 
 // target is one entry instance.
@@ -102,6 +107,9 @@
 		}
 		last = err
 		final, mayHaveRun := judge(err)
+		if final != nil && uncertain && !answeredByStore(err) {
+			return zero, gaveUp(true, err)
+		}
 		if final != nil {
 			return zero, final
 		}
@@ -138,6 +146,16 @@
 	return refusalOf(d), false
 }
 
+// answeredByStore tells whether a refusal is the stored answer to the request.
+// One by the entry instance itself says nothing about earlier attempts at others.
+func answeredByStore(err error) bool {
+	switch detailOf(err).GetCode() {
+	case "", string(fleet.CodeUnauthorized), operator.CodeNoKeySecret:
+		return false
+	}
+	return true
+}
+
 // judgeTransport judges an error that did not come from the service. Only a
 // failed dial is sure not to have reached it.
 func judgeTransport(err error) (final error, mayHaveRun bool) {
@@ -173,8 +191,11 @@
 	return out, err
 }
 
-// pause waits and reports whether the context is still live.
+// pause waits before a further attempt and reports whether there is time for it.
 func pause(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d+minAttemptTime {
+		return false
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -13,12 +13,15 @@
 const (
 	defaultAuditRecords = 50
 	maxAuditRecords     = 1000
-	snapshotChunkBytes  = 256 << 10
+	// snapshotAuditRecords keeps the status reply within the frame limit when
+	// the records describe changes of a whole fleet.
+	snapshotAuditRecords = 200
+	snapshotChunkBytes   = 256 << 10
 )
 
 // status queries the leader; the reply always holds the configuration.
 func (s *service) status(ctx context.Context, auditLimit int) (wire.StatusReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
+	ctx, cancel := s.deadline(ctx, 0)
 	defer cancel()
 	var reply wire.StatusReply
 	req := wire.StatusRequest{Detail: true, AuditLimit: auditLimit}
@@ -67,7 +70,7 @@
 
 // Snapshot implements the RPC.
 func (s *service) Snapshot(ctx context.Context, _ *connect.Request[samphireforkv1.SnapshotRequest], stream *connect.ServerStream[samphireforkv1.SnapshotChunk]) error {
-	reply, err := s.status(ctx, maxAuditRecords)
+	reply, err := s.status(ctx, snapshotAuditRecords)
 	if err != nil {
 		return err
 	}
@@ -118,7 +121,7 @@
 }
 
 func (s *service) changeMembers(ctx context.Context, change wire.MembershipChange) error {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
+	ctx, cancel := s.deadline(ctx, 0)
 	defer cancel()
 	if err := s.leader.Call(ctx, wire.TypeMembership, change, nil, 0); err != nil {
 		return changeFailed(err)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,5 +1,7 @@
 package settings
 
+import "net/netip"
+
 // Validate checks the settings of an entry; file names them in the error.
 func (e *Entry) Validate(file string) error {
 	if err := e.checkCommon(file); err != nil {
@@ -30,6 +32,9 @@
 			return err
 		}
 	}
+	if addr, err := netip.ParseAddrPort(e.PeerListen); e.PeerAdvertise == "" && err == nil && addr.Addr().IsUnspecified() {
+		return &Error{File: file, Field: "peer_advertise", Reason: "is required when peer_listen names no address of its own"}
+	}
 	if len(e.Stores) == 0 {
 		return &Error{File: file, Field: "stores", Reason: "names no store"}
 	}
