--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -109,8 +109,12 @@
 	reply.Now = st.Now
 	reply.Revision = st.Config.Revision
 	reply.Entries = s.liveEntries()
+	reply.Tasks = map[string]int{}
 	for _, j := range st.Jobs {
 		reply.Jobs[j.State]++
+		if j.State == fleet.JobAssigned {
+			reply.Tasks[j.Worker]++
+		}
 	}
 	for team := range st.Config.Teams {
 		if n := s.usage(st, team); n > 0 {
--- a/internal/harness/declared.go
+++ b/internal/harness/declared.go
@@ -27,8 +27,7 @@
 	for range o.DataCentres {
 		o.Stores = append(o.Stores, 1)
 	}
-	services := servicesOfPools(cfg)
-	next := map[string]int{}
+	services := newServicePicker(cfg)
 	for _, name := range SortedKeys(cfg.Instances) {
 		i := cfg.Instances[name]
 		if i.Kind == fleet.KindWorker {
@@ -36,12 +35,10 @@
 			o.Workers = append(o.Workers, Worker{Name: name, DataCentre: i.DataCentre, Rack: i.Rack, Capacity: capacity})
 			continue
 		}
-		candidates := services[i.Pool]
-		if len(candidates) == 0 {
+		service, ok := services.next(i.Pool, i.DataCentre)
+		if !ok {
 			return o, errors.Wrap(ErrDeclared, fmt.Sprintf("pool %s of backend server %s has no service", i.Pool, name))
 		}
-		service := candidates[next[i.Pool]%len(candidates)]
-		next[i.Pool]++
 		o.Backends = append(o.Backends, Backend{
 			Name: name, DataCentre: i.DataCentre, Service: service,
 			Slots: slots, Connections: connections, ServiceTimeMS: serviceTimeMS,
@@ -50,13 +47,40 @@
 	return o, nil
 }
 
-func servicesOfPools(cfg fleet.Config) map[string][]string {
-	out := map[string][]string{}
+// servicePicker divides the services of a pool between its backend servers. The
+// first backend server of each data centre serves the pool's open service, so
+// that a data centre that is cut off has something to serve.
+type servicePicker struct {
+	open  map[string]string
+	keyed map[string][]string
+	used  map[string]int
+}
+
+func newServicePicker(cfg fleet.Config) *servicePicker {
+	p := &servicePicker{open: map[string]string{}, keyed: map[string][]string{}, used: map[string]int{}}
 	for _, name := range SortedKeys(cfg.Services) {
-		pool := cfg.Services[name].Pool
-		out[pool] = append(out[pool], name)
+		service := cfg.Services[name]
+		if service.Open {
+			p.open[service.Pool] = name
+			continue
+		}
+		p.keyed[service.Pool] = append(p.keyed[service.Pool], name)
+	}
+	return p
+}
+
+func (p *servicePicker) next(pool, dataCentre string) (string, bool) {
+	place := pool + "/" + dataCentre
+	p.used[place]++
+	open, ok := p.open[pool]
+	if ok && (p.used[place] == 1 || len(p.keyed[pool]) == 0) {
+		return open, true
+	}
+	if len(p.keyed[pool]) == 0 {
+		return "", false
 	}
-	return out
+	p.used[pool]++
+	return p.keyed[pool][(p.used[pool]-1)%len(p.keyed[pool])], true
 }
 
 // CheckerFleet returns what the history checker needs of a configuration.
