Lower grants only for requests that follow the present leader's reply

Cause: a request that was sent before a leader change may reach the new leader after its reply from the old one was taken. RenewRequest gains Term; a simulation of lost, late, repeated and reordered messages checks the limit and the in-force report.

--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -59,8 +59,9 @@
 	if req.Sequence < e.sequence {
 		return nil, overtakenError(req)
 	}
-	e.resent = req.Sequence == e.sequence
-	if !e.resent {
+	again := req.Sequence == e.sequence
+	e.resent = again || req.Term != 0 && req.Term != s.term
+	if !again {
 		close(e.overtaken)
 		e.overtaken = make(chan struct{})
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,8 +80,8 @@
 	revision fleet.Revision
 	wanted   map[string]int
 	used     map[string]int
-	// resent is true when the sequence was heard before, or may have been heard by
-	// the leader of an earlier term. The entry may then have taken a reply to it
+	// resent is true when the sequence was heard before, here or possibly by the
+	// leader of an earlier term. The entry may then have taken a reply to it
 	// already, so the request must not lower a grant.
 	resent bool
 	// overtaken is closed when a later request of the process arrives.
--- /dev/null
+++ b/internal/control/simulation_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/lease"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+// The seed is fixed, so that each run checks the same histories. -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// process is a model of one process of an entry.
+type process struct {
+	name     string
+	holder   lease.Holder
+	seq      uint64
+	taken    uint64
+	acts     int
+	revision fleet.Revision
+	flight   map[uint64]message
+	// calls holds the start times of the running calls.
+	calls []time.Time
+}
+
+type message struct {
+	req    wire.RenewRequest
+	sent   time.Time
+	from   *process
+	reply  *wire.RenewReply
+	number uint64
+}
+
+type simulation struct {
+	*bench
+	rt        *rapid.T
+	term      uint64
+	processes []*process
+	requests  []message
+	replies   []message
+	jobs      int
+	assigned  []string
+}
+
+const simulationLimit = 5
+
+func (s *simulation) send(p *process) {
+	p.seq++
+	m := func(n int) map[string]int { return map[string]int{"a": n} }
+	req := wire.RenewRequest{
+		Instance: p.name, Incarnation: fmt.Sprint(len(p.name)), Sequence: p.seq, Term: p.holder.Term(), Revision: p.revision,
+		Wanted: m(rapid.SampledFrom([]int{0, 1, 3, 6}).Draw(s.rt, "wanted")), Used: m(len(p.calls)), Granted: m(p.acts),
+	}
+	msg := message{req: req, sent: s.clock.Now(), from: p, number: p.seq}
+	p.flight[p.seq] = msg
+	s.requests = append(s.requests, msg)
+}
+
+// deliver hands any request that was ever sent to the leader, late or again.
+func (s *simulation) deliver() {
+	if len(s.requests) == 0 {
+		return
+	}
+	recent := s.requests[max(0, len(s.requests)-6):]
+	m := rapid.SampledFrom(recent).Draw(s.rt, "request")
+	reply, err := s.Renew(context.Background(), m.req)
+	if err == nil {
+		m.reply = reply
+		s.replies = append(s.replies, m)
+	}
+}
+
+// take hands any reply to its process, late or out of order.
+func (s *simulation) take() {
+	if len(s.replies) == 0 {
+		return
+	}
+	i := rapid.SampledFrom([]int{0, len(s.replies) - 1}).Draw(s.rt, "reply")
+	m := s.replies[i]
+	s.replies = append(s.replies[:i], s.replies[i+1:]...)
+	p := m.from
+	if m.number <= p.taken || !p.holder.Renewed(m.reply.Term, m.sent, lease.Duration) {
+		return
+	}
+	p.taken = m.number
+	p.acts = m.reply.Grants["a"]
+	p.revision = max(p.revision, m.reply.Revision)
+	for n := range p.flight {
+		if n <= m.number {
+			delete(p.flight, n)
+		}
+	}
+}
+
+func (s *simulation) admit(p *process) {
+	bound := p.acts
+	for _, m := range p.flight {
+		bound = min(bound, m.req.Wanted["a"])
+	}
+	for p.holder.Valid(s.clock.Now()) && len(p.calls) < bound {
+		p.calls = append(p.calls, s.clock.Now())
+	}
+}
+
+func (s *simulation) advance(d time.Duration) {
+	s.clock.advance(d)
+	for _, p := range s.processes {
+		for len(p.calls) > 0 && s.clock.Now().Sub(p.calls[0]) >= fleet.MaxCallTime {
+			p.calls = p.calls[1:]
+		}
+	}
+}
+
+func (s *simulation) startJob() {
+	s.jobs++
+	id := fmt.Sprint("job", s.jobs)
+	s.propose(fleet.Command{Submit: &fleet.JobSubmit{ID: id, Team: "a", KeyID: "k", Queue: "q"}})
+	r := s.propose(fleet.Command{Assign: &fleet.JobAssign{Assignments: []fleet.Assignment{{JobID: id, Worker: "w", Incarnation: "1"}}}})
+	if len(r.Rejected) == 0 {
+		s.assigned = append(s.assigned, id)
+	}
+}
+
+func (s *simulation) endJob() {
+	if len(s.assigned) == 0 {
+		return
+	}
+	o := fleet.JobOutcome{JobID: s.assigned[0], Attempt: 1, Kind: fleet.OutcomeDone}
+	s.propose(fleet.Command{Outcome: &fleet.JobOutcomes{Outcomes: []fleet.JobOutcome{o}}})
+	s.assigned = s.assigned[1:]
+}
+
+func (s *simulation) step() {
+	p := rapid.SampledFrom(s.processes).Draw(s.rt, "process")
+	switch rapid.SampledFrom([]int{0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 5, 6, 6, 7, 8, 9}).Draw(s.rt, "step") {
+	case 0:
+		s.send(p)
+	case 1:
+		s.deliver()
+	case 2:
+		s.take()
+	case 3:
+		s.admit(p)
+	case 4:
+		s.startJob()
+	case 5:
+		s.endJob()
+	case 6:
+		s.advance(time.Duration(rapid.SampledFrom([]int{1, 100, 900, 4000}).Draw(s.rt, "ms")) * time.Millisecond)
+	case 7:
+		s.duties(context.Background())
+	case 8:
+		if rapid.SampledFrom([]bool{false, false, true}).Draw(s.rt, "election") {
+			s.term++
+			s.log.setLeading(true, s.term)
+		}
+	case 9:
+		s.change(fleet.ChangeItem{PutDataCentre: &fleet.DataCentre{Name: "dc"}})
+	}
+	if len(p.calls) > 0 && rapid.SampledFrom([]bool{false, true}).Draw(s.rt, "call ends") {
+		p.calls = p.calls[1:]
+	}
+}
+
+func (s *simulation) check() {
+	running := len(s.assigned)
+	for _, p := range s.processes {
+		running += len(p.calls)
+	}
+	require.LessOrEqual(s.rt, running, simulationLimit)
+	var inForce fleet.Revision
+	s.log.Read(func(st *fleet.State) { inForce = st.InForce })
+	for _, p := range s.processes {
+		if p.holder.Valid(s.clock.Now()) {
+			require.GreaterOrEqual(s.rt, p.revision, inForce)
+		}
+	}
+}
+
+// TestSimulation guards against a team that runs more than its limit, and an
+// entry that acts on a configuration older than the one reported as in force,
+// while requests and replies are lost, late, repeated and out of order, entries
+// fall silent, and leaders change.
+func TestSimulation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := &simulation{bench: newBench(t, simulationLimit), rt: rt, term: 1}
+		for _, name := range []string{"e", "ee", "eee"} {
+			s.processes = append(s.processes, &process{name: name, flight: map[uint64]message{}})
+		}
+		for range 150 {
+			s.step()
+			s.check()
+		}
+	})
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -48,6 +48,10 @@
 	// reply, so the leader may take back units that it has asked for. Nil means
 	// that only Wanted bounds what the entry admits.
 	Granted map[string]int `cbor:"10,keyasint,omitempty"`
+	// Term is the term of the last reply that the entry took. A request that was
+	// sent before the entry heard the present leader lowers no grant, since the
+	// entry may have had a reply to it from an earlier leader.
+	Term uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // RenewReply grants a lease that the holder counts from the moment it sent the request.
