--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -57,7 +57,7 @@
 	m := func(n int) map[string]int { return map[string]int{"a": n} }
 	req := wire.RenewRequest{
 		Instance: p.name, Incarnation: fmt.Sprint(len(p.name)), Sequence: p.seq, Term: p.holder.Term(), Revision: p.revision,
-		Wanted: m(rapid.SampledFrom([]int{0, 1, 3, 6}).Draw(s.rt, "wanted")), Used: m(len(p.calls)), Granted: m(p.acts),
+		Wanted: m(rapid.SampledFrom([]int{0, 3, 5, 6, 6}).Draw(s.rt, "wanted")), Used: m(len(p.calls)), Granted: m(p.acts),
 	}
 	msg := message{req: req, sent: s.clock.Now(), from: p, number: p.seq}
 	p.flight[p.seq] = msg
@@ -69,7 +69,7 @@
 	if len(s.requests) == 0 {
 		return
 	}
-	recent := s.requests[max(0, len(s.requests)-6):]
+	recent := s.requests[max(0, len(s.requests)-4):]
 	m := rapid.SampledFrom(recent).Draw(s.rt, "request")
 	reply, err := s.Renew(context.Background(), m.req)
 	if err == nil {
@@ -83,7 +83,7 @@
 	if len(s.replies) == 0 {
 		return
 	}
-	i := rapid.SampledFrom([]int{0, len(s.replies) - 1}).Draw(s.rt, "reply")
+	i := rapid.SampledFrom([]int{0, len(s.replies) - 1, len(s.replies) - 1}).Draw(s.rt, "reply")
 	m := s.replies[i]
 	s.replies = append(s.replies[:i], s.replies[i+1:]...)
 	p := m.from
@@ -140,7 +140,7 @@
 
 func (s *simulation) step() {
 	p := rapid.SampledFrom(s.processes).Draw(s.rt, "process")
-	switch rapid.SampledFrom([]int{0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 5, 6, 6, 7, 8, 9}).Draw(s.rt, "step") {
+	switch rapid.SampledFrom([]int{0, 0, 1, 1, 2, 2, 3, 3, 3, 4, 4, 5, 6, 6, 7, 8, 9, 10, 10, 10, 10, 10}).Draw(s.rt, "step") {
 	case 0:
 		s.send(p)
 	case 1:
@@ -154,7 +154,7 @@
 	case 5:
 		s.endJob()
 	case 6:
-		s.advance(time.Duration(rapid.SampledFrom([]int{1, 100, 900, 4000}).Draw(s.rt, "ms")) * time.Millisecond)
+		s.advance(time.Duration(rapid.SampledFrom([]int{1, 100, 300, 900, 4000}).Draw(s.rt, "ms")) * time.Millisecond)
 	case 7:
 		s.duties(context.Background())
 	case 8:
@@ -164,8 +164,13 @@
 		}
 	case 9:
 		s.change(fleet.ChangeItem{PutDataCentre: &fleet.DataCentre{Name: "dc"}})
+	case 10:
+		s.send(p)
+		s.deliver()
+		s.take()
+		s.admit(p)
 	}
-	if len(p.calls) > 0 && rapid.SampledFrom([]bool{false, true}).Draw(s.rt, "call ends") {
+	if len(p.calls) > 0 && rapid.SampledFrom([]bool{false, false, false, true}).Draw(s.rt, "call ends") {
 		p.calls = p.calls[1:]
 	}
 }
