--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -191,6 +191,24 @@
 	require.Equal(t, before, b.log.grants, "nothing changed, so nothing is committed")
 }
 
+// TestRequestOfAnEarlierTerm guards against a delayed request that lowers a grant
+// although its entry has taken a larger one from the former leader since.
+func TestRequestOfAnEarlierTerm(t *testing.T) {
+	b := newBench(t, 10)
+	b.renew(b.request("e1", 1, 10, 0, 0))
+	b.log.setLeading(true, 2)
+	for range 2 {
+		late := b.request("e1", 1, 0, 0, 0)
+		late.Term = 1
+		b.renew(late)
+		require.Equal(t, 10, b.granted())
+	}
+	next := b.request("e1", 1, 0, 0, 10)
+	next.Term = 2
+	b.renew(next)
+	require.Equal(t, 0, b.granted())
+}
+
 // TestDivide guards against a team that can't use its whole limit with one kind
 // of work, and against one kind, or one entry, that starves the other.
 func TestDivide(t *testing.T) {
--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -13,6 +13,7 @@
 	drained := func(in string) ChangeItem { return ChangeItem{Drain: &DrainRequest{Instance: in}} }
 	put := func(in Instance) ChangeItem { return ChangeItem{PutInstance: &in} }
 	del := func(k EntityKind, n string) ChangeItem { return ChangeItem{Delete: &EntityRef{k, n}} }
+	draining := Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Plan: "m", Phase: PhaseDraining}}}}
 	cases := []struct {
 		name  string
 		setup []Command
@@ -55,11 +56,22 @@
 		{name: "cancel of another team", setup: []Command{submit("j", "a", "q", true)}, cmd: Command{Cancel: &JobCancel{ID: "j", Team: "b"}}, want: CodeUnauthorized},
 		{name: "reboot of a busy instance", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1"), {Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Phase: PhaseDraining}}}}},
 			cmd: Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Phase: PhaseRebooting}}}}, want: CodeInUse},
+		{name: "before the retry time", setup: []Command{submit("j", "a", "q", true), assign("j", "w0", "1"),
+			{Outcome: &JobOutcomes{Outcomes: []JobOutcome{{JobID: "j", Attempt: 1, Kind: OutcomeFailed, RetryDelayMS: 1000}}}}}, cmd: assign("j", "w0", "1"), want: CodeStale},
+		{name: "worker of another pool", setup: []Command{submit("j", "a", "q", true), {Move: &PoolMove{Instance: "w0", From: "p", To: "spare"}}},
+			cmd: assign("j", "w0", "1"), want: CodeStale},
+		{name: "after the deadline", setup: []Command{{Submit: &JobSubmit{ID: "j", Queue: "open", Spec: JobSpec{DeadlineMS: 1}}}, {Expire: &Expire{}}},
+			cmd: assign("j", "w0", "1"), want: CodeStale},
+		{name: "instance of another plan", setup: []Command{draining}, cmd: Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Phase: PhaseRebooting}}}}, want: CodeStale},
+		{name: "drain of a plan", setup: []Command{draining}, items: []ChangeItem{{Drain: &DrainRequest{Instance: "w0", Undo: true}}}, want: CodeInUse},
+		{name: "paused plan", setup: []Command{{Change: &ConfigChange{RequestID: "pause", ExpectedRevision: 2, Items: []ChangeItem{{SetPlanState: &PlanStateChange{"m", PlanPaused}}}}}},
+			cmd: draining, want: CodeStale},
 		{name: "no body", cmd: Command{}, want: CodeInvalid},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t)
+			w.accept(w.change(ChangeItem{StartPlan: &MaintenancePlan{Name: "m", Pool: "p"}}))
 			for _, cmd := range c.setup {
 				w.accept(cmd)
 			}
@@ -97,6 +109,7 @@
 		{"worker lost, kept", false, "watch", []Command{lost}, JobAssigned, false},
 		{"worker restarted", false, "q", []Command{restart}, JobMayHaveRun, false},
 		{"worker restarted, idempotent", true, "q", []Command{restart}, JobQueued, false},
+		{"worker announced again", false, "q", []Command{observe(announced("w0", "1"))}, JobAssigned, false},
 		{"outcome before restart", false, "q", []Command{outcome("j", 1, OutcomeDone), restart}, JobDone, false},
 		{"result after loss", false, "q", []Command{lost, outcome("j", 1, OutcomeDone)}, JobDone, false},
 		{"cancelled, not started", false, "q", []Command{cancel, outcome("j", 1, OutcomeNotStarted)}, JobCancelled, true},
