Find the live processes once per renewal

Cause: a renewal of 240 teams sorted the processes of entries once per team and counted live ones once more for the usage.

--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -28,32 +27,40 @@
 func (s *Server) JobUnits(st *fleet.State, team string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, _ := s.demandOf(st, team)
-	return divide(d).jobs
+	return divide(s.demandOf(st, team, s.liveHolders())).jobs
 }
 
-// demandOf returns the demand of a team and the holders in the order of its calls.
-func (s *Server) demandOf(st *fleet.State, team string) (demand, []string) {
+// liveHolders returns the processes that may hold a lease, sorted.
+func (s *Server) liveHolders() []string {
+	now := s.clock.Now()
+	holders := make([]string, 0, len(s.entries))
+	for h := range s.entries {
+		if s.granter.MayHold(h, now) {
+			holders = append(holders, h)
+		}
+	}
+	slices.Sort(holders)
+	return holders
+}
+
+// demandOf returns the demand of a team, with the calls in the order of the holders.
+func (s *Server) demandOf(st *fleet.State, team string, holders []string) demand {
 	d := demand{
 		limit:   st.Config.Teams[team].Limit,
 		running: st.Running(team),
 		queued:  st.QueuedOfTeam(team),
 		silent:  st.Granted(team),
 		turn:    int64(st.Now) / turnLength.Milliseconds(),
+		calls:   make([]callDemand, 0, len(holders)),
 	}
-	now := s.clock.Now()
-	var holders []string
-	for _, h := range slices.Sorted(maps.Keys(s.entries)) {
-		if !s.granter.MayHold(h, now) {
-			continue
-		}
+	for _, h := range holders {
 		e := s.entries[h]
 		granted := st.Grants[h][team]
 		d.silent -= granted
-		d.calls = append(d.calls, callDemand{wanted: max(0, e.wanted[team], e.used[team]), granted: granted})
-		holders = append(holders, h)
+		wanted := min(max(0, e.wanted[team], e.used[team]), d.limit)
+		d.calls = append(d.calls, callDemand{wanted: wanted, granted: granted})
 	}
-	return d, holders
+	return d
 }
 
 // updateGrants commits the change of a holder's grants and returns what the
@@ -92,8 +99,15 @@
 	s.log.Read(func(st *fleet.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		live := s.liveHolders()
+		self := slices.Index(live, holder)
+		if self < 0 {
+			return
+		}
 		for team := range teamsOf(req, st.Grants[holder]) {
-			s.planTeam(&p, st, req, team, grow)
+			d := s.demandOf(st, team, live)
+			free := d.limit - st.Running(team) - st.Granted(team)
+			s.planTeam(&p, req, team, d, self, free, grow)
 		}
 	})
 	return p
@@ -109,18 +123,14 @@
 	return teams
 }
 
-func (s *Server) planTeam(p *plan, st *fleet.State, req wire.RenewRequest, team string, grow bool) {
-	d, holders := s.demandOf(st, team)
-	i := slices.Index(holders, holderOf(req))
-	if i < 0 {
-		return
-	}
-	present := d.calls[i].granted
-	target := divide(d).calls[i]
+// planTeam plans the grant of one team. self is the position of the holder among
+// the calls of the demand.
+func (s *Server) planTeam(p *plan, req wire.RenewRequest, team string, d demand, self, free int, grow bool) {
+	present := d.calls[self].granted
+	target := divide(d).calls[self]
 	next := target
 	switch {
 	case target > present && grow:
-		free := d.limit - st.Running(team) - st.Granted(team)
 		next = min(target, present+max(0, free))
 	case target > present || s.entries[holderOf(req)].resent:
 		next = present
--- a/internal/control/helpers_test.go
+++ b/internal/control/helpers_test.go
@@ -106,7 +106,7 @@
 // bench is a server with its fake surroundings. Its duties run when the test says.
 type bench struct {
 	*Server
-	t     *testing.T
+	t     testing.TB
 	log   *fakeLog
 	clock *manualClock
 	seq   uint64
@@ -115,7 +115,7 @@
 
 // newBench starts a term whose predecessor's leases have lapsed, with one team of
 // the given limit and its key.
-func newBench(t *testing.T, limit int) *bench {
+func newBench(t testing.TB, limit int) *bench {
 	clock := &manualClock{now: time.Unix(1000, 0), timers: map[chan time.Time]time.Time{}}
 	log := &fakeLog{clock: clock, s: fleet.NewState(), changed: make(chan struct{})}
 	b := &bench{t: t, log: log, clock: clock, Server: NewServer(log, Options{Clock: clock})}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -109,8 +109,9 @@
 	for _, j := range st.Jobs {
 		reply.Jobs[j.State]++
 	}
+	live := s.liveHolders()
 	for team := range st.Config.Teams {
-		if n := s.usage(st, team); n > 0 {
+		if n := s.usage(st, team, live); n > 0 {
 			reply.Usage[team] = n
 		}
 	}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -144,8 +144,9 @@
 		if req.Revision != reply.Revision {
 			reply.Delta, reply.Config = changesSince(st, req.Revision)
 		}
+		live := s.liveHolders()
 		for team := range req.Wanted {
-			reply.TeamUsage[team] = s.usage(st, team)
+			reply.TeamUsage[team] = s.usage(st, team, live)
 		}
 		reply.Entries = s.liveEntries()
 	})
@@ -164,26 +165,20 @@
 	return nil, &cfg
 }
 
-// usage counts the running jobs and calls of a team.
-func (s *Server) usage(st *fleet.State, team string) int {
+// usage counts the running jobs of a team and its calls through the holders.
+func (s *Server) usage(st *fleet.State, team string, holders []string) int {
 	n := st.Running(team)
-	now := s.clock.Now()
-	for h, e := range s.entries {
-		if s.granter.MayHold(h, now) {
-			n += e.used[team]
-		}
+	for _, h := range holders {
+		n += s.entries[h].used[team]
 	}
 	return n
 }
 
 // liveEntries returns the processes that may hold a lease, sorted by instance.
 func (s *Server) liveEntries() []wire.EntryInfo {
-	now := s.clock.Now()
 	var out []wire.EntryInfo
-	for h, e := range s.entries {
-		if s.granter.MayHold(h, now) {
-			out = append(out, e.info)
-		}
+	for _, h := range s.liveHolders() {
+		out = append(out, s.entries[h].info)
 	}
 	slices.SortFunc(out, func(a, b wire.EntryInfo) int {
 		return strings.Compare(a.Instance+"/"+a.PeerAddress, b.Instance+"/"+b.PeerAddress)
