--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -191,6 +191,33 @@
 	require.Equal(t, before, b.log.grants, "nothing changed, so nothing is committed")
 }
 
+// TestOvertakenWhileWaiting guards against a request that waits for its turn and
+// then lowers a grant which the reply to a later request has raised.
+func TestOvertakenWhileWaiting(t *testing.T) {
+	b := newBench(t, 10)
+	b.renew(b.request("e1", 1, 10, 0, 0))
+	b.renew(b.request("e2", 1, 10, 0, 0))
+	unlock, err := b.lockGrants(context.Background())
+	require.NoError(t, err)
+	late := b.request("e1", 1, 0, 0, 10)
+	errs := make(chan error)
+	go func() {
+		_, err := b.Renew(context.Background(), late)
+		errs <- err
+	}()
+	heard := func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.entries["e1/1"].sequence == late.Sequence
+	}
+	require.Eventually(t, heard, 10*time.Second, time.Millisecond)
+	_, err = b.hear(b.request("e1", 1, 10, 0, 10))
+	require.NoError(t, err)
+	unlock()
+	require.Equal(t, wire.CodeOvertaken, b.wireCode(<-errs))
+	require.Equal(t, 10, b.granted())
+}
+
 // TestRequestOfAnEarlierTerm guards against a delayed request that lowers a grant
 // although its entry has taken a larger one from the former leader since.
 func TestRequestOfAnEarlierTerm(t *testing.T) {
