--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -60,10 +60,11 @@
 // to another member, and returns nil for other errors.
 func asSettingsError(path string, err error) error {
 	var wrong *store.ErrWrongMember
+	var replaced *store.ErrReplacedMember
 	switch {
 	case errors.Is(err, disk.ErrLocked):
 		return &settings.Error{File: path, Field: "data_folder", Reason: err.Error()}
-	case errors.As(err, &wrong):
+	case errors.As(err, &wrong), errors.As(err, &replaced):
 		return &settings.Error{File: path, Field: "id", Reason: err.Error()}
 	default:
 		return nil
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -116,6 +117,10 @@
 }
 
 func (n *Node) step(e envelope) {
+	if !n.knownIncarnation(e) {
+		n.meters.refused.Inc(1)
+		return
+	}
 	n.network.learn(e.Message.From, e.Address)
 	n.core.Step(n.clock(), e.Message)
 }
@@ -123,6 +128,9 @@
 // work sends, persists and applies what the core has ready.
 func (n *Node) work() error {
 	defer n.publish()
+	if n.fatal != nil {
+		return n.fatal
+	}
 	n.network.send(n.core.Messages())
 	for !n.persisting {
 		rd, ok := n.core.Ready()
@@ -131,19 +139,32 @@
 		}
 		n.network.send(rd.Messages)
 		if rd.MustPersist() {
-			n.persisting = true
-			n.jobs <- job{ready: rd, trimTo: n.trimTo}
-			n.trimTo = 0
+			n.dispatch(rd)
 			break
 		}
 		if err := n.finish(rd); err != nil {
 			return err
 		}
 	}
+	if n.peersDirty && !n.persisting {
+		n.dispatch(raft.Ready{})
+	}
 	n.checkTenure()
 	return nil
 }
 
+// dispatch hands work to the disk.
+func (n *Node) dispatch(rd raft.Ready) {
+	j := job{ready: rd, trimTo: n.trimTo}
+	if n.peersDirty {
+		j.peers = maps.Clone(n.peers)
+	}
+	n.persisting = true
+	n.trimTo = 0
+	n.peersDirty = false
+	n.jobs <- j
+}
+
 func (n *Node) afterPersist(res jobResult) error {
 	n.persisting = false
 	if res.err != nil {
--- /dev/null
+++ b/internal/store/main_test.go
@@ -0,0 +1,13 @@
+package store
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive their store. The metrics library keeps
+// one goroutine for all meters of the process, which never ends.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
--- a/internal/store/meters.go
+++ b/internal/store/meters.go
@@ -7,6 +7,7 @@
 	applied      metrics.Counter
 	elections    metrics.Counter
 	dropped      metrics.Counter
+	refused      metrics.Counter
 	syncs        metrics.Timer
 	term         metrics.Gauge
 	appliedIndex metrics.Gauge
@@ -18,6 +19,7 @@
 		applied:      metrics.GetOrRegisterCounter("store_applied_entries_total", r),
 		elections:    metrics.GetOrRegisterCounter("store_leaderships_total", r),
 		dropped:      metrics.GetOrRegisterCounter("store_dropped_messages_total", r),
+		refused:      metrics.GetOrRegisterCounter("store_refused_messages_total", r),
 		syncs:        metrics.GetOrRegisterTimer("store_sync_seconds", r),
 		term:         metrics.GetOrRegisterGauge("store_term", r),
 		appliedIndex: metrics.GetOrRegisterGauge("store_applied_index", r),
--- a/internal/store/network.go
+++ b/internal/store/network.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/raft"
@@ -20,12 +22,17 @@
 type envelope struct {
 	Address string       `cbor:"1,keyasint"`
 	Message raft.Message `cbor:"2,keyasint"`
+	// Incarnation is the sender's, Peers holds those that it knows of others.
+	Incarnation uint64            `cbor:"3,keyasint"`
+	Peers       map[uint64]uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // network sends messages in order over one queue per peer. A full queue drops:
 // the core repeats what matters.
 type network struct {
 	self   string
+	own    uint64
+	peers  atomic.Pointer[map[uint64]uint64]
 	pool   *wire.Pool
 	meters meters
 	ctx    context.Context
@@ -39,10 +46,10 @@
 	queues    map[string]chan raft.Message
 }
 
-func newNetwork(cfg settings.Store, pool *wire.Pool, m meters) *network {
+func newNetwork(cfg settings.Store, incarnation uint64, pool *wire.Pool, m meters) *network {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &network{
-		self: cfg.Advertise, pool: pool, meters: m, ctx: ctx, cancel: cancel,
+		self: cfg.Advertise, own: incarnation, pool: pool, meters: m, ctx: ctx, cancel: cancel,
 		fixed: map[uint64]string{}, addresses: map[uint64]string{}, queues: map[string]chan raft.Message{},
 	}
 	for _, member := range cfg.Members {
@@ -51,6 +58,12 @@
 	return w
 }
 
+// announce sets the incarnations that go out with each message.
+func (w *network) announce(peers map[uint64]uint64) {
+	known := maps.Clone(peers)
+	w.peers.Store(&known)
+}
+
 // learn records the address of a member.
 func (w *network) learn(id uint64, address string) {
 	if address != "" {
@@ -103,7 +116,7 @@
 	defer cancel()
 	conn, err := w.pool.Get(ctx, address)
 	if err == nil {
-		err = conn.Send(w.ctx, wire.TypeRaft, envelope{Address: w.self, Message: m})
+		err = conn.Send(w.ctx, wire.TypeRaft, envelope{Address: w.self, Message: m, Incarnation: w.own, Peers: *w.peers.Load()})
 	}
 	if err != nil {
 		w.meters.dropped.Inc(1)
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -13,6 +13,7 @@
 type job struct {
 	ready  raft.Ready
 	trimTo uint64
+	peers  map[uint64]uint64
 }
 
 type jobResult struct {
@@ -39,7 +40,7 @@
 }
 
 func (n *Node) persist(j job) error {
-	batch := wal.Batch{HardState: j.ready.HardState, Entries: j.ready.Entries}
+	batch := wal.Batch{HardState: j.ready.HardState, Entries: j.ready.Entries, Peers: j.peers}
 	if s := j.ready.Snapshot; s != nil {
 		if _, err := n.save(*s); err != nil {
 			return err
--- a/internal/store/restore.go
+++ b/internal/store/restore.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"maps"
+
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/raft"
@@ -28,6 +30,9 @@
 	if contents.Meta.MemberID != n.cfg.ID {
 		return raft.Restored{}, &ErrWrongMember{Folder: n.cfg.DataFolder, Found: contents.Meta.MemberID, Settled: n.cfg.ID}
 	}
+	n.incarnation = contents.Meta.Incarnation
+	n.peers = map[uint64]uint64{}
+	maps.Copy(n.peers, contents.Peers)
 	if !found {
 		snapshot = raft.Snapshot{Position: contents.Base}
 	}
@@ -50,7 +55,9 @@
 			base.Members = append(base.Members, raft.Member{ID: m.ID, Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address})
 		}
 	}
-	if err := n.wal.Start(wal.Meta{MemberID: n.cfg.ID}, base); err != nil {
+	n.incarnation = randomNumber()
+	n.peers = map[uint64]uint64{}
+	if err := n.wal.Start(wal.Meta{MemberID: n.cfg.ID, Incarnation: n.incarnation}, base); err != nil {
 		return raft.Restored{}, err
 	}
 	return raft.Restored{Snapshot: raft.Snapshot{Position: base}}, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -53,6 +53,18 @@
 	return fmt.Sprintf("store: data folder %s belongs to member %d, but the settings name member %d", e.Folder, e.Found, e.Settled)
 }
 
+// ErrReplacedMember stops a store whose data folder was started anew under an
+// identifier that the group knows from another data folder. Its promises were
+// lost with the old folder, so it must join under a new identifier.
+type ErrReplacedMember struct {
+	ID uint64
+}
+
+// Error implements error.
+func (e *ErrReplacedMember) Error() string {
+	return fmt.Sprintf("store: the group knows member %d from another data folder; a store that lost its disk joins under a new id", e.ID)
+}
+
 // Options are the dependencies of a Node. Machine is required.
 type Options struct {
 	Machine Machine
@@ -87,7 +99,13 @@
 	running   sync.WaitGroup
 	snapMu    sync.Mutex
 
+	incarnation uint64
+
 	// The fields below belong to the loop.
+	peers       map[uint64]uint64
+	peersDirty  bool
+	warned      map[uint64]bool
+	fatal       error
 	pending     map[uint64]*proposal
 	change      *change
 	persisting  bool
@@ -159,6 +177,7 @@
 		snapSaved: make(chan saveResult, 1),
 		stopped:   make(chan struct{}),
 		pending:   map[uint64]*proposal{},
+		warned:    map[uint64]bool{},
 		machine:   opts.Machine,
 		changed:   make(chan struct{}),
 	}
@@ -169,16 +188,15 @@
 	n.applied, n.snapshotAt = found.Snapshot.Index, found.Snapshot.Index
 	n.core = raft.New(n.coreConfig(opts.Seed), found)
 	creds := wire.Credentials{Instance: cfg.Instance, Secret: []byte(cfg.SharedSecret)}
-	n.network = newNetwork(cfg, wire.NewPool(creds, n.Handle), n.meters)
+	n.network = newNetwork(cfg, n.incarnation, wire.NewPool(creds, n.Handle), n.meters)
+	n.network.announce(n.peers)
 	n.publish()
 	return n, nil
 }
 
 func (n *Node) coreConfig(seed uint64) raft.Config {
 	if seed == 0 {
-		var random [8]byte
-		_, _ = crand.Read(random[:])
-		seed = binary.BigEndian.Uint64(random[:])
+		seed = randomNumber()
 	}
 	return raft.Config{
 		ID:             n.cfg.ID,
@@ -192,6 +210,13 @@
 	}
 }
 
+// randomNumber returns a number that is not zero.
+func randomNumber() uint64 {
+	var random [8]byte
+	_, _ = crand.Read(random[:])
+	return binary.BigEndian.Uint64(random[:]) | 1
+}
+
 // clock is the monotonic time since the start of the node, in nanoseconds.
 func (n *Node) clock() int64 { return int64(time.Since(n.started)) }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -24,23 +24,35 @@
 type counter struct {
 	state *fleet.State
 	seen  map[string]int
+	// regressed is set when a command is older than the one before it.
+	regressed bool
 }
 
 func newCounter() *counter { return &counter{state: fleet.NewState(), seen: map[string]int{}} }
 
 func (c *counter) Apply(index uint64, cmd fleet.Command) fleet.Result {
-	c.state.Applied, c.state.Now = index, max(c.state.Now, cmd.Time)
+	c.regressed = c.regressed || cmd.Time < c.state.Now
+	c.state.Applied, c.state.Now = index, cmd.Time
 	if cmd.Cancel != nil {
 		c.seen[cmd.Cancel.ID]++
 	}
 	return fleet.Result{Revision: fleet.Revision(len(c.seen))}
 }
 
-func (c *counter) Encode() ([]byte, error) { return json.Marshal(c.seen) }
+type counterSnapshot struct {
+	Now  fleet.Time
+	Seen map[string]int
+}
+
+func (c *counter) Encode() ([]byte, error) {
+	return json.Marshal(counterSnapshot{Now: c.state.Now, Seen: c.seen})
+}
 
 func (c *counter) Restore(data []byte) error {
-	c.seen = map[string]int{}
-	return json.Unmarshal(data, &c.seen)
+	var s counterSnapshot
+	err := json.Unmarshal(data, &s)
+	c.state.Now, c.seen = s.Now, s.Seen
+	return err
 }
 
 func (c *counter) State() *fleet.State { return c.state }
@@ -157,7 +169,7 @@
 }
 
 // Guards against committed commands that are lost or missing on a member when
-// the leader stops, restarts and catches up.
+// the leader stops, restarts and catches up, and against cluster time that goes back.
 func TestThreeStoresSurviveTheLeader(t *testing.T) {
 	group := newGroup(t, 3, nil)
 	for i := range 20 {
@@ -172,4 +184,8 @@
 	for _, s := range group {
 		eventually(t, "catch up", func() bool { return s.has("before19") && s.has("after19") })
 	}
+	for _, s := range group {
+		require.NoError(t, s.stop())
+		require.False(t, s.machine.regressed)
+	}
 }
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -112,6 +112,9 @@
 		return ld.takeHeader(rec.payload)
 	case kindHardState:
 		return cbor.Unmarshal(rec.payload, &ld.contents.HardState)
+	case kindPeers:
+		ld.contents.Peers = nil
+		return cbor.Unmarshal(rec.payload, &ld.contents.Peers)
 	case kindBase:
 		var base raft.Position
 		if err := cbor.Unmarshal(rec.payload, &base); err != nil {
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -21,6 +21,7 @@
 	kindEntry
 	kindHardState
 	kindBase
+	kindPeers
 )
 
 type record struct {
@@ -64,7 +65,7 @@
 		batch:   int(binary.BigEndian.Uint32(rest[8:])),
 		payload: rest[headerBytes:size],
 	}
-	known := rec.kind >= kindMeta && rec.kind <= kindBase
+	known := rec.kind >= kindMeta && rec.kind <= kindPeers
 	if !known || rec.batch > offset || checksum(rest[:size]) != binary.BigEndian.Uint32(rest[4:]) {
 		return record{}, 0, false
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -39,6 +39,9 @@
 // Meta identifies the owner of the log.
 type Meta struct {
 	MemberID uint64 `cbor:"1,keyasint"`
+	// Incarnation is drawn when the log is started, and so differs after the
+	// loss of a disk.
+	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
 // Options configures a log. SegmentBytes is the size after which a new segment is started.
@@ -53,6 +56,8 @@
 	HardState raft.HardState
 	Base      raft.Position
 	Entries   []raft.Entry
+	// Peers holds the incarnation of each other member that was heard of.
+	Peers map[uint64]uint64
 	// TornBytes is the size of the torn last batch that was cut.
 	TornBytes int
 }
@@ -66,6 +71,8 @@
 	Entries   []raft.Entry
 	// Base restarts the log after a snapshot that replaces it.
 	Base *raft.Position
+	// Peers replaces the known incarnations of the other members.
+	Peers map[uint64]uint64
 }
 
 type segment struct {
@@ -86,6 +93,7 @@
 	meta      Meta
 	hardState raft.HardState
 	base      raft.Position
+	peers     map[uint64]uint64
 }
 
 // Open reads the log in the folder, which exists, and cuts a torn last batch. A
@@ -102,6 +110,7 @@
 	l.meta = contents.Meta
 	l.hardState = contents.HardState
 	l.base = contents.Base
+	l.peers = contents.Peers
 	return l, contents, nil
 }
 
@@ -142,6 +151,9 @@
 	if b.Base != nil && err == nil {
 		buf, err = l.add(buf, kindBase, b.Base)
 	}
+	if b.Peers != nil && err == nil {
+		buf, err = l.add(buf, kindPeers, b.Peers)
+	}
 	for i := range b.Entries {
 		if err == nil {
 			buf, err = l.add(buf, kindEntry, &b.Entries[i])
@@ -188,6 +200,9 @@
 	if b.Base != nil {
 		l.base = *b.Base
 	}
+	if b.Peers != nil {
+		l.peers = b.Peers
+	}
 	if n := len(b.Entries); n > 0 {
 		current := &l.segments[len(l.segments)-1]
 		current.last = max(current.last, b.Entries[n-1].Index)
@@ -229,6 +244,9 @@
 	if err == nil && !first {
 		buf, err = l.add(buf, kindHardState, &l.hardState)
 	}
+	if l.peers != nil && err == nil {
+		buf, err = l.add(buf, kindPeers, l.peers)
+	}
 	if err != nil {
 		return err
 	}
