Keep teams with small jobs from passing teams below their share

Cause: in a simulated pool of 24 workers with six teams whose jobs differ in size, run time and number of queues, single teams deviated from their share by up to 30% over 10 s. The usage history took the usage before a plan for the time after it, so teams with jobs shorter than the time between plans were counted low and others got their room.

Accounts.Started counts jobs that start after Advance. Reservations are made in rank order and only those of large jobs count as work of their team; resource kinds that a team lacks are withheld from teams above it. Ruled out as causes by trials: number of workers (12, 24, 48) and the part of workers that may be reserved (1/2, 1/4, 1/8).

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -21,6 +21,10 @@
 	}
 	c.reserved = plan.Reservations
 	c.mu.Unlock()
+	jobs := make(map[string]placement.Job, len(snap.Jobs))
+	for _, j := range snap.Jobs {
+		jobs[j.ID] = j
+	}
 	c.act(plan.Preemptions)
 	if len(plan.Assignments) == 0 {
 		return nil
@@ -33,16 +37,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, a := range plan.Assignments {
-		if _, refused := res.Rejected[i]; refused {
-			continue
-		}
-		if team, ok := first[a.JobID]; ok {
-			c.budget.First(team)
+		if _, refused := res.Rejected[i]; !refused {
+			c.noteStart(jobs[a.JobID], first[a.JobID])
 		}
 	}
 	return nil
 }
 
+// noteStart accounts for a committed assignment. The caller holds mu.
+func (c *Controller) noteStart(j placement.Job, first bool) {
+	c.shares.Started(j.Team, j.Size)
+	if first {
+		c.budget.First(j.Team)
+	}
+}
+
 // throttled reports whether a task is throttled, so that the throttle may be lifted.
 func (c *Controller) throttled() bool {
 	for _, w := range c.workers {
@@ -85,12 +94,12 @@
 	c.actions[j.ID] = action{key: key, kind: kind, since: now}
 }
 
-// snapshot builds the input of placement and the teams of the jobs that have had
-// no attempt yet, and accounts for usage. The caller holds mu.
-func (c *Controller) snapshot() (placement.Snapshot, map[string]string) {
+// snapshot builds the input of placement and the set of jobs that have had no
+// attempt yet, and accounts for usage. The caller holds mu.
+func (c *Controller) snapshot() (placement.Snapshot, map[string]bool) {
 	now := c.log.Now()
 	snap := placement.Snapshot{Now: now, Reservations: c.reserved, Teams: map[string]placement.Team{}}
-	first := map[string]string{}
+	first := map[string]bool{}
 	reported := c.reportedTasks()
 	c.log.Read(func(s *fleet.State) {
 		snap.Workers = c.placementWorkers(s, now)
@@ -104,7 +113,7 @@
 			}
 			snap.Jobs = append(snap.Jobs, c.placementJob(s, j, largest))
 			if j.Attempt == 0 {
-				first[j.ID] = j.Team
+				first[j.ID] = true
 			}
 		})
 		for name, t := range s.Config.Teams {
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -24,6 +24,8 @@
 	spread map[groupKey]int
 	// reserved is the number of nodes with a reservation.
 	reserved int
+	// bars holds by resource kind the score above which teams get no more of it.
+	bars [kinds]*float64
 }
 
 func buildPools(s Snapshot) (map[string]*pool, map[string]*node) {
@@ -195,3 +197,45 @@
 	}
 	return cost
 }
+
+const kinds = 3
+
+func amounts(r fleet.Resources) [kinds]int64 {
+	return [kinds]int64{r.CPUMilli, r.MemoryMiB, r.Accelerators}
+}
+
+// withhold bars teams above the score from the resource kinds that the job lacks
+// on the worker where it comes closest to fitting.
+func (p *pool) withhold(j Job, score float64) {
+	var closest *node
+	least := 0.0
+	for _, n := range p.nodes {
+		if !n.Usable || !fits(j.Size, n.Capacity) {
+			continue
+		}
+		lack := shortage(j.Size, n.free, n.Capacity)
+		if closest == nil || lack < least {
+			closest, least = n, lack
+		}
+	}
+	if closest == nil {
+		return
+	}
+	free := amounts(closest.free)
+	for k, want := range amounts(j.Size) {
+		if want > free[k] && (p.bars[k] == nil || score < *p.bars[k]) {
+			p.bars[k] = &score
+		}
+	}
+}
+
+// withheld reports whether the job needs a resource kind that is kept for a team
+// with a lower score.
+func (p *pool) withheld(j Job, score float64) bool {
+	for k, want := range amounts(j.Size) {
+		if bar := p.bars[k]; want > 0 && bar != nil && score-*bar > shareTolerance*max(score, 0) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -70,47 +70,41 @@
 	p.release(j)
 }
 
-// restoreReservations applies the earlier reservations whose job still waits and
-// whose worker can still run it.
+// restoreReservations applies the earlier reservations of urgent jobs, whose
+// workers are being cleared. The others are made again in rank order.
 func (p *planner) restoreReservations() {
+	if len(p.Snapshot.Reservations) == 0 {
+		return
+	}
 	waiting := map[string]Job{}
-	if len(p.Snapshot.Reservations) > 0 {
-		for _, j := range p.Jobs {
-			waiting[j.ID] = j
-		}
+	for _, j := range p.Jobs {
+		waiting[j.ID] = j
 	}
 	for _, r := range p.Snapshot.Reservations {
 		j, queued := waiting[r.JobID]
 		n := p.nodes[r.Worker]
-		if !queued || n == nil || !n.Usable || !fits(j.Size, n.Capacity) || n.reservedFor != "" {
+		if !queued || n == nil || !n.Usable || !fits(j.Size, n.Capacity) {
 			continue
 		}
 		p.previous[r.JobID] = r
-		n.reservedFor = r.JobID
-		n.reservedUrgent = r.Urgent
-		p.pools[n.Pool].reserved++
+		if r.Urgent && n.reservedFor == "" {
+			n.reservedFor = r.JobID
+			n.reservedUrgent = true
+		}
 	}
 }
 
-// release ends the reservation of a job that is placed.
+// release ends the reservation of a job.
 func (p *planner) release(j Job) {
 	r, ok := p.previous[j.ID]
 	if !ok {
 		return
 	}
 	delete(p.previous, j.ID)
-	n := p.nodes[r.Worker]
-	n.reservedFor = ""
-	p.pools[n.Pool].reserved--
-}
-
-// renew keeps an earlier reservation in the plan, and reports whether there is one.
-func (p *planner) renew(j Job) bool {
-	r, ok := p.previous[j.ID]
-	if ok {
-		p.plan.Reservations = append(p.plan.Reservations, r)
+	if n := p.nodes[r.Worker]; n.reservedFor == j.ID {
+		n.reservedFor = ""
+		n.reservedUrgent = false
 	}
-	return ok
 }
 
 // place assigns the jobs that the filter selects, team by team in rank order.
@@ -128,21 +122,25 @@
 			heap.Pop(h)
 			continue
 		}
-		if !p.tryPlace(j) {
-			l.misfit(j)
+		if !p.tryPlace(j, l) {
+			l.misfits[j.Pool]++
 			p.hold(j, l)
-			continue
+			p.giveUp(j, l)
 		}
 		l.score = p.score(l.team)
 		heap.Fix(h, 0)
 	}
 }
 
-func (p *planner) tryPlace(j Job) bool {
+func (p *planner) tryPlace(j Job, l *line) bool {
 	pl := p.pools[j.Pool]
 	if pl == nil {
 		return false
 	}
+	if j.Class != fleet.ClassUrgent && pl.withheld(j, l.score) {
+		l.misfits[j.Pool] = MaxMisfits
+		return false
+	}
 	n := pl.best(j)
 	if n == nil {
 		return false
@@ -151,33 +149,63 @@
 	return true
 }
 
-// hold notes an urgent job for preemption, or reserves room for the first job of
-// a team and pool that does not fit, so that smaller jobs don't starve it.
+// giveUp withholds the resource kinds that a team lacks in a pool from the teams
+// that are above it, once the team's jobs were tried in vain.
+func (p *planner) giveUp(j Job, l *line) {
+	pl := p.pools[j.Pool]
+	if pl == nil || p.Rank == nil || j.Class == fleet.ClassUrgent || l.misfits[j.Pool] != MaxMisfits {
+		return
+	}
+	pl.withhold(j, p.score(l.team))
+}
+
+// hold notes an urgent job for preemption, or reserves room for a job that does
+// not fit. The reservation of a large job counts as work of its team, since the
+// other teams would otherwise leave much room empty until it starts.
 func (p *planner) hold(j Job, l *line) {
 	if j.Class == fleet.ClassUrgent {
 		p.misfits = append(p.misfits, j)
 		return
 	}
-	if p.renew(j) || l.misfits[j.Pool] > 1 {
-		return
-	}
 	pl := p.pools[j.Pool]
-	if pl == nil || pl.reserved >= max(1, len(pl.nodes)/reservedWorkersDivisor) {
+	if pl == nil || l.misfits[j.Pool] > MaxMisfits || pl.reserved >= max(1, len(pl.nodes)/reservedWorkersDivisor) {
 		return
 	}
-	n := pl.nearest(j)
+	n, since := p.earlier(j)
+	if n == nil {
+		n = pl.nearest(j)
+	}
 	if n == nil {
 		return
 	}
-	p.reserve(n, j, false)
+	p.reserve(n, j, since, false)
+	pl.reserved++
+	if p.Rank != nil && large(j.Size, n.Capacity) {
+		p.Rank.Add(j.Team, j.Size)
+	}
+	if p.Now.Sub(since) >= HeadPatience {
+		l.misfits[j.Pool] = MaxMisfits
+	}
 }
 
-func (p *planner) reserve(n *node, j Job, urgent bool) {
+// earlier returns the worker of the job's earlier reservation, if it is still
+// free of others, and the time since which the job has had one.
+func (p *planner) earlier(j Job) (*node, fleet.Time) {
+	r, ok := p.previous[j.ID]
+	if !ok {
+		return nil, p.Now
+	}
+	if n := p.nodes[r.Worker]; n.reservedFor == "" {
+		return n, r.Since
+	}
+	return nil, r.Since
+}
+
+func (p *planner) reserve(n *node, j Job, since fleet.Time, urgent bool) {
 	n.reservedFor = j.ID
 	n.reservedUrgent = urgent
-	p.pools[n.Pool].reserved++
 	p.plan.Reservations = append(p.plan.Reservations, Reservation{
-		JobID: j.ID, Worker: n.Name, Pool: n.Pool, Since: p.Now, Urgent: urgent,
+		JobID: j.ID, Worker: n.Name, Pool: n.Pool, Since: since, Urgent: urgent,
 	})
 }
 
@@ -209,10 +237,6 @@
 	return Job{}, false
 }
 
-func (l *line) misfit(j Job) {
-	l.misfits[j.Pool]++
-}
-
 type lineHeap []*line
 
 func (h lineHeap) Len() int { return len(h) }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -28,7 +28,7 @@
 		}
 		p.release(j)
 		p.disturb(n, j, victims)
-		p.reserve(n, j, true)
+		p.reserve(n, j, p.Now, true)
 	}
 }
 
@@ -44,8 +44,11 @@
 	if !possible {
 		return false
 	}
-	p.disturb(n, j, victims)
-	return p.renew(j)
+	if p.victims+len(victims) <= MaxVictimsPerPlan {
+		p.disturb(n, j, victims)
+	}
+	p.plan.Reservations = append(p.plan.Reservations, r)
+	return true
 }
 
 func (p *planner) disturb(n *node, j Job, victims []Preemption) {
--- a/internal/placement/resources.go
+++ b/internal/placement/resources.go
@@ -46,3 +46,9 @@
 	}
 	return float64(part) / float64(whole)
 }
+
+// large reports whether a job takes more than a quarter of a worker.
+func large(size, capacity fleet.Resources) bool {
+	return 4*size.CPUMilli > capacity.CPUMilli || 4*size.MemoryMiB > capacity.MemoryMiB ||
+		4*size.Accelerators > capacity.Accelerators
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -149,6 +149,13 @@
 	// freed its room is followed by a stop, so that urgent work still starts
 	// within its 6 s.
 	CheckpointPatience = 2500 * time.Millisecond
+	// HeadPatience is the time after which a job that holds a reservation is no
+	// longer passed by later jobs of its own team and pool.
+	HeadPatience = 2 * time.Second
+	// shareTolerance is the part of its score by which a team may pass a team
+	// whose jobs don't fit. Without the bound, teams with small jobs take all
+	// room that is freed in small pieces and stay far above their share.
+	shareTolerance = 0.01
 	// reservedWorkersDivisor limits reservations to this part of a pool's workers.
-	reservedWorkersDivisor = 16
+	reservedWorkersDivisor = 4
 )
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// Started counts a job that started after the last call of Advance, so that jobs
+// shorter than the time between two calls are accounted for as well.
+func (a *Accounts) Started(team string, size fleet.Resources) {
+	u, ok := a.last[team]
+	if !ok {
+		return
+	}
+	u.Running = u.Running.Plus(size)
+	u.Jobs++
+	a.last[team] = u
+}
+
 // integrate decays each team's deviation from its entitlement and adds the
 // deviation of the elapsed time.
 func (a *Accounts) integrate(elapsed time.Duration) {
