Test the attribution of failures and the maintenance steps

Cause: retry and maintenance had no tests. One test found a fault: a quarantine ended early when part of its evidence was older than 10 minutes, since the rest was below three jobs. Age alone now clears no worker.

--- /dev/null
+++ b/internal/maintenance/maintenance_test.go
@@ -0,0 +1,288 @@
+package maintenance
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+)
+
+// model carries out the steps of plans on simulated instances.
+type model struct {
+	s      Snapshot
+	policy Policy
+	rng    *rand.Rand
+	// drained holds the time at which the tasks of an instance end, and up that
+	// at which its reboot ends.
+	drained map[string]fleet.Time
+	up      map[string]fleet.Time
+	// service is the time that instances were out of service by choice, by domain.
+	service map[domain]time.Duration
+}
+
+const step = 500 * time.Millisecond
+
+func newModel(seed int64, policy Policy, pool fleet.Pool, n int) *model {
+	m := &model{
+		policy: policy, rng: rand.New(rand.NewSource(seed)),
+		drained: map[string]fleet.Time{}, up: map[string]fleet.Time{}, service: map[domain]time.Duration{},
+	}
+	m.s.Now = 1000
+	m.s.Pools = map[string]fleet.Pool{pool.Name: pool}
+	for i := range n {
+		m.s.Instances = append(m.s.Instances, Instance{
+			Name: fmt.Sprintf("i%04d", i), Pool: pool.Name, Rack: fmt.Sprint("r", i/4), DataCentre: fmt.Sprint("d", i%3),
+			Phase: fleet.PhaseActive, Healthy: true, Tasks: m.rng.Intn(4),
+		})
+	}
+	m.s.Plans = []fleet.MaintenancePlan{{Name: "plan", Pool: pool.Name, State: fleet.PlanRunning, DrainTimeoutMS: 60_000}}
+	return m
+}
+
+func (m *model) tick() Plan {
+	m.s.Now = m.s.Now.Add(step)
+	for k := range m.s.Instances {
+		i := &m.s.Instances[k]
+		switch i.Phase {
+		case fleet.PhaseDraining:
+			if m.s.Now >= m.drained[i.Name] {
+				i.Tasks = 0
+			}
+		case fleet.PhaseRebooting:
+			i.Healthy = m.s.Now >= m.up[i.Name]
+			if i.Healthy && !i.Rebooted {
+				i.Rebooted, i.HealthySince = true, m.s.Now
+			}
+		}
+	}
+	plan := Compute(m.policy, m.s)
+	for _, st := range plan.Steps {
+		m.apply(st)
+	}
+	for _, i := range m.s.Instances {
+		if i.Phase != fleet.PhaseActive {
+			m.service[domain{pool: i.Pool}] += step
+			m.service[domain{pool: i.Pool, centre: i.DataCentre}] += step
+			m.service[domain{pool: i.Pool, rack: i.DataCentre + "/" + i.Rack}] += step
+		}
+	}
+	return plan
+}
+
+func (m *model) apply(st fleet.PhaseStep) {
+	i := m.find(st.Instance)
+	i.Phase, i.Plan, i.PhaseSince = st.Phase, st.Plan, m.s.Now
+	switch st.Phase {
+	case fleet.PhaseDraining:
+		m.drained[i.Name] = m.s.Now.Add(time.Duration(m.rng.Intn(20)) * time.Second)
+	case fleet.PhaseRebooting:
+		m.up[i.Name] = m.s.Now.Add(time.Duration(20+m.rng.Intn(20)) * time.Second)
+		i.Rebooted, i.Healthy = false, false
+	case fleet.PhaseActive:
+		i.Plan = ""
+	}
+	if st.Completed {
+		m.s.Plans[0].Completed = append(m.s.Plans[0].Completed, i.Name)
+	}
+}
+
+func (m *model) find(name string) *Instance {
+	for k := range m.s.Instances {
+		if m.s.Instances[k].Name == name {
+			return &m.s.Instances[k]
+		}
+	}
+	return nil
+}
+
+// used counts the unavailable instances by domain.
+func (m *model) used() counts {
+	c := counts{}
+	for _, i := range m.s.Instances {
+		if unavailable(i) {
+			c.add(i, 1)
+		}
+	}
+	return c
+}
+
+// rollout runs the plan to its end and returns the time it took.
+func (m *model) rollout(t require.TestingT) time.Duration {
+	begin := m.s.Now
+	for len(m.s.Plans[0].Completed) < len(m.s.Instances) {
+		m.tick()
+		require.Less(t, m.s.Now.Sub(begin), 24*time.Hour)
+	}
+	return m.s.Now.Sub(begin)
+}
+
+// bound is the least time that the budgets allow for the service times of the run.
+func (m *model) bound(pool fleet.Pool) time.Duration {
+	bound := time.Duration(0)
+	for d, sum := range m.service {
+		budget := pool.MaxUnavailable
+		if d.rack != "" {
+			budget = pool.MaxUnavailablePerRack
+		}
+		if d.centre != "" {
+			budget = pool.MaxUnavailablePerDataCentre
+		}
+		if budget > 0 {
+			bound = max(bound, sum/time.Duration(budget))
+		}
+	}
+	return bound
+}
+
+// Guards against waves smaller than the budgets allow, and against a baseline
+// that is no longer one.
+func TestRolloutTime(t *testing.T) {
+	pool := fleet.Pool{Name: "p", MaxUnavailable: 8, MaxUnavailablePerRack: 1, MaxUnavailablePerDataCentre: 3}
+	for seed := range int64(5) {
+		m := newModel(seed, PolicyWaves, pool, 95)
+		took, bound := m.rollout(t), time.Duration(0)
+		bound = m.bound(pool)
+		single := newModel(seed, PolicyOneAtATime, pool, 95).rollout(t)
+		t.Logf("seed %d: %v, bound %v, ratio %.3f, one at a time %v", seed, took, bound, float64(took)/float64(bound), single)
+		require.LessOrEqual(t, float64(took), 1.1*float64(bound))
+		require.Greater(t, single, 4*took)
+	}
+}
+
+// Guards against plans that exceed a budget while instances are lost,
+// quarantined and return, and against rebooting an instance that runs tasks.
+func TestBudgetsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool := fleet.Pool{
+			Name: "p", MaxUnavailable: rapid.IntRange(0, 5).Draw(t, "pool"),
+			MaxUnavailablePerRack:       rapid.IntRange(0, 2).Draw(t, "rack"),
+			MaxUnavailablePerDataCentre: rapid.IntRange(0, 3).Draw(t, "centre"),
+		}
+		m := newModel(rapid.Int64().Draw(t, "seed"), PolicyWaves, pool, 16)
+		for range 60 {
+			i := &m.s.Instances[m.rng.Intn(16)]
+			switch m.rng.Intn(6) {
+			case 0:
+				i.Lost = !i.Lost
+			case 1:
+				i.Down = !i.Down
+			}
+			before := m.used()
+			plan := m.tick()
+			checkBudgets(t, m, pool, before)
+			for _, st := range plan.Steps {
+				require.False(t, st.Phase == fleet.PhaseRebooting && m.find(st.Instance).Tasks > 0)
+			}
+		}
+	})
+}
+
+// checkBudgets accepts a domain over its budget only when the plan did not add to it.
+func checkBudgets(t *rapid.T, m *model, pool fleet.Pool, before counts) {
+	for d, n := range m.used() {
+		budget := pool.MaxUnavailable
+		if d.rack != "" {
+			budget = pool.MaxUnavailablePerRack
+		}
+		if d.centre != "" {
+			budget = pool.MaxUnavailablePerDataCentre
+		}
+		if budget > 0 || (d.rack == "" && d.centre == "") {
+			require.LessOrEqual(t, n, max(budget, before[d]), "%+v", d)
+		}
+	}
+}
+
+// Guards against a plan that goes on while paused, keeps instances after an
+// abort, or does not resume.
+func TestPauseResumeAbort(t *testing.T) {
+	pool := fleet.Pool{Name: "p", MaxUnavailable: 2}
+	m := newModel(1, PolicyWaves, pool, 6)
+	m.tick()
+	held := m.used()[domain{pool: "p"}]
+	require.Equal(t, 2, held)
+	m.s.Plans[0].State = fleet.PlanPaused
+	for range 200 {
+		m.tick()
+	}
+	require.Equal(t, 2, m.used()[domain{pool: "p"}])
+	require.Empty(t, m.s.Plans[0].Completed)
+	m.s.Plans[0].State = fleet.PlanRunning
+	for range 20 {
+		m.tick()
+	}
+	m.s.Plans[0].State = fleet.PlanAborted
+	for range 200 {
+		m.tick()
+	}
+	require.Zero(t, m.used()[domain{pool: "p"}])
+	require.Less(t, len(m.s.Plans[0].Completed), 6)
+}
+
+// Guards against lost results: tasks are checkpointed before they are stopped,
+// watch tasks move at once, and an instance whose tasks can't move is given back.
+func TestDrainClearsTasksInOrder(t *testing.T) {
+	cases := []struct {
+		name    string
+		after   time.Duration
+		watch   int
+		pinned  int
+		want    Clearing
+		skipped bool
+	}{
+		{"waits", 10 * time.Second, 0, 0, 0, false},
+		{"moves watch tasks", 10 * time.Second, 1, 0, ClearWatch, false},
+		{"checkpoints after the limit", 61 * time.Second, 0, 1, ClearCheckpoint, false},
+		{"stops what did not checkpoint", 66 * time.Second, 0, 1, ClearStop, false},
+		{"gives up", 126 * time.Second, 0, 1, 0, true},
+		{"does not give up on idempotent tasks", 126 * time.Second, 0, 0, ClearStop, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(1, PolicyWaves, fleet.Pool{Name: "p", MaxUnavailable: 1}, 1)
+			i := &m.s.Instances[0]
+			i.Phase, i.Plan, i.PhaseSince = fleet.PhaseDraining, "plan", m.s.Now
+			i.Tasks, i.Watch, i.Pinned = 2, c.watch, c.pinned
+			m.s.Now = m.s.Now.Add(c.after)
+			plan := Compute(PolicyWaves, m.s)
+			require.Equal(t, c.want, plan.Clear[i.Name])
+			require.Equal(t, c.skipped, len(plan.Skipped) == 1)
+		})
+	}
+}
+
+// Guards against a plan that waits without a reason, and against watch tasks that
+// are disturbed first.
+func TestReasonAndOrder(t *testing.T) {
+	m := newModel(1, PolicyWaves, fleet.Pool{Name: "p", MaxUnavailable: 1}, 3)
+	m.s.Instances[0].Watch = 1
+	m.s.Instances[1].Lost = true
+	require.Contains(t, Compute(PolicyWaves, m.s).Waiting["plan"], "budget of pool p: 1 of 1")
+	m.s.Instances[1].Lost = false
+	plan := Compute(PolicyWaves, m.s)
+	require.NotEqual(t, "i0000", plan.Steps[0].Instance)
+	require.Empty(t, plan.Waiting["plan"])
+}
+
+// The design size: 2,000 instances in 21 pools, each with a plan.
+func BenchmarkCompute(b *testing.B) {
+	s := Snapshot{Now: 1000, Pools: map[string]fleet.Pool{}}
+	for k := range 21 {
+		name := fmt.Sprint("p", k)
+		m := newModel(int64(k), PolicyWaves, fleet.Pool{Name: name, MaxUnavailable: 8, MaxUnavailablePerRack: 1}, 95)
+		s.Pools[name] = m.s.Pools[name]
+		for _, i := range m.s.Instances {
+			i.Name = name + i.Name
+			s.Instances = append(s.Instances, i)
+		}
+		s.Plans = append(s.Plans, fleet.MaintenancePlan{Name: name, Pool: name, State: fleet.PlanRunning})
+	}
+	for b.Loop() {
+		Compute(PolicyWaves, s)
+	}
+}
--- a/internal/retry/blame.go
+++ b/internal/retry/blame.go
@@ -195,12 +195,13 @@
 // on a worker, and at least half of its latest events are such failures.
 func (b *Blame) workerAtFault(worker string, now fleet.Time) bool {
 	w := b.workers[worker]
-	if w == nil {
-		return false
-	}
+	return w != nil && b.convicts(worker, b.latest(w, now), now)
+}
+
+func (b *Blame) convicts(worker string, events []event, now fleet.Time) bool {
 	jobs := map[string]bool{}
 	good, bad := 0, 0
-	for _, e := range b.latest(w, now) {
+	for _, e := range events {
 		if e.ok {
 			good++
 			continue
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -59,7 +59,7 @@
 	var verdicts []Quarantine
 	count := 0
 	for _, name := range p.Quarantined {
-		if b.known(name, now) && !b.workerAtFault(name, now) {
+		if b.cleared(name, now) {
 			verdicts = append(verdicts, Quarantine{Worker: name, For: -1})
 			b.worker(name).quarantines = 0
 			continue
@@ -80,11 +80,15 @@
 	return verdicts
 }
 
-// known reports whether there is evidence on a worker. A new leader has none and
-// leaves quarantines as they are.
-func (b *Blame) known(name string, now fleet.Time) bool {
+// cleared reports whether the failures for which a worker is quarantined turned
+// out to be the fault of jobs. Age alone clears no worker, since it runs nothing
+// in quarantine. A new leader has no evidence and leaves quarantines as they are.
+func (b *Blame) cleared(name string, now fleet.Time) bool {
 	w := b.workers[name]
-	return w != nil && w.quarantines > 0 && len(b.latest(w, now)) > 0
+	if w == nil || w.quarantines == 0 {
+		return false
+	}
+	return !b.convicts(name, w.events[max(0, len(w.events)-judged):], now)
 }
 
 // newlyAtFault reports whether the worker is at fault and failed something since
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,227 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+)
+
+func names(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s%02d", prefix, i)
+	}
+	return out
+}
+
+// Guards against retries that come back together, too early or never.
+func TestBackoff(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	distinct := map[time.Duration]bool{}
+	for failures := range 100 {
+		d := Backoff(failures, rng)
+		full := min(MaxDelay, FirstDelay<<min(max(failures-1, 0), 10))
+		require.GreaterOrEqual(t, d, full/2)
+		require.LessOrEqual(t, d, full)
+		distinct[d] = true
+	}
+	require.Greater(t, len(distinct), 90)
+}
+
+// Guards against retries beyond a tenth of the first attempts and the burst.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		first, retries := 0, 0
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				b.First("a")
+				first++
+			} else if b.Take("a") {
+				retries++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), BudgetBurst+BudgetPart*float64(first)+1e-6)
+	})
+}
+
+// fleetRun lets jobs run on random workers of a pool, some of either kind bad,
+// and returns the jobs that failed for good and the workers that were quarantined.
+func fleetRun(seed int64, badWorkers, badJobs map[string]bool, workers []string, jobs int) (failed, quarantined map[string]bool) {
+	rng := rand.New(rand.NewSource(seed))
+	b := NewBlame()
+	until := map[string]fleet.Time{}
+	failed, quarantined = map[string]bool{}, map[string]bool{}
+	now := fleet.Time(0)
+	for n := range jobs {
+		job := fmt.Sprintf("j%03d", n)
+		var failedOn []string
+		for attempt := 1; attempt <= 2*MaxFailures && !failed[job]; attempt++ {
+			now = now.Add(4 * time.Second)
+			w := pickWorker(rng, workers, failedOn, until, now)
+			if !badWorkers[w] && !badJobs[job] {
+				b.Succeeded(w, job, now)
+				break
+			}
+			failedOn = append(failedOn, w)
+			b.Failed(w, job, now)
+			failed[job] = !b.Wave(workers, now) && b.JobAtFault(job, failedOn, attempt, len(workers), now)
+			for _, q := range b.Quarantines(state(workers, until, now), now) {
+				until[q.Worker] = now.Add(max(q.For, 0))
+				quarantined[q.Worker] = q.For > 0
+			}
+		}
+	}
+	return failed, quarantined
+}
+
+func pickWorker(rng *rand.Rand, workers, avoid []string, until map[string]fleet.Time, now fleet.Time) string {
+	for {
+		w := workers[rng.Intn(len(workers))]
+		avoided := false
+		for _, a := range avoid {
+			avoided = avoided || a == w
+		}
+		if until[w] <= now && (!avoided || len(avoid) >= len(workers)-2) {
+			return w
+		}
+	}
+}
+
+func state(workers []string, until map[string]fleet.Time, now fleet.Time) PoolState {
+	p := PoolState{Workers: workers}
+	for _, w := range workers {
+		if until[w] > now {
+			p.Quarantined = append(p.Quarantined, w)
+		}
+	}
+	return p
+}
+
+func kept(m map[string]bool) []string {
+	var out []string
+	for k, v := range m {
+		if v {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Guards against verdicts that depend on each other: a bad worker must not fail
+// good jobs, bad jobs must not quarantine good workers, and both must be found.
+func TestVerdictsAreIndependent(t *testing.T) {
+	workers := names("w", 20)
+	for seed := range int64(10) {
+		bad := map[string]bool{"w03": true}
+		poison := map[string]bool{}
+		for n := 40; n < 400; n += 12 {
+			poison[fmt.Sprintf("j%03d", n)] = true
+		}
+		failed, quarantined := fleetRun(seed, bad, poison, workers, 400)
+		for _, job := range kept(failed) {
+			require.True(t, poison[job], "seed %d: good job %s failed for good", seed, job)
+		}
+		require.Len(t, kept(failed), len(poison), "seed %d", seed)
+		require.Equal(t, []string{"w03"}, kept(quarantined), "seed %d", seed)
+	}
+}
+
+// Guards against more than a tenth of a pool in quarantine, and against verdicts
+// during a failure wave.
+func TestQuarantineIsBounded(t *testing.T) {
+	workers := names("w", 30)
+	fail := func(b *Blame, n int, at fleet.Time) {
+		for i := range n {
+			for j := range 3 {
+				b.Failed(workers[i], fmt.Sprint("j", i, j), at)
+			}
+		}
+	}
+	b := NewBlame()
+	fail(b, 6, 0)
+	require.Len(t, b.Quarantines(PoolState{Workers: workers}, 1000), 3)
+	b = NewBlame()
+	fail(b, 7, 0)
+	require.True(t, b.Wave(workers, 1000))
+	require.Empty(t, b.Quarantines(PoolState{Workers: workers}, 1000))
+	after := fleet.Time(0).Add(WaveWindow + time.Second)
+	require.False(t, b.Wave(workers, after))
+	require.Len(t, b.Quarantines(PoolState{Workers: workers}, after), 3)
+	small := NewBlame()
+	fail(small, 1, 0)
+	require.Len(t, small.Quarantines(PoolState{Workers: names("w", 4)}, 1000), 1)
+}
+
+// Guards against a quarantine that never ends, or does not grow while probes fail.
+func TestProbesEndOrExtendQuarantine(t *testing.T) {
+	b := NewBlame()
+	p := PoolState{Workers: names("w", 10)}
+	for j := range 3 {
+		b.Failed("w00", fmt.Sprint("j", j), 0)
+	}
+	now := fleet.Time(1000)
+	for round := range 3 {
+		got := b.Quarantines(p, now)
+		require.Len(t, got, 1)
+		require.Equal(t, FirstQuarantine<<round, got[0].For)
+		require.Empty(t, b.Quarantines(p, now), "a second verdict on the same evidence")
+		now = now.Add(got[0].For)
+		require.Empty(t, b.Quarantines(p, now), "no verdict before the probe")
+		b.Failed("w00", fmt.Sprint("probe", round), now)
+	}
+	for j := range 8 {
+		b.Succeeded("w00", fmt.Sprint("good", j), now.Add(time.Hour))
+	}
+	require.Empty(t, b.Quarantines(p, now.Add(time.Hour)))
+}
+
+// Guards against a worker that stays quarantined after its failures turned out to
+// be the fault of the jobs.
+func TestQuarantineIsLiftedWhenJobsAreAtFault(t *testing.T) {
+	b := NewBlame()
+	p := PoolState{Workers: names("w", 20)}
+	for i := range 20 {
+		b.Succeeded(fmt.Sprintf("w%02d", i), fmt.Sprint("good", i), 0)
+	}
+	for j := range 3 {
+		b.Failed("w00", fmt.Sprint("poison", j), 0)
+	}
+	require.Len(t, b.Quarantines(p, 1000), 1)
+	for j := range 3 {
+		b.Failed(fmt.Sprintf("w%02d", 1+2*j), fmt.Sprint("poison", j), 20_000)
+		b.Failed(fmt.Sprintf("w%02d", 2+2*j), fmt.Sprint("poison", j), 60_000)
+	}
+	p.Quarantined = []string{"w00"}
+	require.Equal(t, []Quarantine{{Worker: "w00", For: -1}}, b.Quarantines(p, 70_000))
+}
+
+// The design size: 21 pools of 95 workers with recent events.
+func BenchmarkVerdicts(b *testing.B) {
+	bl := NewBlame()
+	pools := make([]PoolState, 21)
+	for k := range pools {
+		for i := range 95 {
+			w := fmt.Sprintf("p%02d-w%02d", k, i)
+			pools[k].Workers = append(pools[k].Workers, w)
+			for e := range maxEvents {
+				if job := fmt.Sprint(w, e); e%16 == 0 {
+					bl.Failed(w, job, fleet.Time(e))
+				} else {
+					bl.Succeeded(w, job, fleet.Time(e))
+				}
+			}
+		}
+	}
+	for b.Loop() {
+		for _, p := range pools {
+			bl.Quarantines(p, 60_000)
+		}
+	}
+}
