Start later attempts of a job and test the controllers

Cause: a test that mixes a worker failing every task with a job that can never run found second attempts that were never started and then given up as lost. Job.Started stays set after the first attempt, and the controller took it for the present one.

In the urgent test the job starts within 6 s on a full pool with and without workers that answer checkpoints.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -86,7 +86,7 @@
 		if j.WorkerIncarnation != w.state.Incarnation || reported[key] {
 			continue
 		}
-		if _, seen := w.seen[key]; seen || j.Started {
+		if _, seen := w.seen[key]; seen || ranBefore(j) {
 			continue
 		}
 		orders = append(orders, startOrder(s, w, j, now))
@@ -94,6 +94,12 @@
 	return orders
 }
 
+// ranBefore reports whether the present attempt is known to have run. Job.Started
+// tells so of the first attempt only, since it stays set.
+func ranBefore(j *fleet.Job) bool {
+	return j.Started && j.Attempt == 1
+}
+
 // startOrder starts an attempt that the worker never reported. A cancelled or
 // late one is stopped instead; the worker answers that it was not started, and
 // refuses a start that arrives after the stop.
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -342,7 +342,7 @@
 	}
 	for _, j := range assignedJobs(s, w.state.Instance) {
 		key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
-		if _, seen := w.seen[key]; !seen && j.Started && assignedTo(j, w, j.Attempt) {
+		if _, seen := w.seen[key]; !seen && ranBefore(j) && assignedTo(j, w, j.Attempt) {
 			w.seen[key] = w.healthySince
 		}
 	}
--- /dev/null
+++ b/internal/controller/upkeep_test.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+func (r *rig) plan(name string) fleet.MaintenancePlan {
+	var p fleet.MaintenancePlan
+	r.log.Read(func(s *fleet.State) { p = s.Plans[name] })
+	return p
+}
+
+// Guards against a roll-out that does not end, reboots a worker twice, or stops a
+// task that is not idempotent; a watch task has to move.
+func TestMaintenanceRebootsEachWorkerOnce(t *testing.T) {
+	r := newRig(t, 6, Options{})
+	r.round(obey)
+	watch := r.submit("watch", 1000, true)
+	pinned := r.submit("normal", 1000, false)
+	r.round(obey)
+	r.change(fleet.ChangeItem{StartPlan: &fleet.MaintenancePlan{Name: "m", Pool: "p", DrainTimeoutMS: 20_000}})
+	rounds := 0
+	work := func(w *wire.WorkerState, o wire.Order) {
+		obey(w, o)
+		for i := range w.Tasks {
+			if rounds == 40 && w.Tasks[i].JobID == pinned && w.Tasks[i].State == wire.TaskRunning {
+				w.Tasks[i].State = wire.TaskDone
+			}
+		}
+	}
+	for r.plan("m").State != fleet.PlanDone {
+		rounds++
+		if rounds == 40 {
+			for _, w := range r.workers {
+				work(w, wire.Order{})
+			}
+		}
+		require.Less(t, rounds, 200, "waiting for: %s", r.plan("m").WaitingFor)
+		r.round(work)
+	}
+	for _, w := range r.workers {
+		require.Equal(t, "1+", w.Incarnation)
+	}
+	require.Equal(t, fleet.JobDone, r.job(pinned).State)
+	require.Equal(t, 1, r.job(pinned).Attempt)
+	require.Greater(t, r.job(watch).Attempt, 1)
+	require.Equal(t, fleet.JobAssigned, r.job(watch).State)
+}
+
+// Guards against urgent work that starts later than 6 s after its acceptance on a
+// full pool, and against a stopped task that is not idempotent.
+func TestUrgentStartsInTime(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		for _, checkpoints := range []bool{true, false} {
+			name := fmt.Sprintf("idempotent %v, checkpoints %v", idempotent, checkpoints)
+			t.Run(name, func(t *testing.T) {
+				r := newRig(t, 2, Options{})
+				r.round(obey)
+				var full []string
+				for range 2 {
+					full = append(full, r.submit("normal", 4000, idempotent))
+				}
+				r.round(obey)
+				cpu := int64(4000)
+				if !idempotent {
+					cpu = 2000
+				}
+				urgent := r.submit("urgent", cpu, true)
+				accepted := r.log.Now()
+				for !r.job(urgent).Started {
+					require.Less(t, r.log.Now().Sub(accepted).Seconds(), 6.0)
+					r.round(func(w *wire.WorkerState, o wire.Order) {
+						if o.Kind != wire.OrderCheckpoint || checkpoints {
+							obey(w, o)
+						}
+					})
+				}
+				for _, id := range full {
+					require.True(t, idempotent || r.job(id).State == fleet.JobAssigned)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a worker that fails every task and keeps getting jobs, against
+// good jobs that fail for good because of it, and against a job that can never
+// run and is retried for ever.
+func TestFailuresAreAttributed(t *testing.T) {
+	r := newRig(t, 12, Options{Seed: 1})
+	r.round(obey)
+	poison := r.submit("normal", 100, true)
+	var good []string
+	work := func(w *wire.WorkerState, o wire.Order) {
+		obey(w, o)
+		for i := range w.Tasks {
+			if w.Tasks[i].State != wire.TaskRunning {
+				continue
+			}
+			w.Tasks[i].State = wire.TaskDone
+			if w.Instance == "w00" || w.Tasks[i].JobID == poison {
+				w.Tasks[i].State = wire.TaskFailed
+			}
+		}
+	}
+	for range 300 {
+		for range 3 {
+			good = append(good, r.submit("normal", 1500, true))
+		}
+		r.round(work)
+	}
+	require.Equal(t, fleet.JobFailed, r.job(poison).State, "%+v", r.job(poison))
+	require.GreaterOrEqual(t, len(r.job(poison).FailedOn), 3)
+	for _, id := range good[:600] {
+		require.Equal(t, fleet.JobDone, r.job(id).State, id)
+	}
+	quarantined := []string{}
+	r.log.Read(func(s *fleet.State) {
+		for name, st := range s.Status {
+			if st.QuarantinedUntil > 0 {
+				quarantined = append(quarantined, name)
+			}
+		}
+	})
+	require.Equal(t, []string{"w00"}, quarantined)
+	failedOnBad := 0
+	for _, id := range good {
+		if slices.Contains(r.job(id).FailedOn, "w00") {
+			failedOnBad++
+		}
+	}
+	require.Less(t, failedOnBad, len(good)/10)
+}
