Bound the work of idle passes and count failures per job

Each pass built a full plan and woke every held reply even when nothing had changed; a lost quorum could hold up a proposal without limit; the cap on failures counted attempts, so a job that was preempted often would have failed for good with its first failure; reboots that the system ordered counted towards a failure wave; urgent jobs beyond a team's limit cleared room that they could not use.

Passes replan on a change of the state or after 200 ms, proposals end after 3 s, and the cap counts failures.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,12 @@
 	// vanishedAfter is the time after which a started task that its worker no
 	// longer reports counts as lost.
 	vanishedAfter = 5 * time.Second
+	// replanAfter bounds the time for which a plan is not repeated while the
+	// state stays as it is; throttles and new announcements are not in the state.
+	replanAfter = 200 * time.Millisecond
+	// proposeTimeout bounds one proposal, so that a lost quorum doesn't hold up
+	// the controllers after the next election.
+	proposeTimeout = 3 * time.Second
 	// planDuty is the least ratio of the pause after a plan to its duration.
 	planDuty = 10
 )
@@ -100,6 +106,13 @@
 
 	upkeepAt fleet.Time
 	expireAt fleet.Time
+	// placedAt and placedIndex are the time and the applied index of the latest plan.
+	placedAt    fleet.Time
+	placedIndex uint64
+	// signalled is the applied index at which held replies were last woken, and
+	// acted is true when actions changed since.
+	signalled uint64
+	acted     bool
 	// wake is closed and replaced when orders may have changed.
 	wake chan struct{}
 	// reported holds a token when a worker report came in.
@@ -142,6 +155,7 @@
 	c.rng = rand.New(rand.NewSource(c.opts.Seed))
 	c.upkeepAt = now
 	c.expireAt = now
+	c.placedIndex = 0
 }
 
 // leading reports whether this store leads, and resets what was observed under
@@ -217,6 +231,8 @@
 
 // propose commits a command and logs what the state machine refused of it.
 func (c *Controller) propose(ctx context.Context, what string, cmd fleet.Command) (fleet.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	res, err := c.log.Propose(ctx, cmd)
 	if err != nil {
 		c.opts.Logger.Debug().Err(err).Str("command", what).Msg("proposal failed")
@@ -231,14 +247,26 @@
 	return res, nil
 }
 
-// signal wakes held replies.
+// signal wakes held replies when orders may have changed.
 func (c *Controller) signal() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	applied := c.applied()
+	if applied == c.signalled && !c.acted {
+		return
+	}
+	c.signalled = applied
+	c.acted = false
 	close(c.wake)
 	c.wake = make(chan struct{})
 }
 
+func (c *Controller) applied() uint64 {
+	var index uint64
+	c.log.Read(func(s *fleet.State) { index = s.Applied })
+	return index
+}
+
 func (c *Controller) maintenancePolicy() maintenance.Policy {
 	return maintenance.Policy(c.opts.Policies[PolicyMaintenance])
 }
--- a/internal/controller/outcomes.go
+++ b/internal/controller/outcomes.go
@@ -39,7 +39,7 @@
 		return
 	}
 	wave := c.blame.Wave(workers, now)
-	if !wave && c.blame.JobAtFault(f.key.JobID, f.failedOn, f.key.Attempt, len(workers), now) {
+	if !wave && c.blame.JobAtFault(f.key.JobID, f.failedOn, len(workers), now) {
 		o.Permanent = true
 		return
 	}
@@ -85,10 +85,15 @@
 	now := c.log.Now()
 	var lost []fleet.Observation
 	if now.Sub(c.since) > WorkerLease+LostMargin {
-		c.log.Read(func(s *fleet.State) { lost = c.silent(s, now) })
-	}
-	for _, o := range lost {
-		c.blame.Lost(o.Instance, now)
+		c.log.Read(func(s *fleet.State) {
+			lost = c.silent(s, now)
+			for _, o := range lost {
+				// A reboot that the system ordered is no failure.
+				if s.Status[o.Instance].Phase != fleet.PhaseRebooting {
+					c.blame.Lost(o.Instance, now)
+				}
+			}
+		})
 	}
 	c.mu.Unlock()
 	if len(lost) == 0 {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -14,6 +14,12 @@
 // follow from the committed assignments only.
 func (c *Controller) place(ctx context.Context) error {
 	c.mu.Lock()
+	now, index := c.log.Now(), c.applied()
+	if index == c.placedIndex && now.Sub(c.placedAt) < replanAfter {
+		c.mu.Unlock()
+		return nil
+	}
+	c.placedAt, c.placedIndex = now, index
 	snap, first := c.snapshot()
 	plan := placement.Plan{}
 	if len(snap.Jobs) > 0 || c.throttled() {
@@ -91,6 +97,7 @@
 	if a, ok := c.actions[j.ID]; ok && a.key == key && a.kind == kind {
 		return
 	}
+	c.acted = true
 	c.actions[j.ID] = action{key: key, kind: kind, since: now}
 }
 
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -19,6 +19,11 @@
 // preemptForUrgent frees room for the urgent jobs that found none.
 func (p *planner) preemptForUrgent() {
 	for _, j := range p.misfits {
+		if !p.allowed(j.Team) {
+			continue
+		}
+		// A unit is set aside, so that no more room is cleared than may be used.
+		p.units[j.Team]++
 		if p.renewUrgent(j) || p.victims >= MaxVictimsPerPlan {
 			continue
 		}
--- a/internal/retry/blame.go
+++ b/internal/retry/blame.go
@@ -55,6 +55,8 @@
 	workers   map[string]*workerRecord
 	succeeded map[string]fleet.Time
 	failedOn  map[string]map[string]fleet.Time
+	// failures counts the failures of each job in failedOn, on any worker.
+	failures map[string]int
 }
 
 // NewBlame returns a record without events.
@@ -63,6 +65,7 @@
 		workers:   map[string]*workerRecord{},
 		succeeded: map[string]fleet.Time{},
 		failedOn:  map[string]map[string]fleet.Time{},
+		failures:  map[string]int{},
 	}
 }
 
@@ -100,6 +103,7 @@
 		b.failedOn[job] = map[string]fleet.Time{}
 	}
 	b.failedOn[job][worker] = at
+	b.failures[job]++
 }
 
 // Lost records the loss of a worker, which counts towards a failure wave.
@@ -123,6 +127,7 @@
 		}
 		if len(on) == 0 {
 			delete(b.failedOn, job)
+			delete(b.failures, job)
 		}
 	}
 }
@@ -158,18 +163,19 @@
 	return events
 }
 
-// JobAtFault reports whether a job fails for good: it failed on enough distinct
-// workers that are healthy with other jobs, or on all workers of a smaller pool.
-// Where no other jobs run, nothing proves a worker healthy; then MaxFailures
-// attempts decide.
-func (b *Blame) JobAtFault(job string, failedOn []string, failures, poolSize int, now fleet.Time) bool {
+// JobAtFault reports whether a job fails for good with one more failure: it failed
+// on enough distinct workers that are healthy with other jobs, or on all workers
+// of a smaller pool. failedOn includes the worker of this failure, which is not
+// recorded yet. Where no other jobs run, nothing proves a worker healthy; then
+// MaxFailures decide.
+func (b *Blame) JobAtFault(job string, failedOn []string, poolSize int, now fleet.Time) bool {
 	healthy := 0
 	for _, worker := range failedOn {
 		if b.Healthy(worker, job, now) {
 			healthy++
 		}
 	}
-	return healthy >= min(Distinct, max(poolSize, 1)) || failures >= MaxFailures
+	return healthy >= min(Distinct, max(poolSize, 1)) || b.failures[job]+1 >= MaxFailures
 }
 
 // suspectExcept reports whether a job's failures elsewhere explain its failure on
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -70,8 +70,8 @@
 				break
 			}
 			failedOn = append(failedOn, w)
+			failed[job] = !b.Wave(workers, now) && b.JobAtFault(job, failedOn, len(workers), now)
 			b.Failed(w, job, now)
-			failed[job] = !b.Wave(workers, now) && b.JobAtFault(job, failedOn, attempt, len(workers), now)
 			for _, q := range b.Quarantines(state(workers, until, now), now) {
 				until[q.Worker] = now.Add(max(q.For, 0))
 				quarantined[q.Worker] = q.For > 0
