--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -243,6 +243,47 @@
 	require.Zero(t, ends[PolicyFirstFit])
 }
 
+// Guards against a policy that is no better than its baseline: jobs without
+// accelerators must leave room next to them, and a queue must not fill one rack.
+func TestBestFitKeepsAcceleratorsAndSpreads(t *testing.T) {
+	placed := map[Policy]int{}
+	crowd := map[Policy]int{}
+	for _, policy := range []Policy{PolicyBestFit, PolicyFirstFit} {
+		s := Snapshot{Now: 1000, Teams: map[string]Team{"a": {Limit: 1000}}}
+		racks := map[string]string{}
+		for i := range 24 {
+			w := Worker{Name: fmt.Sprintf("w%02d", i), Pool: "p", Usable: true, Rack: fmt.Sprint("r", i/4), DataCentre: fmt.Sprint("d", i/8)}
+			w.Capacity = fleet.Resources{CPUMilli: 4000, MemoryMiB: 4000}
+			if i%6 == 0 {
+				w.Capacity.Accelerators = 4
+			}
+			racks[w.Name] = w.Rack
+			s.Workers = append(s.Workers, w)
+		}
+		for i := range 32 {
+			j := job(fmt.Sprintf("j%02d", i), fleet.ClassNormal, 1000)
+			if i >= 16 {
+				j.Size.Accelerators = 1
+			}
+			j.AcceptedAt = fleet.Time(i)
+			s.Jobs = append(s.Jobs, j)
+		}
+		byRack := map[string]int{}
+		for _, a := range Compute(policy, s).Assignments {
+			if a.JobID >= "j16" {
+				placed[policy]++
+				continue
+			}
+			byRack[racks[a.Worker]]++
+			crowd[policy] = max(crowd[policy], byRack[racks[a.Worker]])
+		}
+	}
+	t.Logf("accelerator jobs placed of 16: %v; most of 16 other jobs in one rack: %v", placed, crowd)
+	require.Equal(t, 16, placed[PolicyBestFit])
+	require.Less(t, placed[PolicyFirstFit], 16)
+	require.Less(t, crowd[PolicyBestFit], crowd[PolicyFirstFit])
+}
+
 // Guards against jobs that go back to a worker they failed on, and against ones
 // that never run again because they failed on all workers of a small pool.
 func TestAvoidsFailedWorkers(t *testing.T) {
--- a/internal/poolmove/poolmove_test.go
+++ b/internal/poolmove/poolmove_test.go
@@ -16,8 +16,10 @@
 
 // model is a set of pools whose workers are idle as far as demand leaves them so.
 type model struct {
-	snap  Snapshot
-	t     *Tracker
+	snap Snapshot
+	t    *Tracker
+	// unmet is the demand beyond the capacity, in worker seconds.
+	unmet float64
 	moves []fleet.PoolMove
 	at    []fleet.Time
 }
@@ -40,6 +42,7 @@
 	for k := range m.snap.Pools {
 		p := &m.snap.Pools[k]
 		p.Demand, p.Usable = demand[k], len(p.Workers)
+		m.unmet += max(0, demand[k]-float64(p.Usable)) * step.Seconds()
 		for i := range p.Workers {
 			p.Workers[i].Idle = float64(i) >= p.Demand
 		}
@@ -107,6 +110,8 @@
 		m.tick(0, 12, 5)
 		none.tick(0, 12, 5)
 	}
+	t.Logf("unmet demand over 100 s: %.0f worker seconds, without moves %.0f", m.unmet, none.unmet)
+	require.Less(t, m.unmet, none.unmet)
 	require.Equal(t, 0, m.size(0))
 	require.Equal(t, 10, m.size(1))
 	require.Equal(t, 6, m.size(2))
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -51,34 +51,43 @@
 	})
 }
 
-// fleetRun lets jobs run on random workers of a pool, some of either kind bad,
-// and returns the jobs that failed for good and the workers that were quarantined.
-func fleetRun(seed int64, badWorkers, badJobs map[string]bool, workers []string, jobs int) (failed, quarantined map[string]bool) {
+// run is what happened to jobs on random workers of a pool, some of either bad.
+type run struct {
+	failed, quarantined map[string]bool
+	// wasted counts failed attempts.
+	wasted int
+}
+
+func fleetRun(policy Policy, seed int64, badWorkers, badJobs map[string]bool, workers []string, jobs int) run {
 	rng := rand.New(rand.NewSource(seed))
 	b := NewBlame()
 	until := map[string]fleet.Time{}
-	failed, quarantined = map[string]bool{}, map[string]bool{}
+	r := run{failed: map[string]bool{}, quarantined: map[string]bool{}}
 	now := fleet.Time(0)
 	for n := range jobs {
 		job := fmt.Sprintf("j%03d", n)
 		var failedOn []string
-		for attempt := 1; attempt <= 2*MaxFailures && !failed[job]; attempt++ {
+		for attempt := 1; attempt <= 2*MaxFailures && !r.failed[job]; attempt++ {
 			now = now.Add(4 * time.Second)
 			w := pickWorker(rng, workers, failedOn, until, now)
 			if !badWorkers[w] && !badJobs[job] {
 				b.Succeeded(w, job, now)
 				break
 			}
+			r.wasted++
 			failedOn = append(failedOn, w)
-			failed[job] = !b.Wave(workers, now) && b.JobAtFault(job, failedOn, len(workers), now)
+			if policy == PolicyImmediate {
+				continue
+			}
+			r.failed[job] = !b.Wave(workers, now) && b.JobAtFault(job, failedOn, len(workers), now)
 			b.Failed(w, job, now)
 			for _, q := range b.Quarantines(state(workers, until, now), now) {
 				until[q.Worker] = now.Add(max(q.For, 0))
-				quarantined[q.Worker] = q.For > 0
+				r.quarantined[q.Worker] = q.For > 0
 			}
 		}
 	}
-	return failed, quarantined
+	return r
 }
 
 func pickWorker(rng *rand.Rand, workers, avoid []string, until map[string]fleet.Time, now fleet.Time) string {
@@ -124,12 +133,15 @@
 		for n := 40; n < 400; n += 12 {
 			poison[fmt.Sprintf("j%03d", n)] = true
 		}
-		failed, quarantined := fleetRun(seed, bad, poison, workers, 400)
-		for _, job := range kept(failed) {
+		r := fleetRun(PolicyBlame, seed, bad, poison, workers, 400)
+		base := fleetRun(PolicyImmediate, seed, bad, poison, workers, 400)
+		t.Logf("seed %d: failed attempts %d, baseline %d", seed, r.wasted, base.wasted)
+		require.Less(t, r.wasted, base.wasted)
+		for _, job := range kept(r.failed) {
 			require.True(t, poison[job], "seed %d: good job %s failed for good", seed, job)
 		}
-		require.Len(t, kept(failed), len(poison), "seed %d", seed)
-		require.Equal(t, []string{"w03"}, kept(quarantined), "seed %d", seed)
+		require.Len(t, kept(r.failed), len(poison), "seed %d", seed)
+		require.Equal(t, []string{"w03"}, kept(r.quarantined), "seed %d", seed)
 	}
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -193,11 +193,18 @@
 	}
 }
 
-// Guards against a baseline that is no longer one: the equal split ignores sizes.
+// Guards against a policy that is no better than its baseline: the equal split
+// ignores weights, sizes and history.
 func TestEqualSplitDeviates(t *testing.T) {
-	s := newSim(1, share.PolicyEqual, 24, mixed(rand.New(rand.NewSource(1))))
-	s.window()
-	require.Greater(t, s.window(), 0.05)
+	worst := map[share.Policy]float64{}
+	for _, policy := range []share.Policy{share.PolicyDRF, share.PolicyEqual} {
+		s := newSim(1, policy, 24, mixed(rand.New(rand.NewSource(1))))
+		s.window()
+		worst[policy] = s.window()
+	}
+	t.Logf("largest deviation: %v", worst)
+	require.Less(t, worst[share.PolicyDRF], 0.05)
+	require.Greater(t, worst[share.PolicyEqual], 0.05)
 }
 
 // Guards against an idle team's share that is wasted, or returned late or twofold.
