Number racks and data centres in placement, and level data centres in waves

Cause: a quarter of a plan's time went into keys of rack and data centre names, and racks of the same name in two data centres were counted as one. Numbers per pool replace the names.

Waves now prefer the data centre with the most instances left.

--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -244,6 +244,10 @@
 func (p *planner) pick(candidates []Instance) (int, string) {
 	best := -1
 	reason := ""
+	left := map[string]int{}
+	for _, i := range candidates {
+		left[i.DataCentre]++
+	}
 	for k, i := range candidates {
 		c := p.down
 		if i.Down {
@@ -253,16 +257,17 @@
 			reason = why
 			continue
 		}
-		if best < 0 || p.less(i, candidates[best]) {
+		if best < 0 || p.less(i, candidates[best], left) {
 			best = k
 		}
 	}
 	return best, reason
 }
 
-// less orders candidates: no watch tasks first, then those in data centres and
-// racks with the fewest unavailable instances, then those with the fewest tasks.
-func (p *planner) less(a, b Instance) bool {
+// less orders candidates: no watch tasks first, then those in racks with the fewest
+// unavailable instances, then those in data centres with the most candidates
+// left, which would otherwise be alone at the end with only their own budget.
+func (p *planner) less(a, b Instance, left map[string]int) bool {
 	if a.Down != b.Down {
 		return a.Down
 	}
@@ -272,6 +277,9 @@
 	if x, y := p.down.rack(a), p.down.rack(b); x != y {
 		return x < y
 	}
+	if x, y := left[a.DataCentre], left[b.DataCentre]; x != y {
+		return x > y
+	}
 	if x, y := p.down.centre(a), p.down.centre(b); x != y {
 		return x < y
 	}
--- a/internal/placement/node.go
+++ b/internal/placement/node.go
@@ -11,17 +11,26 @@
 	Worker
 	free  fleet.Resources
 	tasks []Task
+	// centre and rack number the node's data centre and rack in its pool. They
+	// are equal for a node without a rack.
+	centre, rack int
 	// reservedFor names the only job that may use the room, unless it is empty.
 	reservedFor    string
 	reservedUrgent bool
 }
 
-type groupKey struct{ team, queue, domain string }
+// groupKey names the work of a team in a queue.
+type groupKey struct{ team, queue string }
+
+// location is a rack of a data centre or, with an empty rack, the whole data centre.
+type location struct{ centre, rack string }
 
 type pool struct {
 	nodes []*node
-	// spread counts the tasks of a team and queue by rack and by data centre.
-	spread map[groupKey]int
+	// locations numbers the racks and data centres of the pool.
+	locations map[location]int
+	// spread counts the tasks of a group by the number of their location.
+	spread map[groupKey][]int
 	// reserved is the number of nodes with a reservation.
 	reserved int
 	// bars holds by resource kind the score above which teams get no more of it.
@@ -34,10 +43,12 @@
 	for _, w := range s.Workers {
 		p := pools[w.Pool]
 		if p == nil {
-			p = &pool{spread: map[groupKey]int{}}
+			p = &pool{spread: map[groupKey][]int{}, locations: map[location]int{}}
 			pools[w.Pool] = p
 		}
 		n := &node{Worker: w, free: w.Capacity}
+		n.centre = p.number(location{centre: w.DataCentre})
+		n.rack = p.number(location{centre: w.DataCentre, rack: w.Rack})
 		p.nodes = append(p.nodes, n)
 		nodes[w.Name] = n
 	}
@@ -56,6 +67,15 @@
 	return pools, nodes
 }
 
+func (p *pool) number(l location) int {
+	k, ok := p.locations[l]
+	if !ok {
+		k = len(p.locations)
+		p.locations[l] = k
+	}
+	return k
+}
+
 func compare(a, b string) int {
 	if a < b {
 		return -1
@@ -67,8 +87,22 @@
 }
 
 func (p *pool) note(n *node, team, queue string) {
-	p.spread[groupKey{team, queue, "rack " + n.Rack}]++
-	p.spread[groupKey{team, queue, "dc " + n.DataCentre}]++
+	counts := p.counts(team, queue)
+	counts[n.centre]++
+	if n.rack != n.centre {
+		counts[n.rack]++
+	}
+}
+
+// counts returns the tasks of a team and queue by the number of their location.
+func (p *pool) counts(team, queue string) []int {
+	k := groupKey{team, queue}
+	c := p.spread[k]
+	if c == nil {
+		c = make([]int, len(p.locations))
+		p.spread[k] = c
+	}
+	return c
 }
 
 // take puts a job on a node.
@@ -89,8 +123,7 @@
 // best returns the usable node with room for the job and the lowest cost, or nil.
 func (p *pool) best(j Job) *node {
 	avoid := p.avoidable(j)
-	racks := map[string]int{}
-	centres := map[string]int{}
+	counts := p.counts(j.Team, j.Queue)
 	var chosen *node
 	lowest := 0.0
 	for _, n := range p.nodes {
@@ -101,8 +134,8 @@
 			continue
 		}
 		cost := fitCost(n, j.Size)
-		cost += costSameRack * float64(p.count(racks, j, n.Rack, "rack "))
-		cost += costSameCentre * float64(p.count(centres, j, n.DataCentre, "dc "))
+		cost += costSameCentre * float64(counts[n.centre])
+		cost += costSameRack * float64(counts[n.rack])
 		if chosen == nil || cost < lowest {
 			chosen, lowest = n, cost
 		}
@@ -110,16 +143,6 @@
 	return chosen
 }
 
-// count returns the tasks of the job's team and queue in a domain, remembered in seen.
-func (p *pool) count(seen map[string]int, j Job, domain, prefix string) int {
-	c, ok := seen[domain]
-	if !ok {
-		c = p.spread[groupKey{j.Team, j.Queue, prefix + domain}]
-		seen[domain] = c
-	}
-	return c
-}
-
 // avoidable reports whether a worker that the job has not failed on could run it.
 // Without one, a job of a small pool may go back to a worker it failed on.
 func (p *pool) avoidable(j Job) bool {
