--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -49,7 +49,10 @@
 	begun  bool
 	total  fleet.Resources
 	last   map[string]Usage
-	debt   map[string]float64
+	// order holds the teams in the order given, so that sums are the same in
+	// each run.
+	order []string
+	debt  map[string]float64
 }
 
 // New returns accounts without history. An unknown policy means PolicyDRF.
@@ -67,8 +70,10 @@
 	a.begun = true
 	a.total = total
 	a.last = make(map[string]Usage, len(usage))
+	a.order = make([]string, 0, len(usage))
 	for _, u := range usage {
 		a.last[u.Team] = u
+		a.order = append(a.order, u.Team)
 	}
 	for team := range a.debt {
 		if _, ok := a.last[team]; !ok {
@@ -105,8 +110,8 @@
 
 // contended returns the dominant shares and the weights of the waiting teams.
 func (a *Accounts) contended() (used, weights float64) {
-	for _, u := range a.last {
-		if u.Waiting {
+	for _, team := range a.order {
+		if u := a.last[team]; u.Waiting {
 			used += Dominant(u.Running, a.total)
 			weights += weight(u)
 		}
