--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -177,3 +177,42 @@
 	require.NoError(t, err)
 	require.Empty(t, empty.Orders)
 }
+
+// Guards against replies and commands that exceed a frame, and against starts or
+// results that are left out for good.
+func TestLargePayloadsAreSplit(t *testing.T) {
+	r := newRig(t, 8, Options{})
+	r.round(obey)
+	var ids []string
+	for range 30 {
+		id := r.submit("normal", 1000, false)
+		r.log.state.Jobs[id].Spec.Payload = make([]byte, 60<<10)
+		ids = append(ids, id)
+	}
+	r.log.before = func(cmd fleet.Command) {
+		size := 0
+		if cmd.Outcome != nil {
+			for _, o := range cmd.Outcome.Outcomes {
+				size += len(o.Result)
+			}
+		}
+		require.LessOrEqual(t, size, maxReplyBytes)
+	}
+	size := 0
+	work := func(w *wire.WorkerState, o wire.Order) {
+		if o.Spec != nil {
+			size += len(o.Spec.Payload)
+		}
+		finishing(wire.TaskDone)(w, o)
+		for i := range w.Tasks {
+			w.Tasks[i].Result = make([]byte, 60<<10)
+		}
+	}
+	for range 5 {
+		r.round(work)
+	}
+	require.Equal(t, 30*60<<10, size)
+	for _, id := range ids {
+		require.Equal(t, fleet.JobDone, r.job(id).State)
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -20,6 +20,10 @@
 // The order has no visible effect, so a lost one can't be told from a late one.
 const maxUndrains = 3
 
+// maxReplyBytes bounds the payloads in one reply and the results in one command,
+// so that both stay well within a frame of 4 MiB.
+const maxReplyBytes = 1 << 20
+
 // orders returns the orders that are due for the workers of an entry. An order
 // is due when it was not sent yet, or without effect for resendAfter.
 func (c *Controller) orders(entry string) (*wire.WorkerOrders, error) {
@@ -31,6 +35,7 @@
 	}
 	now := c.log.Now()
 	reply := &wire.WorkerOrders{Term: l.Term}
+	room := maxReplyBytes
 	c.log.Read(func(s *fleet.State) {
 		for _, name := range sortedKeys(c.workers) {
 			w := c.workers[name]
@@ -39,14 +44,15 @@
 			}
 			all := c.taskOrders(s, w, now)
 			all = append(all, c.phaseOrders(s, w)...)
-			reply.Orders = append(reply.Orders, w.due(all, now)...)
+			reply.Orders = append(reply.Orders, w.due(all, now, &room)...)
 		}
 	})
 	return reply, nil
 }
 
-// due keeps the orders that are to be sent now and notes them as sent.
-func (w *worker) due(all []wire.Order, now fleet.Time) []wire.Order {
+// due keeps the orders that are to be sent now and notes them as sent. Payloads
+// beyond the room are left for a later reply.
+func (w *worker) due(all []wire.Order, now fleet.Time, room *int) []wire.Order {
 	var due []wire.Order
 	sent := make(map[orderKey]sending, len(all))
 	for _, o := range all {
@@ -56,6 +62,12 @@
 			sent[k] = last
 			continue
 		}
+		if o.Spec != nil {
+			if len(o.Spec.Payload) > *room {
+				continue
+			}
+			*room -= len(o.Spec.Payload)
+		}
 		sent[k] = sending{at: now}
 		if o.Kind == wire.OrderUndrain {
 			w.undrains++
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -170,12 +170,28 @@
 			return err
 		}
 	}
-	if len(outcomes) > 0 {
-		return c.commitOutcomes(ctx, outcomes)
+	for len(outcomes) > 0 {
+		n := batch(outcomes)
+		if err := c.commitOutcomes(ctx, outcomes[:n]); err != nil {
+			return err
+		}
+		outcomes = outcomes[n:]
 	}
 	return nil
 }
 
+// batch returns the number of findings whose results fit into one command.
+func batch(found []finding) int {
+	size := 0
+	for i, f := range found {
+		size += len(f.report.Result)
+		if i > 0 && size > maxReplyBytes {
+			return i
+		}
+	}
+	return len(found)
+}
+
 func (c *Controller) commitOutcomes(ctx context.Context, found []finding) error {
 	outcomes := c.judge(found)
 	res, err := c.propose(ctx, "outcome", fleet.Command{Outcome: &fleet.JobOutcomes{Outcomes: outcomes}})
