Withhold room only while work flows, and check policy names

Room withheld for a team whose jobs can't fit beside tasks without an end was withheld for ever. Nothing is withheld now for a team without a start for 10 s.

CheckPolicies refuses unknown policy names, which would mean the defaults.

--- a/internal/controller/run_test.go
+++ b/internal/controller/run_test.go
@@ -97,3 +97,23 @@
 		second(1)
 	}
 }
+
+// Guards against a misspelt policy that silently means the default, and against
+// a baseline that can't run jobs to their end.
+func TestPoliciesByName(t *testing.T) {
+	var unknown *UnknownPolicyError
+	require.ErrorAs(t, CheckPolicies(map[string]string{PolicyShare: "drff"}), &unknown)
+	require.ErrorAs(t, CheckPolicies(map[string]string{"shares": "drf"}), &unknown)
+	base := map[string]string{}
+	for key, names := range policies {
+		base[key] = names[len(names)-1]
+	}
+	require.NoError(t, CheckPolicies(base))
+	r := newRig(t, 3, Options{Policies: base})
+	r.round(obey)
+	id := r.submit("normal", 1000, true)
+	for range 3 {
+		r.round(finishing(wire.TaskDone))
+	}
+	require.Equal(t, fleet.JobDone, r.job(id).State)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -243,6 +243,34 @@
 	require.Zero(t, ends[PolicyFirstFit])
 }
 
+// Guards against room that is withheld for ever for a team whose jobs can't fit
+// beside tasks without an end.
+func TestWithheldRoomIsGivenBack(t *testing.T) {
+	s := Snapshot{Now: 100_000, Teams: map[string]Team{"a": {Limit: 100}, "b": {Limit: 100}}}
+	for i := range 8 {
+		w := Worker{Name: fmt.Sprint("w", i), Pool: "p", Usable: true, Capacity: fleet.Resources{CPUMilli: 4000, MemoryMiB: 4000}}
+		s.Workers = append(s.Workers, w)
+		s.Tasks = append(s.Tasks, Task{JobID: fmt.Sprint("r", i), Worker: w.Name, Team: "b", Class: fleet.ClassNormal, Size: fleet.Resources{CPUMilli: 3200, MemoryMiB: 100}})
+	}
+	for i := range 10 {
+		a, b := job(fmt.Sprint("a", i), fleet.ClassNormal, 900), job(fmt.Sprint("b", i), fleet.ClassNormal, 400)
+		b.Team = "b"
+		s.Jobs = append(s.Jobs, a, b)
+	}
+	usage := []share.Usage{{Team: "a", Weight: 1, Waiting: true}, {Team: "b", Weight: 1, Waiting: true, Running: fleet.Resources{CPUMilli: 25600}}}
+	plan := func() Plan {
+		acc := share.New(share.PolicyDRF)
+		acc.Advance(s.Now, fleet.Resources{CPUMilli: 32000, MemoryMiB: 32000}, usage)
+		s.Rank = acc.Ranking()
+		p := Compute(PolicyBestFit, s)
+		s.Reservations = p.Reservations
+		return p
+	}
+	require.Empty(t, plan().Assignments)
+	s.Now = s.Now.Add(withholdTime)
+	require.NotEmpty(t, plan().Assignments)
+}
+
 // Guards against a policy that is no better than its baseline: jobs without
 // accelerators must leave room next to them, and a queue must not fill one rack.
 func TestBestFitKeepsAcceleratorsAndSpreads(t *testing.T) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -22,6 +22,8 @@
 	return p.plan
 }
 
+type teamPool struct{ team, pool string }
+
 type planner struct {
 	Snapshot
 	pools map[string]*pool
@@ -30,6 +32,8 @@
 	room  int
 	// previous holds the earlier reservations by job.
 	previous map[string]Reservation
+	// started holds the latest start of a task by team and pool.
+	started map[teamPool]fleet.Time
 	// misfits holds the urgent jobs that found no room, in order.
 	misfits []Job
 	victims int
@@ -42,6 +46,13 @@
 	for name, t := range s.Teams {
 		p.units[name] = t.Units
 	}
+	p.started = map[teamPool]fleet.Time{}
+	for _, t := range s.Tasks {
+		if n := p.nodes[t.Worker]; n != nil {
+			k := teamPool{t.Team, n.Pool}
+			p.started[k] = max(p.started[k], t.StartedAt)
+		}
+	}
 	p.room = s.MaxAssignments
 	if p.room <= 0 {
 		p.room = DefaultMaxAssignments
@@ -150,13 +161,20 @@
 }
 
 // giveUp withholds the resource kinds that a team lacks in a pool from the teams
-// that are above it, once the team's jobs were tried in vain.
+// that are above it, once the team's jobs were tried in vain. It does so only
+// while the team's work flows or has not waited long: room that is held by tasks
+// without an end would otherwise stay half used.
 func (p *planner) giveUp(j Job, l *line) {
 	pl := p.pools[j.Pool]
 	if pl == nil || p.Rank == nil || j.Class == fleet.ClassUrgent || l.misfits[j.Pool] != MaxMisfits {
 		return
 	}
-	pl.withhold(j, p.score(l.team))
+	since, reserves := l.reserved[j.Pool]
+	started, running := p.started[teamPool{j.Team, j.Pool}]
+	flows := running && p.Now.Sub(started) < withholdTime
+	if flows || (reserves && p.Now.Sub(since) < withholdTime) {
+		pl.withhold(j, p.score(l.team))
+	}
 }
 
 // hold notes an urgent job for preemption, or reserves room for a job that does
@@ -180,6 +198,9 @@
 	}
 	p.reserve(n, j, since, false)
 	pl.reserved++
+	if first, ok := l.reserved[j.Pool]; !ok || since < first {
+		l.reserved[j.Pool] = since
+	}
 	if p.Rank != nil && large(j.Size, n.Capacity) {
 		p.Rank.Add(j.Team, j.Size)
 	}
@@ -223,6 +244,8 @@
 	jobs    []Job
 	at      int
 	misfits map[string]int
+	// reserved holds the time of the team's oldest reservation by pool.
+	reserved map[string]fleet.Time
 }
 
 // next returns the first job of the line whose pool is not given up.
@@ -265,7 +288,7 @@
 		}
 		l := byTeam[j.Team]
 		if l == nil {
-			l = &line{team: j.Team, score: p.score(j.Team), misfits: map[string]int{}}
+			l = &line{team: j.Team, score: p.score(j.Team), misfits: map[string]int{}, reserved: map[string]fleet.Time{}}
 			byTeam[j.Team] = l
 			h = append(h, l)
 		}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -156,6 +156,9 @@
 	// whose jobs don't fit. Without the bound, teams with small jobs take all
 	// room that is freed in small pieces and stay far above their share.
 	shareTolerance = 0.01
+	// withholdTime is the time without a start after which room is no longer
+	// withheld for a team; it is the window in which shares are to hold.
+	withholdTime = 10 * time.Second
 	// reservedWorkersDivisor limits reservations to this part of a pool's workers.
 	reservedWorkersDivisor = 4
 )
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -136,7 +136,7 @@
 				left = append(left, j)
 				continue
 			}
-			s.snap.Tasks = append(s.snap.Tasks, placement.Task{JobID: j.ID, Worker: w, Team: j.Team, Queue: j.Queue, Class: j.Class, Size: j.Size})
+			s.snap.Tasks = append(s.snap.Tasks, placement.Task{JobID: j.ID, Worker: w, Team: j.Team, Queue: j.Queue, Class: j.Class, Size: j.Size, StartedAt: s.snap.Now})
 			s.acc.Started(j.Team, j.Size)
 			s.ends[j.ID] = s.snap.Now.Add(time.Duration(s.vary(l.run.Milliseconds())) * time.Millisecond)
 		}
