--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -19,6 +19,11 @@
 // preemptForUrgent frees room for the urgent jobs that found none.
 func (p *planner) preemptForUrgent() {
 	for _, j := range p.misfits {
+		if !p.allowed(j.Team) {
+			continue
+		}
+		// A unit is set aside, so that no more room is cleared than may be used.
+		p.units[j.Team]++
 		if p.renewUrgent(j) || p.victims >= MaxVictimsPerPlan {
 			continue
 		}
@@ -28,7 +33,7 @@
 		}
 		p.release(j)
 		p.disturb(n, j, victims)
-		p.reserve(n, j, true)
+		p.reserve(n, j, p.Now, true)
 	}
 }
 
@@ -44,8 +49,11 @@
 	if !possible {
 		return false
 	}
-	p.disturb(n, j, victims)
-	return p.renew(j)
+	if p.victims+len(victims) <= MaxVictimsPerPlan {
+		p.disturb(n, j, victims)
+	}
+	p.plan.Reservations = append(p.plan.Reservations, r)
+	return true
 }
 
 func (p *planner) disturb(n *node, j Job, victims []Preemption) {
