Keep slow answers from stopping admission and from ejecting healthy backend servers

The smoothed run time took in calls that got no answer. After a frozen backend server it could exceed every time limit, and as a refused call never completes, it was never corrected. It now counts answered calls only and expires after 1 s without one. An attempt that is short against the usual run time no longer counts against the backend server, and the first attempt of an idempotent call is not cut below five usual run times.

An entry asked for one unit of each team at all times. With a limit below the number of entries, idle entries then held the units of a busy one; it now asks only for teams with recent calls.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,6 +67,8 @@
 	slots  int
 	// mean is the smoothed run time of recent completions; 0 before the first.
 	mean time.Duration
+	// meanAt is when the last call completed.
+	meanAt time.Time
 	// soonest is no later than the first deadline of a waiting call, so that the
 	// queues are searched for late calls only when there may be one.
 	soonest time.Time
@@ -108,18 +110,18 @@
 	if !req.Retry {
 		t.budget.deposit()
 	}
-	if wait := c.wait(s, req); now.Add(wait + s.mean).After(req.Deadline) {
+	if wait := c.wait(now, s, req); now.Add(wait + s.runTime(now)).After(req.Deadline) {
 		return nil, c.refuse(api.CodeLate, wait)
 	}
 	if req.Retry {
-		if err := c.checkRetry(s, t, req); err != nil {
+		if err := c.checkRetry(now, s, t, req); err != nil {
 			return nil, err
 		}
 	}
 	if len(s.queues[req.Team]) >= QueueLimit {
 		shed = s.newestRetry(req.Team)
 		if shed == nil || req.Retry {
-			return nil, c.refuse(api.CodeQueueFull, c.wait(s, req))
+			return nil, c.refuse(api.CodeQueueFull, c.wait(now, s, req))
 		}
 		c.remove(s, shed)
 	}
@@ -128,19 +130,19 @@
 }
 
 // checkRetry refuses a retry while its team's queue is long or its budget is used up.
-func (c *Controller) checkRetry(s *service, t *team, req *Request) *Refused {
+func (c *Controller) checkRetry(now time.Time, s *service, t *team, req *Request) *Refused {
 	if len(s.queues[req.Team]) >= QueueLimit/retryQueueShare {
-		return c.refuse(api.CodeOverloaded, c.wait(s, req))
+		return c.refuse(api.CodeOverloaded, c.wait(now, s, req))
 	}
 	if !t.budget.take() {
-		return c.refuse(api.CodeRetryBudget, c.wait(s, req))
+		return c.refuse(api.CodeRetryBudget, c.wait(now, s, req))
 	}
 	return nil
 }
 
 // Refusal returns the refusal of a call that was queued and is not run.
-func (c *Controller) Refusal(code api.Code, req *Request) *Refused {
-	return c.refuse(code, c.wait(c.service(req.Service), req))
+func (c *Controller) Refusal(now time.Time, code api.Code, req *Request) *Refused {
+	return c.refuse(code, c.wait(now, c.service(req.Service), req))
 }
 
 // refuse spreads the retry time evenly over half to one and a half times the
@@ -165,23 +167,24 @@
 // over the rate at which slots become free. The calls ahead are all waiting ones,
 // or those of its own team at the team's part of the rate, whichever is less. A
 // team at its upper limit waits for its own calls to end.
-func (c *Controller) wait(s *service, req *Request) time.Duration {
-	if s.slots == 0 || s.mean == 0 {
+func (c *Controller) wait(now time.Time, s *service, req *Request) time.Duration {
+	ran := s.runTime(now)
+	if s.slots == 0 || ran == 0 {
 		return 0
 	}
-	perCall := float64(s.mean) / float64(s.slots)
+	perCall := float64(ran) / float64(s.slots)
 	all := float64(s.total) * perCall
 	own := float64(len(s.queues[req.Team])) * perCall / c.part(s, req.Team)
-	return time.Duration(max(min(all, own), c.limitWait(s, req)))
+	return time.Duration(max(min(all, own), c.limitWait(s, req, ran)))
 }
 
 // limitWait estimates the wait for the team's own units under its upper limit.
-func (c *Controller) limitWait(s *service, req *Request) float64 {
+func (c *Controller) limitWait(s *service, req *Request, ran time.Duration) float64 {
 	limit := c.team(req.Team).limit
 	if limit == 0 {
 		return 0
 	}
-	return float64(len(s.queues[req.Team])) * float64(s.mean) / float64(limit)
+	return float64(len(s.queues[req.Team])) * float64(ran) / float64(limit)
 }
 
 // part returns the share of the team among the teams that wait for the service.
@@ -196,12 +199,31 @@
 	return own / sum
 }
 
-// meanWeight is the weight of one completion in the smoothed run time.
-const meanWeight = 0.1
+const (
+	// meanWeight is the weight of one completion in the smoothed run time.
+	meanWeight = 0.1
+	// meanTerm is the time for which the run time is used without a completion.
+	// An estimate that refuses all calls would otherwise never be corrected.
+	meanTerm = time.Second
+)
+
+// runTime returns the smoothed run time, or 0 when it is not known.
+func (s *service) runTime(now time.Time) time.Duration {
+	if now.Sub(s.meanAt) > meanTerm {
+		return 0
+	}
+	return s.mean
+}
+
+// RunTime returns the smoothed run time of a service, or 0 when it is not known.
+func (c *Controller) RunTime(now time.Time, name string) time.Duration {
+	return c.service(name).runTime(now)
+}
 
-// Finished takes the run time of a completed call.
-func (c *Controller) Finished(name string, ran time.Duration) {
+// Finished takes the run time of a call that was answered.
+func (c *Controller) Finished(now time.Time, name string, ran time.Duration) {
 	s := c.service(name)
+	s.meanAt = now
 	if s.mean == 0 {
 		s.mean = ran
 		return
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -18,7 +18,7 @@
 func newTestController(policy Policy) *Controller {
 	c := NewController(policy, rand.New(rand.NewPCG(1, 2)))
 	c.SetSlots("s", 1)
-	c.Finished("s", 10*time.Millisecond)
+	c.Finished(start, "s", 10*time.Millisecond)
 	return c
 }
 
@@ -181,3 +181,16 @@
 		}
 	})
 }
+
+// Guards against slow answers of a while ago that make every call look too late
+// for ever.
+func TestEstimateExpires(t *testing.T) {
+	c := newTestController(PolicyFair)
+	for range 100 {
+		c.Finished(start, "s", time.Minute)
+	}
+	_, err := c.Offer(start, request("a", 5*time.Second))
+	require.Equal(t, api.CodeLate, err.Code)
+	_, err = c.Offer(start.Add(meanTerm+1), request("a", 5*time.Second))
+	require.Nil(t, err)
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -20,6 +20,10 @@
 	// firstTryShare is the part of the time limit that the first attempt of an
 	// idempotent call may use, so that a frozen backend server leaves time for another.
 	firstTryShare = 0.6
+	// patience is the multiple of the usual run time that an attempt needs: a
+	// first attempt is not cut shorter, and a shorter one that gets no answer is
+	// not held against the backend server.
+	patience = 5
 )
 
 // handleCall serves POST /v1/call/:service.
@@ -143,8 +147,9 @@
 func (e *Entry) try(ctx context.Context, req *callRequest, where place, n int) attempt {
 	started := e.clock()
 	limit := req.deadline.Sub(started)
-	if req.idempotent && n == 1 {
-		limit = time.Duration(firstTryShare * float64(limit))
+	usual := patience * e.sched.runTime(req.service)
+	if part := time.Duration(firstTryShare * float64(limit)); req.idempotent && n == 1 && part > usual {
+		limit = part
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
@@ -154,8 +159,11 @@
 	} else {
 		got = e.backends.call(ctx, started, where.lent, req)
 	}
+	if got.effect == effectUnknown && ctx.Err() != nil && limit < usual {
+		got.outcome = routing.Unused
+	}
 	ran := time.Duration(0)
-	if got.effect != effectNotRun {
+	if got.effect == effectAnswered {
 		ran = max(e.clock().Sub(started), 1)
 	}
 	e.sched.release(req.service, where, got.outcome, ran)
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -5,9 +5,10 @@
 const (
 	// demandPeriod is the time for which a peak of demand keeps its units wanted.
 	demandPeriod = 2 * time.Second
-	// standingUnits are wanted for every team, so that a first call need not wait
-	// for a grant.
-	standingUnits = 1
+	// spareUnits are wanted on top of a recent peak. A team without calls here
+	// wants none: with a limit below the number of entries, the idle entries
+	// would hold the units that a busy one needs.
+	spareUnits = 1
 )
 
 // demand tracks the recent peak of running and waiting calls by team.
@@ -34,7 +35,9 @@
 	for _, team := range teams {
 		d.note(now, team, 0)
 		peak := max(d.current[team], d.previous[team])
-		out[team] = peak + standingUnits
+		if peak > 0 {
+			out[team] = peak + spareUnits
+		}
 	}
 	return out
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/routing"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
@@ -118,7 +119,7 @@
 func (e *Entry) recordOutcome(held claim, answer *wire.CallAnswer) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
 	defer cancel()
-	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: answer}
+	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: ledger.Storable(answer)}
 	err := e.pool.Call(ctx, held.home, wire.TypeLedgerFinish, update, nil)
 	if err == nil {
 		return true
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -97,7 +97,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	if s.updateSlots(now, req.Service) == 0 && !s.routes.Known(now, req.Service) {
-		return nil, s.admit.Refusal(api.CodeNoBackend, req)
+		return nil, s.admit.Refusal(now, api.CodeNoBackend, req)
 	}
 	if req.Team != "" {
 		s.admit.SetLimit(req.Team, s.lease.units(now, req.Team))
@@ -109,7 +109,7 @@
 	granted := make(chan permit, 1)
 	s.permits[req] = granted
 	if shed != nil {
-		s.refuse(shed, s.admit.Refusal(api.CodeOverloaded, shed))
+		s.refuse(shed, s.admit.Refusal(now, api.CodeOverloaded, shed))
 	}
 	s.noteDemand(now, req.Team)
 	s.pump(now, req.Service)
@@ -123,7 +123,7 @@
 	now := s.clock()
 	waiting := s.admit.Cancel(req)
 	delete(s.permits, req)
-	refused := s.admit.Refusal(api.CodeTimeout, req)
+	refused := s.admit.Refusal(now, api.CodeTimeout, req)
 	s.mu.Unlock()
 	if waiting {
 		return refused
@@ -224,7 +224,7 @@
 		if !s.allowed(now, req.Team) {
 			code = api.CodeLimit
 		}
-		s.refuse(req, s.admit.Refusal(code, req))
+		s.refuse(req, s.admit.Refusal(now, code, req))
 	}
 }
 
@@ -235,6 +235,13 @@
 	return s.find(s.clock(), service, exclude)
 }
 
+// runTime returns the smoothed run time of a service, or 0 when it is not known.
+func (s *scheduler) runTime(service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admit.RunTime(s.clock(), service)
+}
+
 // takeRetry takes one unit of the team's retry budget.
 func (s *scheduler) takeRetry(team string) bool {
 	s.mu.Lock()
@@ -242,14 +249,14 @@
 	return s.admit.TakeRetry(team)
 }
 
-// release gives a place back. ran is the run time of a call that completed, or 0.
+// release gives a place back. ran is the run time of a call that was answered, or 0.
 func (s *scheduler) release(service string, where place, outcome routing.Outcome, ran time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	s.giveBack(now, service, where, outcome)
 	if ran > 0 {
-		s.admit.Finished(service, ran)
+		s.admit.Finished(now, service, ran)
 	}
 	s.pump(now, service)
 }
@@ -302,7 +309,7 @@
 	for req := range s.permits {
 		services[req.Service] = true
 		if !valid && req.Team != "" && s.admit.Cancel(req) {
-			s.refuse(req, s.admit.Refusal(api.CodeNoLease, req))
+			s.refuse(req, s.admit.Refusal(now, api.CodeNoLease, req))
 		}
 	}
 	for service := range services {
