Answer may_have_run to refused requests that may have run before

A non-idempotent call or a submission that was not marked as a first attempt got not_run when its key or the entry's lease did not admit it, although an attempt through another entry may have run. Asking the ledger before the key check was ruled out, as callers without a key could then read verdicts.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -43,10 +43,10 @@
 	return e.respond(c, req.id, answer)
 }
 
-// soften turns the refusal of a repeated request into may_have_run, since an
-// earlier attempt with the same identifier may have run.
+// soften turns the refusal of a request into may_have_run when an earlier attempt
+// with the same identifier may have run and no ledger was asked.
 func soften(req *callRequest, refusal *api.Refusal) *api.Refusal {
-	if !req.retry || refusal.Verdict != api.NotRun {
+	if refusal.Verdict != api.NotRun || !req.retry && !doubtful(req, refusal) {
 		return refusal
 	}
 	out := *refusal
@@ -57,6 +57,20 @@
 	return &out
 }
 
+// doubtful reports whether a request that is not marked as a first attempt may
+// have run before, and is now refused for a reason that did not hold then. An
+// idempotent call may simply be sent again, so its refusal is about the attempt.
+func doubtful(req *callRequest, refusal *api.Refusal) bool {
+	if req.first || req.idempotent {
+		return false
+	}
+	switch refusal.Status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // admit waits for a place and the team's unit.
 func (e *Entry) admit(ctx context.Context, req *callRequest) (place, *api.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(e.clock()))
@@ -122,7 +136,7 @@
 
 // worst turns a refusal into may_have_run when an earlier attempt may have run.
 func worst(uncertain bool, answer *wire.CallAnswer) *wire.CallAnswer {
-	return asAnswer(soften(&callRequest{retry: uncertain}, asRefusal(answer)))
+	return asAnswer(soften(&callRequest{retry: uncertain, idempotent: true}, asRefusal(answer)))
 }
 
 // elsewhere finds a place for a further attempt, within the retry budget unless
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -117,6 +117,10 @@
 		got := te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey)
 		return got.refusal.Code == api.CodeNoLease && got.verdict == api.NotRun && got.refusal.RetryAfterMS > 0
 	}, generous, time.Millisecond)
+	unmarked := te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderRequestID, "dc1.m")
+	require.Equal(t, api.MayHaveRun, unmarked.verdict, "an earlier attempt elsewhere may have run")
+	first := te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderRequestID, "dc1.n", api.HeaderAttempt, "1")
+	require.Equal(t, api.NotRun, first.verdict)
 	require.Equal(t, api.Done, te.mustCall(t, "/v1/call/free", "x").verdict)
 	store.setSilent(false)
 	require.Eventually(t, func() bool {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -78,7 +78,7 @@
 
 // handleCancel serves DELETE /v1/jobs/:id.
 func (e *Entry) handleCancel(c echo.Context) error {
-	from := caller{id: c.Param("id")}
+	from := caller{id: c.Param("id"), first: true}
 	team, refusal := e.jobTeam(c)
 	if refusal != nil {
 		return e.refuseJob(c, from, refusal)
@@ -108,7 +108,7 @@
 
 // handleGetJob serves GET /v1/jobs/:id.
 func (e *Entry) handleGetJob(c echo.Context) error {
-	from := caller{id: c.Param("id")}
+	from := caller{id: c.Param("id"), first: true}
 	team, refusal := e.jobTeam(c)
 	if refusal != nil {
 		return e.refuseJob(c, from, refusal)
@@ -232,7 +232,7 @@
 }
 
 func (e *Entry) refuseJob(c echo.Context, from caller, refusal *api.Refusal) error {
-	req := &callRequest{id: from.id, retry: from.retry}
+	req := &callRequest{id: from.id, first: from.first, retry: from.retry}
 	return e.respond(c, from.id, asAnswer(soften(req, refusal)))
 }
 
