Hold a slot until its call has ended, and keep answers that arrive late

A call that ran out of time gave its slot back although the backend server still ran it, so the next call exceeded the slots. The slot and the team's unit are now held for up to 1 s more; an answer that arrives then goes into the ledger and is the answer to a retry.

Under overload many calls got a slot with just the mean run time left and ended too late. They now need the mean and two mean deviations.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,6 +67,8 @@
 	slots  int
 	// mean is the smoothed run time of recent completions; 0 before the first.
 	mean time.Duration
+	// dev is the smoothed absolute deviation of the run time from its mean.
+	dev time.Duration
 	// meanAt is when the last call completed.
 	meanAt time.Time
 	// soonest is no later than the first deadline of a waiting call, so that the
@@ -110,7 +112,7 @@
 	if !req.Retry {
 		t.budget.deposit()
 	}
-	if wait := c.wait(now, s, req); now.Add(wait + s.runTime(now)).After(req.Deadline) {
+	if wait := c.wait(now, s, req); now.Add(wait + s.needed(now)).After(req.Deadline) {
 		return nil, c.refuse(api.CodeLate, wait)
 	}
 	if req.Retry {
@@ -202,6 +204,8 @@
 const (
 	// meanWeight is the weight of one completion in the smoothed run time.
 	meanWeight = 0.1
+	// devWeight makes nine of ten exponentially distributed run times fit.
+	devWeight = 2
 	// meanTerm is the time for which the run time is used without a completion.
 	// An estimate that refuses all calls would otherwise never be corrected.
 	meanTerm = time.Second
@@ -215,6 +219,16 @@
 	return s.mean
 }
 
+// needed returns the time that a call should have left when it gets a slot. With
+// run times that vary, a call with just the mean left often ends too late and
+// wastes its slot.
+func (s *service) needed(now time.Time) time.Duration {
+	if s.runTime(now) == 0 {
+		return 0
+	}
+	return s.mean + devWeight*s.dev
+}
+
 // RunTime returns the smoothed run time of a service, or 0 when it is not known.
 func (c *Controller) RunTime(now time.Time, name string) time.Duration {
 	return c.service(name).runTime(now)
@@ -228,7 +242,9 @@
 		s.mean = ran
 		return
 	}
-	s.mean += time.Duration(meanWeight * float64(ran-s.mean))
+	off := ran - s.mean
+	s.mean += time.Duration(meanWeight * float64(off))
+	s.dev += time.Duration(meanWeight * float64(max(off, -off)-s.dev))
 }
 
 // TakeRetry takes one unit of the team's retry budget, for a repetition by the
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -59,14 +59,14 @@
 
 // dropLate removes the waiting calls that can't finish before their deadline.
 func (c *Controller) dropLate(now time.Time, s *service) []*Request {
-	if !now.Add(s.runTime(now)).After(s.soonest) {
+	if !now.Add(s.needed(now)).After(s.soonest) {
 		return nil
 	}
 	var late []*Request
 	s.soonest = now.Add(farFuture)
 	for _, name := range s.waitingTeams() {
 		for _, req := range s.queues[name] {
-			if now.Add(s.runTime(now)).After(req.Deadline) {
+			if now.Add(s.needed(now)).After(req.Deadline) {
 				late = append(late, req)
 				continue
 			}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -40,6 +40,8 @@
 	effect  effect
 	outcome routing.Outcome
 	answer  *wire.CallAnswer
+	// late is not nil when the attempt ran out of time and goes on in the background.
+	late <-chan attempt
 }
 
 // backendClient calls backend servers, with one transport for each address, so
@@ -110,7 +112,8 @@
 func (c *backendClient) call(ctx context.Context, now time.Time, lent routing.Lent, req *callRequest) attempt {
 	var connected bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	httpReq, err := newBackendRequest(httptrace.WithClientTrace(ctx, trace), lent.Address, req)
+	left := max(req.deadline.Sub(now), time.Millisecond)
+	httpReq, err := newBackendRequest(httptrace.WithClientTrace(ctx, trace), lent.Address, req, left)
 	if err != nil {
 		return notRun(routing.Failed, api.CodeBackendFailed, err.Error())
 	}
@@ -125,7 +128,7 @@
 	return judge(ctx, resp, req)
 }
 
-func newBackendRequest(ctx context.Context, addr string, req *callRequest) (*http.Request, error) {
+func newBackendRequest(ctx context.Context, addr string, req *callRequest, left time.Duration) (*http.Request, error) {
 	url := "http://" + addr + "/call/" + req.service
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(req.body))
 	if err != nil {
@@ -137,10 +140,7 @@
 	if req.team != "" {
 		httpReq.Header.Set(api.HeaderTeam, req.team)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Milliseconds(), 1)
-		httpReq.Header.Set(api.HeaderDeadlineMS, strconv.FormatInt(left, 10))
-	}
+	httpReq.Header.Set(api.HeaderDeadlineMS, strconv.FormatInt(left.Milliseconds(), 10))
 	return httpReq, nil
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -14,17 +13,8 @@
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
-const (
-	// maxAttempts bounds the attempts of one call at different places.
-	maxAttempts = 3
-	// firstTryShare is the part of the time limit that the first attempt of an
-	// idempotent call may use, so that a frozen backend server leaves time for another.
-	firstTryShare = 0.6
-	// patience is the multiple of the usual run time that an attempt needs: a
-	// first attempt is not cut shorter, and a shorter one that gets no answer is
-	// not held against the backend server.
-	patience = 5
-)
+// maxAttempts bounds the attempts of one call at different places.
+const maxAttempts = 3
 
 // handleCall serves POST /v1/call/:service.
 func (e *Entry) handleCall(c echo.Context) error {
@@ -112,7 +102,7 @@
 	if refusal != nil {
 		return asAnswer(soften(req, refusal))
 	}
-	defer func() { e.sched.leave(e.clock(), req.team) }()
+	defer func() { e.sched.leave(req.team) }()
 	uncertain := req.retry
 	tried := map[string]bool{}
 	for n := 1; ; n++ {
@@ -156,34 +146,6 @@
 	return where, true
 }
 
-// try makes one attempt and gives the place back. The attempt goes on when the
-// caller is gone, since its outcome is wanted for the record.
-func (e *Entry) try(ctx context.Context, req *callRequest, where place, n int) attempt {
-	started := e.clock()
-	limit := req.deadline.Sub(started)
-	usual := patience * e.sched.runTime(req.service)
-	if part := time.Duration(firstTryShare * float64(limit)); req.idempotent && n == 1 && part > usual {
-		limit = part
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	defer cancel()
-	var got attempt
-	if where.forward != "" {
-		got = e.forward(ctx, req, where.forward)
-	} else {
-		got = e.backends.call(ctx, started, where.lent, req)
-	}
-	if got.effect == effectUnknown && ctx.Err() != nil && limit < usual {
-		got.outcome = routing.Unused
-	}
-	ran := time.Duration(0)
-	if got.effect == effectAnswered {
-		ran = max(e.clock().Sub(started), 1)
-	}
-	e.sched.release(req.service, where, got.outcome, ran)
-	return got
-}
-
 // name identifies a place among those tried.
 func (p place) name() string {
 	if p.forward != "" {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -15,13 +15,12 @@
 
 // forward hands an admitted call to an entry of another data centre.
 func (e *Entry) forward(ctx context.Context, req *callRequest, addr string) attempt {
-	deadline, _ := ctx.Deadline()
 	msg := wire.ForwardRequest{
 		RequestID:   req.id,
 		Service:     req.service,
 		Team:        req.team,
 		Idempotent:  req.idempotent,
-		RemainingMS: max(time.Until(deadline).Milliseconds(), 1),
+		RemainingMS: max(req.deadline.Sub(e.clock()).Milliseconds(), 1),
 		ContentType: req.contentType,
 		Body:        req.body,
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -44,12 +44,28 @@
 	if refusal != nil {
 		return e.finish(held, asAnswer(refusal))
 	}
-	defer func() { e.sched.leave(e.clock(), req.team) }()
+	defer func() { e.sched.leave(req.team) }()
 	if refusal := e.beforeDispatch(req, held); refusal != nil {
 		e.sched.release(req.service, where, routing.Unused, 0)
 		return e.finish(held, asAnswer(refusal))
 	}
-	return e.finish(held, e.dispatchOnce(ctx, req, where))
+	got := e.dispatchOnce(ctx, req, where)
+	if got.late == nil {
+		return e.finish(held, got.answer)
+	}
+	e.finishLate(held, got.late)
+	return got.answer
+}
+
+// finishLate records the outcome of an attempt that ran out of time, so that a
+// retry gets an answer that arrived late.
+func (e *Entry) finishLate(held claim, late <-chan attempt) {
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		got := <-late
+		e.finish(held, got.answer)
+	}()
 }
 
 // beforeDispatch records the dispatch durably, between two checks of the right to
@@ -69,25 +85,25 @@
 }
 
 // dispatchOnce tries places until one may have run the call.
-func (e *Entry) dispatchOnce(ctx context.Context, req *callRequest, where place) *wire.CallAnswer {
+func (e *Entry) dispatchOnce(ctx context.Context, req *callRequest, where place) attempt {
 	tried := map[string]bool{}
 	for n := 1; ; n++ {
 		if !e.sched.current(where) {
 			e.sched.release(req.service, where, routing.Unused, 0)
-			return notRun(routing.Unused, api.CodeNoBackend, "the backend server left").answer
+			return notRun(routing.Unused, api.CodeNoBackend, "the backend server left")
 		}
 		got := e.try(ctx, req, where, n)
 		if got.effect != effectNotRun {
-			return got.answer
+			return got
 		}
 		tried[where.name()] = true
 		next, ok := e.elsewhere(req, got, tried, n)
 		if !ok {
-			return got.answer
+			return got
 		}
 		if refusal := e.permitted(req); refusal != nil {
 			e.sched.release(req.service, next, routing.Unused, 0)
-			return asAnswer(refusal)
+			return attempt{effect: effectNotRun, answer: asAnswer(refusal)}
 		}
 		where = next
 	}
--- /dev/null
+++ b/internal/entry/overload_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+)
+
+// Guards against a backend server that freezes and comes back, after which calls
+// are still refused as too late or the backend server stays ejected.
+func TestRecoveryAfterFreeze(t *testing.T) {
+	te := startEntry(t, newFakeStore(t), "e1", "dc1")
+	var frozen atomic.Bool
+	te.register(t, "b1", "plan", func(w http.ResponseWriter, r *http.Request) {
+		if frozen.Load() {
+			late(w, r)
+			return
+		}
+		echoBackend(w, r)
+	})
+	call := func() api.Verdict {
+		got, _ := te.call(http.MethodPost, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderIdempotent, "true", api.HeaderTimeoutMS, "200")
+		return got.verdict
+	}
+	require.Equal(t, api.Done, call())
+	frozen.Store(true)
+	results := make(chan api.Verdict, 30)
+	for range cap(results) {
+		go func() { results <- call() }()
+	}
+	for range cap(results) {
+		require.NotEqual(t, api.Done, <-results)
+	}
+	frozen.Store(false)
+	require.Eventually(t, func() bool { return call() == api.Done }, generous, time.Millisecond)
+}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -133,7 +133,7 @@
 		return p.refused
 	}
 	s.release(req.Service, p.place, routing.Unused, 0)
-	s.leave(now, req.Team)
+	s.leave(req.Team)
 	return refused
 }
 
@@ -261,10 +261,19 @@
 	s.pump(now, service)
 }
 
+// hold takes a further unit of the team, beyond its grant if need be: the call is
+// already running.
+func (s *scheduler) hold(team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[team]++
+}
+
 // leave gives back the unit of the team.
-func (s *scheduler) leave(now time.Time, team string) {
+func (s *scheduler) leave(team string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock()
 	s.running[team]--
 	for _, service := range s.routes.Services() {
 		s.pump(now, service)
--- /dev/null
+++ b/internal/entry/try.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/routing"
+)
+
+const (
+	// firstTryShare is the part of the time limit that the first attempt of an
+	// idempotent call may use, so that a frozen backend server leaves time for another.
+	firstTryShare = 0.6
+	// linger is the time after the limit of an attempt for which its place is
+	// held and its answer awaited. The backend server may still run the call, and
+	// a place that is given back at once would make it exceed its slots.
+	linger = time.Second
+	// patience is the multiple of the usual run time that an attempt needs: a
+	// first attempt is not cut shorter, and a shorter one that gets no answer is
+	// not held against the backend server.
+	patience = 5
+)
+
+// running is one attempt, which may go on after its limit.
+type running struct {
+	entry   *Entry
+	req     *callRequest
+	where   place
+	started time.Time
+	limit   time.Duration
+	// usual is the time that an attempt may well take.
+	usual time.Duration
+	end   chan attempt
+
+	mu    sync.Mutex
+	ended bool
+	// overdue is true when the attempt passed its limit and holds a unit of its own.
+	overdue bool
+}
+
+// try makes one attempt; the place is given back at its end. The attempt goes on
+// when the caller is gone, since its outcome is wanted for the record.
+func (e *Entry) try(ctx context.Context, req *callRequest, where place, n int) attempt {
+	r := &running{entry: e, req: req, where: where, started: e.clock(), end: make(chan attempt, 1)}
+	r.limit = req.deadline.Sub(r.started)
+	r.usual = patience * e.sched.runTime(req.service)
+	if part := time.Duration(firstTryShare * float64(r.limit)); req.idempotent && n == 1 && part > r.usual {
+		r.limit = part
+	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		r.run(context.WithoutCancel(ctx))
+	}()
+	timer := time.NewTimer(r.limit)
+	defer timer.Stop()
+	select {
+	case got := <-r.end:
+		return got
+	case <-timer.C:
+		return r.passLimit()
+	}
+}
+
+func (r *running) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.limit+linger)
+	defer cancel()
+	e := r.entry
+	var got attempt
+	if r.where.forward != "" {
+		got = e.forward(ctx, r.req, r.where.forward)
+	} else {
+		got = e.backends.call(ctx, r.started, r.where.lent, r.req)
+	}
+	ran := e.clock().Sub(r.started)
+	got.outcome = r.outcome(got, ran)
+	if got.effect != effectAnswered {
+		ran = 0
+	}
+	e.sched.release(r.req.service, r.where, got.outcome, ran)
+	r.mu.Lock()
+	r.ended = true
+	overdue := r.overdue
+	r.mu.Unlock()
+	if overdue {
+		e.sched.leave(r.req.team)
+	}
+	r.end <- got
+}
+
+// outcome judges a late end: it is a failure of the backend server only when the
+// limit was not short against the usual run time.
+func (r *running) outcome(got attempt, ran time.Duration) routing.Outcome {
+	if got.effect == effectNotRun || ran < r.limit {
+		return got.outcome
+	}
+	if r.limit < r.usual {
+		return routing.Unused
+	}
+	return routing.Failed
+}
+
+// passLimit gives up the wait. The call then counts as running until its end,
+// besides the unit that its handler gives back.
+func (r *running) passLimit() attempt {
+	r.mu.Lock()
+	if !r.ended && !r.req.forwarded {
+		r.overdue = true
+		r.entry.sched.hold(r.req.team)
+	}
+	r.mu.Unlock()
+	refusal := api.Unknown(api.CodeTimeout, "no answer within the time limit")
+	return attempt{effect: effectUnknown, answer: asAnswer(refusal), late: r.end}
+}
