--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -85,6 +85,10 @@
 	}
 	h.term = reply.Term
 	h.takeConfig(reply.Config)
+	if h.config == nil && reply.Revision == 0 {
+		// A new fleet has nothing declared yet, so the leader sends no copy.
+		h.config = &fleet.Config{}
+	}
 	if h.config == nil || h.config.Revision < reply.Revision {
 		delete(h.asked, seq)
 		return false
