--- /dev/null
+++ b/cmd/samphire-store/main.go
@@ -0,0 +1,129 @@
+// Command samphire-store runs one member of the replicated log.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/samphirefork/samphirefork/internal/control"
+	"github.com/samphirefork/samphirefork/internal/controller"
+	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/ledger"
+	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/store"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	flags := flag.NewFlagSet("samphire-store", flag.ContinueOnError)
+	path := flags.String("config", "", "path of the JSON settings")
+	initialize := flags.Bool("init", false, "create the data folder of a new fleet's member, and exit")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("SAMPHIRE_STORE")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	var cfg settings.Store
+	if err := load(*path, &cfg); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	log := cfg.NewLogger()
+	work := serve
+	if *initialize {
+		work = createFolder
+	}
+	err := work(cfg, log)
+	if rejected := asSettingsError(*path, err); rejected != nil {
+		fmt.Fprintln(os.Stderr, rejected)
+		return exitSettings
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("store failed")
+		return exitFailed
+	}
+	log.Info().Msg("store stopped")
+	return 0
+}
+
+// asSettingsError names the setting when the data folder is in use or belongs
+// to another member, and returns nil for other errors.
+func asSettingsError(path string, err error) error {
+	var wrong *store.ErrWrongMember
+	switch {
+	case errors.Is(err, disk.ErrLocked):
+		return &settings.Error{File: path, Field: "data_folder", Reason: err.Error()}
+	case errors.As(err, &wrong):
+		return &settings.Error{File: path, Field: "id", Reason: err.Error()}
+	default:
+		return nil
+	}
+}
+
+func load(path string, cfg *settings.Store) error {
+	if err := settings.Load(path, cfg); err != nil {
+		return err
+	}
+	return cfg.Validate(path)
+}
+
+// createFolder starts the log and the ledger of a new fleet's member.
+func createFolder(cfg settings.Store, log zerolog.Logger) error {
+	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Log: log, Metrics: metrics.NewRegistry(), Initialize: true})
+	if err != nil {
+		return err
+	}
+	node.Close()
+	requests, err := ledger.Open(ledgerFolder(cfg), ledger.Options{FirstStart: true})
+	if err != nil {
+		return err
+	}
+	return requests.Close()
+}
+
+func ledgerFolder(cfg settings.Store) string {
+	return filepath.Join(cfg.DataFolder, "ledger")
+}
+
+func serve(cfg settings.Store, log zerolog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	registry := metrics.NewRegistry()
+	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Log: log, Metrics: registry})
+	if err != nil {
+		return err
+	}
+	requests, err := ledger.Open(ledgerFolder(cfg), ledger.Options{})
+	if err != nil {
+		node.Close()
+		return err
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		node.Close()
+		return errors.Wrap(err, "listen")
+	}
+	controllers := controller.New(node, controller.Options{Policies: cfg.Policies, Seed: int64(cfg.ID), Logger: log})
+	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
+	leader := control.NewServer(node, control.Options{Members: node.Members})
+	return store.NewServer(node, registry, log, requests, controllers, leader).Run(ctx, listener)
+}
