--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -14,13 +13,8 @@
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
-const (
-	// maxAttempts bounds the attempts of one call at different places.
-	maxAttempts = 3
-	// firstTryShare is the part of the time limit that the first attempt of an
-	// idempotent call may use, so that a frozen backend server leaves time for another.
-	firstTryShare = 0.6
-)
+// maxAttempts bounds the attempts of one call at different places.
+const maxAttempts = 3
 
 // handleCall serves POST /v1/call/:service.
 func (e *Entry) handleCall(c echo.Context) error {
@@ -39,10 +33,10 @@
 	return e.respond(c, req.id, answer)
 }
 
-// soften turns the refusal of a repeated request into may_have_run, since an
-// earlier attempt with the same identifier may have run.
+// soften turns the refusal of a request into may_have_run when an earlier attempt
+// with the same identifier may have run and no ledger was asked.
 func soften(req *callRequest, refusal *api.Refusal) *api.Refusal {
-	if !req.retry || refusal.Verdict != api.NotRun {
+	if refusal.Verdict != api.NotRun || !req.retry && !doubtful(req, refusal) {
 		return refusal
 	}
 	out := *refusal
@@ -53,6 +47,20 @@
 	return &out
 }
 
+// doubtful reports whether a request that is not marked as a first attempt may
+// have run before, and is now refused for a reason that did not hold then. An
+// idempotent call may simply be sent again, so its refusal is about the attempt.
+func doubtful(req *callRequest, refusal *api.Refusal) bool {
+	if req.first || req.idempotent {
+		return false
+	}
+	switch refusal.Status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // admit waits for a place and the team's unit.
 func (e *Entry) admit(ctx context.Context, req *callRequest) (place, *api.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(e.clock()))
@@ -94,7 +102,7 @@
 	if refusal != nil {
 		return asAnswer(soften(req, refusal))
 	}
-	defer func() { e.sched.leave(e.clock(), req.team) }()
+	defer func() { e.sched.leave(req.team) }()
 	uncertain := req.retry
 	tried := map[string]bool{}
 	for n := 1; ; n++ {
@@ -118,7 +126,7 @@
 
 // worst turns a refusal into may_have_run when an earlier attempt may have run.
 func worst(uncertain bool, answer *wire.CallAnswer) *wire.CallAnswer {
-	return asAnswer(soften(&callRequest{retry: uncertain}, asRefusal(answer)))
+	return asAnswer(soften(&callRequest{retry: uncertain, idempotent: true}, asRefusal(answer)))
 }
 
 // elsewhere finds a place for a further attempt, within the retry budget unless
@@ -138,30 +146,6 @@
 	return where, true
 }
 
-// try makes one attempt and gives the place back. The attempt goes on when the
-// caller is gone, since its outcome is wanted for the record.
-func (e *Entry) try(ctx context.Context, req *callRequest, where place, n int) attempt {
-	started := e.clock()
-	limit := req.deadline.Sub(started)
-	if req.idempotent && n == 1 {
-		limit = time.Duration(firstTryShare * float64(limit))
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	defer cancel()
-	var got attempt
-	if where.forward != "" {
-		got = e.forward(ctx, req, where.forward)
-	} else {
-		got = e.backends.call(ctx, started, where.lent, req)
-	}
-	ran := time.Duration(0)
-	if got.effect != effectNotRun {
-		ran = max(e.clock().Sub(started), 1)
-	}
-	e.sched.release(req.service, where, got.outcome, ran)
-	return got
-}
-
 // name identifies a place among those tried.
 func (p place) name() string {
 	if p.forward != "" {
