Fix the seed of property tests; divide limits between jobs and calls in the entry

Entries did not say which grants they act on, so a contended grant was never taken back, and placement used the whole limit of a team for jobs. An entry bounds its calls by the grants that each unanswered request has named. Seen: TestInvariantsUnderFaults of internal/controller fails (jobs stay open); cause under examination.

--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -126,8 +126,13 @@
 		node.Close()
 		return errors.Wrap(err, "listen")
 	}
-	controllers := controller.New(node, controller.Options{Policies: cfg.Policies, Seed: int64(cfg.ID), Logger: log})
-	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
 	leader := control.NewServer(node, control.Options{Members: node.Members})
+	controllers := controller.New(node, controller.Options{
+		Policies: cfg.Policies,
+		Seed:     int64(cfg.ID),
+		Logger:   log,
+		JobUnits: leader.JobUnits,
+	})
+	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
 	return store.NewServer(node, registry, log, requests, controllers, leader).Run(ctx, listener)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -78,6 +78,9 @@
 	// Seed seeds the jitter of retries.
 	Seed   int64
 	Logger zerolog.Logger
+	// JobUnits returns how many jobs a team may run at present, so that its calls
+	// are not starved. Without it, jobs may use the whole limit.
+	JobUnits func(s *fleet.State, team string) int
 	// ResumesCheckpoints is true when a checkpointed job that is not idempotent
 	// is resumed. Otherwise such tasks are never checkpointed, since that would
 	// end them without a result.
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -73,7 +73,7 @@
 	usage := make(map[string]*share.Usage, len(s.Config.Teams))
 	for name, t := range s.Config.Teams {
 		running := s.Running(name)
-		snap.Teams[name] = placement.Team{Limit: t.Limit, Units: running + s.Granted(name)}
+		snap.Teams[name] = c.teamUnits(s, t, running)
 		usage[name] = &share.Usage{Team: name, Weight: t.Share, Jobs: running}
 	}
 	s.EachAssigned(func(j *fleet.Job) {
@@ -176,3 +176,14 @@
 	c.shares.Advance(snap.Now, total, all)
 	snap.Rank = c.shares.Ranking()
 }
+
+// teamUnits bounds the jobs of a team by its limit and by the part of it that is
+// left to jobs.
+func (c *Controller) teamUnits(s *fleet.State, t fleet.Team, running int) placement.Team {
+	granted := s.Granted(t.Name)
+	limit := t.Limit
+	if c.opts.JobUnits != nil {
+		limit = min(limit, c.opts.JobUnits(s, t.Name)+granted)
+	}
+	return placement.Team{Limit: limit, Units: running + granted}
+}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -6,15 +6,14 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/lease"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
 const (
-	// leaseMargin is taken off each lease, for clocks that run at unequal rates.
+	// leaseMargin is taken off each lease, for clocks that run at unequal rates
+	// and for the time between a check and the dispatch after it.
 	leaseMargin = 20 * time.Millisecond
-	// grantTerm is the time after the sending of a request for which calls are
-	// admitted under the grants of its reply.
-	grantTerm = 2 * time.Second
 	// askedLimit bounds the separate records of unanswered requests.
 	askedLimit = 8
 )
@@ -30,27 +29,45 @@
 	grantsSeq   uint64
 	grantsUntil time.Time
 	usage       map[string]int
-	// asked holds the wanted units of requests without a reply; the leader may
-	// already have lowered the grants to them.
+	// asked holds, for each request without a reply, the units to which the leader
+	// may already have lowered the grants: wanted, and no more than granted.
 	asked map[uint64]map[string]int
 }
 
+// standing is what a request says about the last reply that was taken.
+type standing struct {
+	revision fleet.Revision
+	term     uint64
+	granted  map[string]int
+}
+
 func newHolder() *holder {
 	return &holder{asked: map[uint64]map[string]int{}}
 }
 
 // begin notes a request before it is sent.
-func (h *holder) begin(seq uint64, wanted map[string]int) fleet.Revision {
+func (h *holder) begin(seq uint64, wanted map[string]int) standing {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.asked) >= askedLimit {
 		h.asked = map[uint64]map[string]int{seq - 1: h.leastAsked()}
 	}
-	h.asked[seq] = wanted
-	if h.config == nil {
-		return 0
+	s := standing{term: h.term, granted: map[string]int{}}
+	maps.Copy(s.granted, h.grants)
+	if h.config != nil {
+		s.revision = h.config.Revision
+	}
+	h.asked[seq] = bounded(wanted, s.granted)
+	return s
+}
+
+// bounded returns the smaller of wanted and granted units by team.
+func bounded(wanted, granted map[string]int) map[string]int {
+	out := make(map[string]int, len(wanted))
+	for team, n := range wanted {
+		out[team] = min(n, granted[team])
 	}
-	return h.config.Revision
+	return out
 }
 
 // leastAsked returns the smallest wanted units of the unanswered requests by
@@ -93,7 +110,7 @@
 	if seq > h.grantsSeq {
 		h.grants = reply.Grants
 		h.grantsSeq = seq
-		h.grantsUntil = sent.Add(grantTerm - leaseMargin)
+		h.grantsUntil = sent.Add(lease.Duration - leaseMargin)
 		h.usage = reply.TeamUsage
 	}
 	for other := range h.asked {
--- /dev/null
+++ b/internal/poolmove/seed_test.go
@@ -0,0 +1,3 @@
+package poolmove
+
+import _ "github.com/samphirefork/samphirefork/internal/testseed" // fixed seed of property tests
