Let a live process return after a late report replaced it

The skip of a drain is kept for heard workers only. Ruled out: ordering incarnations by name, since they are opaque.

The random cases of the property tests now have a fixed seed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,6 +58,9 @@
 	// without a word from the committed one, before it is committed. Reports of
 	// an earlier process that were overtaken on the way are thus ignored.
 	restartConfirm = 800 * time.Millisecond
+	// returnConfirm is the same for an incarnation that was replaced before. It is
+	// longer than reports are held up without a break.
+	returnConfirm = WorkerLease + LostMargin
 	// vanishedAfter is the time after which a started task that its worker no
 	// longer reports counts as lost.
 	vanishedAfter = 5 * time.Second
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -18,10 +18,12 @@
 	// without a break.
 	healthySince fleet.Time
 	dirty        bool
-	// candidate is another incarnation that announces itself, since candidateAt.
-	candidate   string
-	candidateAt fleet.Time
-	// retired holds earlier incarnations, whose late reports are ignored.
+	// candidate is another incarnation that announces itself, since candidateAt
+	// and last at candidateHeard.
+	candidate      string
+	candidateAt    fleet.Time
+	candidateHeard fleet.Time
+	// retired holds the incarnations that were replaced.
 	retired map[string]bool
 	// seen holds the attempts that this incarnation reported, with the latest time.
 	seen map[wire.TaskKey]fleet.Time
@@ -115,16 +117,13 @@
 		w.begin()
 		c.workers[st.Instance] = w
 	}
-	if w.retired[st.Incarnation] || !w.accepts(st.Incarnation, committed, now) {
+	if !w.accepts(st.Incarnation, committed, now) {
 		return
 	}
 	if w.state.Incarnation != st.Incarnation {
-		if w.state.Incarnation != "" {
-			w.retired[w.state.Incarnation] = true
-		}
-		if committed != "" && committed != st.Incarnation {
-			w.retired[committed] = true
-		}
+		w.retired[w.state.Incarnation] = true
+		w.retired[committed] = true
+		delete(w.retired, st.Incarnation)
 		w.begin()
 		w.healthySince = now
 	} else if !w.heard(now) {
@@ -146,18 +145,29 @@
 	w.undrains = 0
 }
 
-// accepts reports whether the incarnation is the committed one, or has replaced it.
+// accepts reports whether the incarnation is the present one, or has replaced it:
+// it announced itself for a while without a word from the present one. One that
+// was replaced earlier needs longer, but is not ruled out for ever, since reports
+// that were held up could have replaced it by mistake.
 func (w *worker) accepts(incarnation, committed string, now fleet.Time) bool {
-	if committed == "" || incarnation == committed || incarnation == w.state.Incarnation {
+	present := w.state.Incarnation
+	if present == "" {
+		present = committed
+	}
+	if present == "" || incarnation == present {
 		w.candidate = ""
 		return true
 	}
-	if w.candidate != incarnation {
+	if w.candidate != incarnation || now.Sub(w.candidateHeard) > unheardAfter {
 		w.candidate = incarnation
 		w.candidateAt = now
-		return false
 	}
-	return now.Sub(w.candidateAt) >= restartConfirm
+	w.candidateHeard = now
+	needed := restartConfirm
+	if w.retired[incarnation] {
+		needed = returnConfirm
+	}
+	return now.Sub(w.candidateAt) >= needed
 }
 
 // commitReports commits what the reports since the last pass changed.
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -83,7 +83,9 @@
 	}
 	plan := maintenance.Compute(c.maintenancePolicy(), snap)
 	for _, name := range plan.Skipped {
-		c.workers[name].skippedAt = now
+		if w := c.workers[name]; w != nil {
+			w.skippedAt = now
+		}
 	}
 	c.log.Read(func(s *fleet.State) { c.clear(s, plan.Clear, now) })
 	c.mu.Unlock()
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -12,6 +13,13 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 )
 
+// The random cases are the same in each run, unless -rapid.seed is given.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // model carries out the steps of plans on simulated instances.
 type model struct {
 	s      Snapshot
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -14,6 +15,13 @@
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
+// The random cases are the same in each run, unless -rapid.seed is given.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // random returns a snapshot whose tasks fit their workers.
 func random(rng *rand.Rand, workers, tasks, jobs, teams int) Snapshot {
 	s := Snapshot{Now: 100_000, Teams: map[string]Team{}}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -12,6 +13,13 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 )
 
+// The random cases are the same in each run, unless -rapid.seed is given.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func names(prefix string, n int) []string {
 	out := make([]string, n)
 	for i := range out {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -1,6 +1,7 @@
 package share_test
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"math/rand"
@@ -15,6 +16,13 @@
 	"github.com/samphirefork/samphirefork/internal/share"
 )
 
+// The random cases are the same in each run, unless -rapid.seed is given.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // load is how one team submits work.
 type load struct {
 	weight   int
