--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
@@ -82,6 +83,7 @@
 }
 
 func newLogger(c settings.Common) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil || c.LogLevel == "" {
 		level = zerolog.InfoLevel
