--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -29,6 +30,7 @@
 
 // NewLogger returns the log of a process with its instance and data centre.
 func (c *Common) NewLogger() zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil || c.LogLevel == "" {
 		level = zerolog.InfoLevel
