--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -87,7 +87,7 @@
 // Guards against a follower that gives orders or hides the leader's address.
 func TestFollowerRefusesReports(t *testing.T) {
 	r := newRig(t, 1, Options{})
-	r.log.lead = fleet.Leadership{Leader: "there", Term: 2}
+	r.log.leadership = fleet.Leadership{Leader: "there", Term: 2}
 	_, err := r.c.Report(context.Background(), wire.WorkerReport{Entry: "e"})
 	var body *wire.ErrorBody
 	require.ErrorAs(t, err, &body)
@@ -107,7 +107,7 @@
 	for range 4 {
 		r.round(obey)
 	}
-	r.log.lead.Term = 2
+	r.log.leadership.Term = 2
 	for range 6 {
 		r.round(obey)
 	}
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -14,12 +14,12 @@
 
 // fakeLog applies commands at once, under a manual clock.
 type fakeLog struct {
-	mu       sync.Mutex
-	state    *fleet.State
-	now      fleet.Time
-	lead     fleet.Leadership
-	changed  chan struct{}
-	commands []fleet.Command
+	mu         sync.Mutex
+	state      *fleet.State
+	now        fleet.Time
+	leadership fleet.Leadership
+	changed    chan struct{}
+	commands   []fleet.Command
 	// before is called with each command ahead of its application.
 	before func(fleet.Command)
 }
@@ -27,7 +27,7 @@
 func (l *fakeLog) Propose(_ context.Context, cmd fleet.Command) (fleet.Result, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.lead.Leading {
+	if !l.leadership.Leading {
 		return fleet.Result{}, fleet.ErrNotLeader
 	}
 	if l.before != nil {
@@ -50,7 +50,7 @@
 func (l *fakeLog) Leadership() fleet.Leadership {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lead
+	return l.leadership
 }
 
 func (l *fakeLog) Changed() <-chan struct{} {
@@ -84,7 +84,7 @@
 func newRig(t require.TestingT, n int, opts Options) *rig {
 	r := &rig{
 		t:       t,
-		log:     &fakeLog{state: fleet.NewState(), now: 1000, lead: fleet.Leadership{Term: 1, Leading: true}, changed: make(chan struct{})},
+		log:     &fakeLog{state: fleet.NewState(), now: 1000, leadership: fleet.Leadership{Term: 1, Leading: true}, changed: make(chan struct{})},
 		workers: map[string]*wire.WorkerState{},
 		silent:  map[string]bool{},
 	}
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -42,7 +42,7 @@
 // work carries out an order, unless it is lost on the way.
 func (c *chaos) work(w *wire.WorkerState, o wire.Order) {
 	if !c.calm && c.rng.Intn(30) == 0 {
-		c.log.lead.Term++
+		c.log.leadership.Term++
 	}
 	if !c.calm && c.rng.Intn(5) == 0 {
 		return
@@ -108,7 +108,7 @@
 		c.workers[name].Incarnation += "x"
 		c.workers[name].Tasks = nil
 	case 2:
-		c.log.lead.Term++
+		c.log.leadership.Term++
 	case 4:
 		if w, ok := c.old[name]; ok {
 			_, err := c.c.Report(context.Background(), wire.WorkerReport{Entry: "late", Workers: []wire.WorkerState{w}})
--- a/internal/controller/run_test.go
+++ b/internal/controller/run_test.go
@@ -19,7 +19,7 @@
 	defer goleak.VerifyNone(t)
 	r := newRig(t, 1, Options{})
 	id := r.submit("normal", 1000, true)
-	r.log.lead.Leading = false
+	r.log.leadership.Leading = false
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.c.Run(ctx) }()
@@ -28,7 +28,7 @@
 	require.Error(t, err)
 	require.Equal(t, fleet.JobQueued, r.job(id).State)
 	r.log.mu.Lock()
-	r.log.lead = fleet.Leadership{Term: 5, Leading: true}
+	r.log.leadership = fleet.Leadership{Term: 5, Leading: true}
 	r.log.mu.Unlock()
 	orders, err := r.c.Report(ctx, rep)
 	require.NoError(t, err)
@@ -44,7 +44,7 @@
 	r := newRig(t, 2, Options{})
 	r.round(obey)
 	r.silent["w00"] = true
-	r.log.lead.Term = 2
+	r.log.leadership.Term = 2
 	r.change(fleet.ChangeItem{Drain: &fleet.DrainRequest{Instance: "w01"}})
 	id := r.submit("normal", 1000, true)
 	for range 3 {
