Give each simulated worker a connection of its own

All simulated workers of one process shared the default transport, which keeps two idle connections to an entry: with 50 workers in a process most announcements opened a connection, so the entry's cost was that of the simulation. Real workers keep one connection each.

--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -77,7 +77,7 @@
 		cfg:     cfg,
 		log:     log,
 		history: w,
-		client:  &http.Client{Timeout: announceTimeout},
+		client:  &http.Client{Timeout: announceTimeout, Transport: &http.Transport{}},
 		wake:    make(chan struct{}, 1),
 	}
 	worker.boot(time.Now())
@@ -117,6 +117,7 @@
 	w.waitIdle()
 	stop()
 	loops.Wait()
+	w.client.CloseIdleConnections()
 }
 
 func (w *Worker) leave() {
