Keep the connection of a simulated backend server's announcements

Cause: the answer to an announcement was closed unread, after which net/http does not use the connection again. A CPU profile of an entry with 50 workers and 50 backend servers showed 7% of its time in accept and 5% in close.

--- a/internal/backendsim/announce.go
+++ b/internal/backendsim/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -71,6 +72,8 @@
 		return errors.Wrap(err, "backendsim: announce")
 	}
 	defer resp.Body.Close()
+	// A connection is used again only after its answer was read to the end.
+	_, _ = io.Copy(io.Discard, resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("backendsim: announce: status %d, verdict %q", resp.StatusCode, resp.Header.Get(api.HeaderVerdict))
 	}
