Collect worker announcements for 100 ms before the next report

Cause: an entry reported to the leader after each announcement, so the leader handled one message a second for each worker and ran its controllers as often. The reports are now at least 100 ms apart; the first after a pause leaves at once.

Ruled out: reporting on a fixed interval, which would delay a lone outcome too.

The leader hears of a finished task up to 100 ms later when others were just reported.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -31,6 +31,10 @@
 	orderTimeout = 2 * time.Second
 
 	reportTimeout = 2 * time.Second
+	// reportSpacing is the least time between two reports, in which announcements
+	// collect. It is short against the lease, and bounds how late the leader hears
+	// of a finished task.
+	reportSpacing = 100 * time.Millisecond
 	orderHold     = 500 * time.Millisecond
 	retryDelay    = 100 * time.Millisecond
 	maxOrders     = 64
@@ -161,7 +165,9 @@
 		if err := m.report(ctx, batch); err != nil {
 			m.putBack(batch)
 			pause(ctx, retryDelay)
+			continue
 		}
+		pause(ctx, reportSpacing)
 	}
 }
 
