Drain backend servers at the entries; do not say not_run for an unknown job

Cause: an operator's drain of a backend server instance changed its phase in the state, which no entry acted on. Renewals now name the draining backend servers. A query for a job without a record, or without a leader, said not_run although a submission may still be on its way; it now says may_have_run. samphirectl job cancel did not read the answer of the entry, which wraps the record. The task lease and its margin are stated once, in internal/lease.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
 )
 
 // Verdict is what a final answer says about the request.
@@ -101,3 +103,10 @@
 func Unknown(code Code, message string) *Refusal {
 	return &Refusal{Verdict: MayHaveRun, Code: code, Message: message, Status: http.StatusGatewayTimeout}
 }
+
+// CancelReply answers the cancellation of a job.
+type CancelReply struct {
+	Job *fleet.Job `json:"job"`
+	// Ran tells whether the job ran: "no", "yes", or "maybe" while that is open.
+	Ran string `json:"ran"`
+}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -149,6 +149,7 @@
 			reply.TeamUsage[team] = s.usage(st, team, live)
 		}
 		reply.Entries = s.liveEntries()
+		reply.Draining = st.DrainingBackends()
 	})
 	return reply
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/lease"
 	"github.com/samphirefork/samphirefork/internal/maintenance"
 	"github.com/samphirefork/samphirefork/internal/placement"
 	"github.com/samphirefork/samphirefork/internal/poolmove"
@@ -35,10 +36,6 @@
 
 // Times of the controllers.
 const (
-	// WorkerLease is the task lease of workers, and LostMargin is added to it
-	// before a silent worker counts as lost.
-	WorkerLease = 5 * time.Second
-	LostMargin  = time.Second
 	// unheardAfter is the silence after which a worker gets no new jobs.
 	unheardAfter = 3 * time.Second
 	// passInterval is the shortest time between two passes, and idleInterval the longest.
@@ -60,7 +57,7 @@
 	restartConfirm = 800 * time.Millisecond
 	// returnConfirm is the same for an incarnation that was replaced before. It is
 	// longer than reports are held up without a break.
-	returnConfirm = WorkerLease + LostMargin
+	returnConfirm = lease.Task + lease.TaskMargin
 	// vanishedAfter is the time after which a started task that its worker no
 	// longer reports counts as lost.
 	vanishedAfter = 5 * time.Second
--- a/internal/controller/outcomes.go
+++ b/internal/controller/outcomes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/lease"
 	"github.com/samphirefork/samphirefork/internal/retry"
 )
 
@@ -84,7 +85,7 @@
 	c.mu.Lock()
 	now := c.log.Now()
 	var lost []fleet.Observation
-	if now.Sub(c.since) > WorkerLease+LostMargin {
+	if now.Sub(c.since) > lease.Task+lease.TaskMargin {
 		c.log.Read(func(s *fleet.State) {
 			lost = c.silent(s, now)
 			for _, o := range lost {
@@ -114,7 +115,7 @@
 		if w := c.workers[name]; w != nil {
 			last = w.heardAt
 		}
-		if now.Sub(last) > WorkerLease+LostMargin {
+		if now.Sub(last) > lease.Task+lease.TaskMargin {
 			lost = append(lost, fleet.Observation{Instance: name, Incarnation: st.Incarnation, Lost: true})
 		}
 	}
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -77,7 +78,7 @@
 			if err != nil {
 				return err
 			}
-			return a.runJob(ctx, req)
+			return a.runJob(ctx, req, a.printJob)
 		},
 	}
 }
@@ -122,7 +123,7 @@
 				return err
 			}
 			path := "/v1/jobs/" + url.PathEscape(id) + "?wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
-			return a.runJob(ctx, jobRequest{method: http.MethodGet, path: path, key: a.orEnv(*key, EnvKey), wait: *wait})
+			return a.runJob(ctx, jobRequest{method: http.MethodGet, path: path, key: a.orEnv(*key, EnvKey), wait: *wait}, a.printJob)
 		},
 	}
 }
@@ -141,7 +142,7 @@
 				return err
 			}
 			path := "/v1/jobs/" + url.PathEscape(id)
-			return a.runJob(ctx, jobRequest{method: http.MethodDelete, path: path, key: a.orEnv(*key, EnvKey)})
+			return a.runJob(ctx, jobRequest{method: http.MethodDelete, path: path, key: a.orEnv(*key, EnvKey)}, a.printCancelled)
 		},
 	}
 }
@@ -156,7 +157,7 @@
 	wait   time.Duration
 }
 
-func (a *app) runJob(ctx context.Context, req jobRequest) error {
+func (a *app) runJob(ctx context.Context, req jobRequest, print func([]byte) error) error {
 	ctx, cancel := a.withTimeout(ctx)
 	defer cancel()
 	targets, err := a.targets()
@@ -167,7 +168,7 @@
 	for i := 0; ; i++ {
 		answer, err := req.send(ctx, targets[i%len(targets)].base)
 		if err == nil {
-			return a.printJob(answer)
+			return print(answer)
 		}
 		final, mayHaveRun := judgeJob(err)
 		if final != nil {
@@ -251,8 +252,34 @@
 func (a *app) printJob(answer []byte) error {
 	var job fleet.Job
 	if err := json.Unmarshal(answer, &job); err != nil {
-		return &Error{Exit: ExitMayHaveRun, Message: "the answer is not a job record: " + err.Error()}
+		return badJobAnswer(err)
 	}
+	return a.printRecord(job)
+}
+
+func badJobAnswer(err error) error {
+	return &Error{Exit: ExitMayHaveRun, Message: "the answer is not a job record: " + err.Error()}
+}
+
+// printCancelled prints the record and whether the job ran.
+func (a *app) printCancelled(answer []byte) error {
+	var reply api.CancelReply
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		return badJobAnswer(err)
+	}
+	if a.format == formatJSON {
+		return a.printJSON(reply)
+	}
+	if reply.Job != nil {
+		if err := a.printRecord(*reply.Job); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(a.env.Stdout, "ran:", reply.Ran)
+	return err
+}
+
+func (a *app) printRecord(job fleet.Job) error {
 	if a.format == formatJSON {
 		return a.printJSON(job)
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -26,13 +26,6 @@
 	jobWaitChunk = 2 * time.Second
 )
 
-// cancelReply answers DELETE /v1/jobs/:id.
-type cancelReply struct {
-	Job *fleet.Job `json:"job"`
-	// Ran tells whether the job ran: "no", "yes", or "maybe" while that is open.
-	Ran string `json:"ran"`
-}
-
 // handleSubmit serves POST /v1/queues/:queue/jobs.
 func (e *Entry) handleSubmit(c echo.Context) error {
 	from, refusal := e.identify(c)
@@ -89,7 +82,7 @@
 		return e.refuseJob(c, from, refusal)
 	}
 	c.Response().Header().Set(api.HeaderVerdict, string(api.Done))
-	return c.JSON(http.StatusOK, cancelReply{Job: result.Job, Ran: ran(result.Job)})
+	return c.JSON(http.StatusOK, api.CancelReply{Job: result.Job, Ran: ran(result.Job)})
 }
 
 // ran states what is known about whether a job ran.
@@ -122,12 +115,21 @@
 		return e.refuseJob(c, from, refusal)
 	}
 	if job == nil || job.Team != "" && job.Team != team {
-		return e.refuseJob(c, from, api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such job"))
+		return e.refuseJob(c, from, unknownJob(http.StatusNotFound, api.CodeNotFound, "no such job"))
 	}
 	c.Response().Header().Set(api.HeaderVerdict, string(api.Done))
 	return c.JSON(http.StatusOK, job)
 }
 
+// unknownJob answers for a job without a record. A submission of it may still be
+// on its way to the leader, or its record may have expired, so the answer does not
+// say that the job was not run.
+func unknownJob(status int, code api.Code, message string) *api.Refusal {
+	refusal := api.Unknown(code, message)
+	refusal.Status = status
+	return refusal
+}
+
 // waitJob asks for a job until it is final, the wait is over, or a planned stop
 // begins.
 func (e *Entry) waitJob(ctx context.Context, id, team string, wait time.Duration) (*fleet.Job, *api.Refusal) {
@@ -137,7 +139,12 @@
 		hold := min(left, jobWaitChunk)
 		reply, err := e.askJob(ctx, id, team, hold)
 		if err != nil {
-			return nil, api.ComeBack(api.CodeNoQuorum, "no leading store answered", defaultRetryAfter)
+			refusal := api.Unknown(api.CodeNoQuorum, "no leading store answered")
+			refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
+			return nil, refusal
+		}
+		if reply.Expired {
+			return nil, unknownJob(http.StatusGone, api.CodeExpired, "the record of this job is no longer kept")
 		}
 		if reply.Job == nil || reply.Job.State.Final() || left <= hold || ctx.Err() != nil || e.stopping.Load() {
 			return reply.Job, nil
--- a/internal/entry/scheduler_view.go
+++ b/internal/entry/scheduler_view.go
@@ -76,8 +76,8 @@
 	return s.asked, used
 }
 
-// takeReply passes shares and usage across the fleet to the queues.
-func (s *scheduler) takeReply(config *fleet.Config, usage map[string]int) {
+// takeReply passes shares, usage across the fleet and draining backend servers on.
+func (s *scheduler) takeReply(config *fleet.Config, usage map[string]int, draining []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
@@ -89,6 +89,7 @@
 	}
 	s.admit.SetShares(shares)
 	s.admit.SetElsewhere(now, elsewhere)
+	s.routes.SetDraining(draining)
 	for _, service := range s.routes.Services() {
 		s.pump(now, service)
 	}
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // available reports whether an instance takes work as far as budgets count.
 func (st InstanceStatus) available() bool {
 	return st.Phase == PhaseActive && !st.Lost
@@ -68,3 +70,16 @@
 	}
 	return nil
 }
+
+// DrainingBackends returns the backend server instances that take no new calls,
+// sorted.
+func (s *State) DrainingBackends() []string {
+	var names []string
+	for name, status := range s.Status {
+		if status.Phase != PhaseActive && status.Phase != "" && s.Config.Instances[name].Kind == KindBackend {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,17 +15,13 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirefork/samphirefork/internal/lease"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
 const (
-	// TaskLease is the time for which a worker may run tasks without a renewal.
-	TaskLease = 5 * time.Second
-	// LostMargin is the time beyond TaskLease before the leader gives a worker up.
-	LostMargin = time.Second
-
 	// orderTTL bounds the age of an order, counted from the moment this entry
-	// asked for it. With orderTimeout it stays below TaskLease+LostMargin, so an
+	// asked for it. With orderTimeout it stays below lease.Task+lease.TaskMargin, so an
 	// order that a frozen entry held back can't reach a worker that was given up since.
 	orderTTL     = 2 * time.Second
 	orderTimeout = 2 * time.Second
@@ -129,7 +125,7 @@
 		m.pending[a.Instance] = a
 		m.signal()
 	}
-	return AnnounceReply{LeaseMS: TaskLease.Milliseconds(), LeaderSequence: w.leader}
+	return AnnounceReply{LeaseMS: lease.Task.Milliseconds(), LeaderSequence: w.leader}
 }
 
 func (m *Manager) signal() {
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -50,7 +50,7 @@
 // that are due for a trial call.
 func (r *Registry) candidates(now time.Time, service string, exclude map[string]bool) (open, probes []*backend) {
 	for _, b := range r.backends {
-		if b.info.Service != service || exclude[b.info.Instance] || !b.usable(now) {
+		if b.info.Service != service || exclude[b.info.Instance] || !r.usable(b, now) {
 			continue
 		}
 		if b.running >= r.limit(b) {
@@ -107,14 +107,14 @@
 // the backend server has not left, expired or restarted since the pick.
 func (r *Registry) Current(now time.Time, lent Lent) bool {
 	b, ok := r.backends[lent.Instance]
-	return ok && b.info.Incarnation == lent.Incarnation && b.usable(now)
+	return ok && b.info.Incarnation == lent.Incarnation && r.usable(b, now)
 }
 
 // Capacity returns this entry's slots of a service and how many of them are free.
 func (r *Registry) Capacity(now time.Time, service string) (total, free int) {
 	r.dropFormer(now)
 	for _, b := range r.backends {
-		if b.info.Service == service && b.usable(now) && !b.health.ejected {
+		if b.info.Service == service && r.usable(b, now) && !b.health.ejected {
 			limit := r.limit(b)
 			total += limit
 			free += max(limit-b.running, 0)
@@ -128,7 +128,7 @@
 func (r *Registry) Known(now time.Time, service string) bool {
 	r.dropFormer(now)
 	for _, b := range r.backends {
-		if b.info.Service == service && b.usable(now) && r.limit(b) > 0 {
+		if b.info.Service == service && r.usable(b, now) && r.limit(b) > 0 {
 			return true
 		}
 	}
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -23,6 +23,8 @@
 	present  split
 	former   []split
 	backends map[string]*backend
+	// draining names the instances that operators or maintenance plans drain.
+	draining map[string]bool
 }
 
 type backend struct {
@@ -152,8 +154,16 @@
 	}
 }
 
-func (b *backend) usable(now time.Time) bool {
-	return !b.info.Leaving && now.Sub(b.heardAt) < Lease
+// SetDraining sets the instances that get no new calls, whatever they announce.
+func (r *Registry) SetDraining(instances []string) {
+	r.draining = make(map[string]bool, len(instances))
+	for _, name := range instances {
+		r.draining[name] = true
+	}
+}
+
+func (r *Registry) usable(b *backend, now time.Time) bool {
+	return !b.info.Leaving && !r.draining[b.info.Instance] && now.Sub(b.heardAt) < Lease
 }
 
 // limit returns the number of calls that this entry may run on b at once.
--- a/internal/routing/registry_test.go
+++ b/internal/routing/registry_test.go
@@ -182,3 +182,17 @@
 		require.Equal(t, newSplit("e1", []string{"e2", "e3"}).part(8, name), n)
 	}
 }
+
+// Guards against new calls to a backend server that an operator drains while it
+// still announces itself as available.
+func TestDrainingGetsNoCalls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry(now, "e1", rand.New(rand.NewPCG(1, 1)))
+	r.Announce(now, wire.BackendInfo{Instance: "b1", Incarnation: "i", Service: "s", Slots: 8, Connections: 64, Sequence: 1})
+	b := r.backends["b1"]
+	require.True(t, r.usable(b, now))
+	r.SetDraining([]string{"b1"})
+	require.False(t, r.usable(b, now))
+	r.SetDraining(nil)
+	require.True(t, r.usable(b, now))
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -72,6 +72,8 @@
 	Entries []EntryInfo `cbor:"7,keyasint,omitempty"`
 	// Delta holds the changes since the entry's revision, for fleet.Config.With.
 	Delta *fleet.ConfigDelta `cbor:"8,keyasint,omitempty"`
+	// Draining lists the backend server instances that get no new calls.
+	Draining []string `cbor:"9,keyasint,omitempty"`
 }
 
 // EntryInfo is what entries know of each other.
