--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -101,11 +101,12 @@
 	if err != nil {
 		return jobRequest{}, errors.Wrap(err, "job")
 	}
-	if j.requestID == "" {
+	repeated := j.requestID != ""
+	if !repeated {
 		j.requestID = "ctl-" + a.env.NewID()
 	}
 	path := "/v1/queues/" + url.PathEscape(j.queue) + "/jobs"
-	return jobRequest{method: http.MethodPost, path: path, key: a.orEnv(key, EnvKey), id: j.requestID, body: body}, nil
+	return jobRequest{method: http.MethodPost, path: path, key: a.orEnv(key, EnvKey), id: j.requestID, body: body, repeated: repeated}, nil
 }
 
 func (a *app) jobGetCommand() *ffcli.Command {
@@ -155,6 +156,8 @@
 	id     string
 	body   []byte
 	wait   time.Duration
+	// repeated is true when an earlier command may have sent this identifier.
+	repeated bool
 }
 
 func (a *app) runJob(ctx context.Context, req jobRequest, print func([]byte) error) error {
@@ -166,7 +169,7 @@
 	}
 	uncertain := false
 	for i := 0; ; i++ {
-		answer, err := req.send(ctx, targets[i%len(targets)].base)
+		answer, err := req.send(ctx, targets[i%len(targets)].base, i+1)
 		if err == nil {
 			return print(answer)
 		}
@@ -181,7 +184,8 @@
 	}
 }
 
-func (req jobRequest) send(ctx context.Context, base string) ([]byte, error) {
+// send makes one attempt. Its number lets the entry say not_run of a first attempt.
+func (req jobRequest) send(ctx context.Context, base string, attempt int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+req.wait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, req.method, base+req.path, bytes.NewReader(req.body))
@@ -194,6 +198,9 @@
 	}
 	if req.id != "" {
 		r.Header.Set(api.HeaderRequestID, req.id)
+		if !req.repeated || attempt > 1 {
+			r.Header.Set(api.HeaderAttempt, strconv.Itoa(attempt))
+		}
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
