Spread the retry time of an entry without a lease

All callers of an entry that lost its lease were told to return after 1 s, at the same moment. The time is now 250 to 750 ms at random. Log lines no longer name the instance twice.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,7 +84,7 @@
 	}
 	e := &Entry{
 		set:         set,
-		log:         opts.Log.With().Str("instance", set.Instance).Str("data_centre", set.DataCentre).Logger(),
+		log:         opts.Log,
 		clock:       opts.Clock,
 		stopGrace:   opts.StopGrace,
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(rand.Uint64(), 36),
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -49,7 +49,7 @@
 	submit := fleet.JobSubmit{ID: id, Queue: c.Param("queue")}
 	config, _ := e.lease.view(e.clock())
 	if config == nil {
-		return submit, api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetryAfter)
+		return submit, api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetry())
 	}
 	queue, ok := config.Queues[submit.Queue]
 	if !ok {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"io"
+	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,11 +23,18 @@
 const (
 	// defaultRetryAfter is stated when no queue gives a better estimate.
 	defaultRetryAfter = 500 * time.Millisecond
-	// leaseRetryAfter is the time in which a lease is usually renewed.
-	leaseRetryAfter = time.Second
+	// leaseRetryAfter is the mean retry time of an entry without a lease. It is
+	// shorter than an election, since another entry may well have a lease.
+	leaseRetryAfter = 500 * time.Millisecond
 	maxIDBytes      = 128
 )
 
+// leaseRetry spreads the retry time over half to one and a half times its mean,
+// so that the callers of an entry that lost its lease do not return together.
+func leaseRetry() time.Duration {
+	return leaseRetryAfter/2 + mathrand.N(leaseRetryAfter)
+}
+
 // callRequest is one direct call.
 type callRequest struct {
 	id          string
@@ -106,7 +114,7 @@
 		return "", "", api.Refuse(http.StatusUnauthorized, api.CodeKeyMissing, "the request needs a key")
 	}
 	if !valid {
-		return "", "", api.ComeBack(api.CodeNoLease, "this entry has no valid configuration lease", leaseRetryAfter)
+		return "", "", api.ComeBack(api.CodeNoLease, "this entry has no valid configuration lease", leaseRetry())
 	}
 	keyID, secret, _ := strings.Cut(key, ".")
 	known, ok := config.Keys[keyID]
@@ -173,7 +181,7 @@
 func (e *Entry) lookUp(name string) (fleet.Service, *api.Refusal) {
 	config, _ := e.lease.view(e.clock())
 	if config == nil {
-		return fleet.Service{}, api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetryAfter)
+		return fleet.Service{}, api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetry())
 	}
 	service, ok := config.Services[name]
 	if !ok {
