Ask for one unit of each team again

Why a missing unit keeps open calls from the cut-off data centre is not shown; the slower first calls of each team before the cut are the suspect. A limit below the number of entries still lets idle entries hold a busy entry's units.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -5,9 +5,8 @@
 const (
 	// demandPeriod is the time for which a peak of demand keeps its units wanted.
 	demandPeriod = 2 * time.Second
-	// spareUnits are wanted on top of a recent peak. A team without calls here
-	// wants none: with a limit below the number of entries, the idle entries
-	// would hold the units that a busy one needs.
+	// spareUnits are wanted on top of a recent peak, also for a team without calls
+	// here, so that a first call need not wait for a grant.
 	spareUnits = 1
 )
 
@@ -35,9 +34,7 @@
 	for _, team := range teams {
 		d.note(now, team, 0)
 		peak := max(d.current[team], d.previous[team])
-		if peak > 0 {
-			out[team] = peak + spareUnits
-		}
+		out[team] = peak + spareUnits
 	}
 	return out
 }
