Wait out late answers before reusing units; weigh calls by calls alone

Cause: an entry holds a call's unit up to 1 s beyond the time limit for a late answer, but the leader reused units of a silent entry without that second. The fleet-wide usage that weighs teams' calls counted jobs too, so a team with many jobs lost its part of the calls. A caller waited for another caller's dial of up to 2 s although its own time was up. Measured: tests of wire, entry and control pass with -race.

--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -136,7 +136,7 @@
 
 // renewal builds the reply from the applied state.
 func (s *Server) renewal(req wire.RenewRequest, p plan) *wire.RenewReply {
-	reply := &wire.RenewReply{LeaseMS: lease.Duration.Milliseconds(), Grants: p.told, TeamUsage: map[string]int{}}
+	reply := &wire.RenewReply{LeaseMS: lease.Duration.Milliseconds(), Grants: p.told, TeamCalls: map[string]int{}}
 	s.log.Read(func(st *fleet.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -146,7 +146,7 @@
 		}
 		live := s.liveHolders()
 		for team := range req.Wanted {
-			reply.TeamUsage[team] = s.usage(st, team, live)
+			reply.TeamCalls[team] = s.calls(team, live)
 		}
 		reply.Entries = s.liveEntries()
 		reply.Draining = st.DrainingBackends()
@@ -168,7 +168,12 @@
 
 // usage counts the running jobs of a team and its calls through the holders.
 func (s *Server) usage(st *fleet.State, team string, holders []string) int {
-	n := st.Running(team)
+	return st.Running(team) + s.calls(team, holders)
+}
+
+// calls counts the calls of a team through the holders.
+func (s *Server) calls(team string, holders []string) int {
+	n := 0
 	for _, h := range holders {
 		n += s.entries[h].used[team]
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -24,9 +24,10 @@
 	maxJobWait = 30 * time.Second
 	// shortHold applies to an entry that wants more units than it has, so that
 	// freed units reach it soon.
-	shortHold = 100 * time.Millisecond
+	shortHold   = 100 * time.Millisecond
+	longestCall = fleet.MaxCallTime + fleet.CallLinger
 	// releaseDelay is how long after the end of its lease an entry's calls may run.
-	releaseDelay = fleet.MaxCallTime + fleet.MaxCallTime/lease.MaxClockSkew
+	releaseDelay = longestCall + longestCall/lease.MaxClockSkew
 )
 
 // Clock is a monotonic clock.
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -111,7 +111,7 @@
 		h.grants = reply.Grants
 		h.grantsSeq = seq
 		h.grantsUntil = sent.Add(lease.Duration - leaseMargin)
-		h.usage = reply.TeamUsage
+		h.usage = reply.TeamCalls
 	}
 	for other := range h.asked {
 		if other <= seq {
@@ -166,8 +166,8 @@
 	return units
 }
 
-// teamUsage returns the units in use by team across the fleet, as last reported.
-func (h *holder) teamUsage() map[string]int {
+// teamCalls returns the units in use by team across the fleet, as last reported.
+func (h *holder) teamCalls() map[string]int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.usage
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -104,7 +104,7 @@
 	}
 	e.mesh.named(reply.Entries)
 	if config, _ := e.lease.view(e.clock()); config != nil {
-		e.sched.takeReply(config, e.lease.teamUsage(), reply.Draining)
+		e.sched.takeReply(config, e.lease.teamCalls(), reply.Draining)
 	}
 	return true
 }
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/routing"
 )
 
@@ -16,7 +17,7 @@
 	// linger is the time after the limit of an attempt for which its place is
 	// held and its answer awaited. The backend server may still run the call, and
 	// a place that is given back at once would make it exceed its slots.
-	linger = time.Second
+	linger = fleet.CallLinger
 	// patience is the multiple of the usual run time that an attempt needs: a
 	// first attempt is not cut shorter, and a shorter one that gets no answer is
 	// not held against the backend server.
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -132,6 +132,10 @@
 // limit grant are reused only after this time, so that no admitted call still runs.
 const MaxCallTime = 10 * time.Second
 
+// CallLinger is how long beyond its time limit an entry may wait for the late
+// answer of a call, which holds its unit until then.
+const CallLinger = time.Second
+
 // Resources is an amount of each resource kind of a worker.
 type Resources struct {
 	CPUMilli     int64 `cbor:"1,keyasint,omitempty" json:"cpu_milli,omitempty"`
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,3 +85,27 @@
 		_, _ = DecodeFrame(data)
 	})
 }
+
+// Guards against a caller whose time is up and who waits all the same for the
+// dial of another caller to an address that does not answer.
+func TestPoolGetEndsWithItsContext(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	pool := NewPool(Credentials{Instance: "a", Secret: []byte("secret of the fleet")}, echoHandler)
+	addr := silent.Addr().String()
+	slow, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = pool.Get(slow, addr)
+	}()
+	held := func() bool { return len(pool.peer(addr).lock) == 1 }
+	require.Eventually(t, held, 10*time.Second, time.Millisecond)
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = pool.Get(over, addr)
+	require.ErrorIs(t, err, context.Canceled)
+	stop()
+	<-ended
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -65,9 +65,9 @@
 	// Grants is the number of units by team that the entry may use; teams that are
 	// not named have none.
 	Grants map[string]int `cbor:"5,keyasint,omitempty"`
-	// TeamUsage is the number of running jobs and calls across the fleet of the
+	// TeamCalls is the number of running calls across the fleet of the
 	// teams named in Wanted.
-	TeamUsage map[string]int `cbor:"6,keyasint,omitempty"`
+	TeamCalls map[string]int `cbor:"6,keyasint,omitempty"`
 	// Entries lists the live entries, for the mesh between them.
 	Entries []EntryInfo `cbor:"7,keyasint,omitempty"`
 	// Delta holds the changes since the entry's revision, for fleet.Config.With.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -18,8 +18,10 @@
 	peers map[string]*peer
 }
 
+// peer is guarded by lock, a channel of capacity one, so that a caller whose
+// context ends does not wait for another caller's dial.
 type peer struct {
-	mu       sync.Mutex
+	lock     chan struct{}
 	conn     *Conn
 	failedAt time.Time
 	err      error
@@ -35,8 +37,12 @@
 // an address that does not answer.
 func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
 	pr := p.peer(addr)
-	pr.mu.Lock()
-	defer pr.mu.Unlock()
+	select {
+	case pr.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-pr.lock }()
 	if pr.conn != nil && !pr.conn.ended() {
 		return pr.conn, nil
 	}
@@ -67,11 +73,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, pr := range p.peers {
-		pr.mu.Lock()
+		pr.lock <- struct{}{}
 		if pr.conn != nil {
 			pr.conn.Close()
 		}
-		pr.mu.Unlock()
+		<-pr.lock
 	}
 }
 
@@ -80,7 +86,7 @@
 	defer p.mu.Unlock()
 	pr, ok := p.peers[addr]
 	if !ok {
-		pr = &peer{}
+		pr = &peer{lock: make(chan struct{}, 1)}
 		p.peers[addr] = pr
 	}
 	return pr
