Refuse jobs at once at an entry that is cut off

Cause: an entry without contact to the leader tried each submission to an open queue for 5 s and then answered may_have_run. Without a valid lease nothing is sent, so the answer is not_run at once, with a retry time; queries for jobs end at once as well.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -121,6 +121,19 @@
 	return c.JSON(http.StatusOK, job)
 }
 
+// cutOff reports whether the entry has been without the leader for longer than a
+// lease, so that a request to it would only use up the caller's time.
+func (e *Entry) cutOff() bool {
+	_, valid := e.lease.view(e.clock())
+	return !valid
+}
+
+func noLeader() *api.Refusal {
+	refusal := api.Unknown(api.CodeNoQuorum, "no leading store answered")
+	refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
+	return refusal
+}
+
 // unknownJob answers for a job without a record. A submission of it may still be
 // on its way to the leader, or its record may have expired, so the answer does not
 // say that the job was not run.
@@ -135,13 +148,14 @@
 func (e *Entry) waitJob(ctx context.Context, id, team string, wait time.Duration) (*fleet.Job, *api.Refusal) {
 	end := e.clock().Add(wait)
 	for {
+		if e.cutOff() {
+			return nil, noLeader()
+		}
 		left := max(end.Sub(e.clock()), 0)
 		hold := min(left, jobWaitChunk)
 		reply, err := e.askJob(ctx, id, team, hold)
 		if err != nil {
-			refusal := api.Unknown(api.CodeNoQuorum, "no leading store answered")
-			refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
-			return nil, refusal
+			return nil, noLeader()
 		}
 		if reply.Expired {
 			return nil, unknownJob(http.StatusGone, api.CodeExpired, "the record of this job is no longer kept")
@@ -190,6 +204,9 @@
 	if refusal != nil {
 		return fleet.Result{}, refusal
 	}
+	if e.cutOff() {
+		return fleet.Result{}, api.ComeBack(api.CodeNoQuorum, "this entry has no contact with the leading store", leaseRetryAfter)
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), limit)
 	defer cancel()
 	var reply wire.ProposeReply
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/leader"
+	"github.com/samphirefork/samphirefork/internal/lease"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -51,6 +53,22 @@
 	}, generous, time.Millisecond)
 }
 
+// Guards against a submission that keeps its caller waiting although the entry
+// has been without the leader for longer than a lease.
+func TestCutOffEntryRefusesJobsAtOnce(t *testing.T) {
+	store := newFakeStore(t)
+	te := startEntry(t, store, "e1", "dc1")
+	store.setSilent(true)
+	te.offset.Add(int64(lease.Duration))
+	c := te.Echo().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), httptest.NewRecorder())
+	_, refusal := te.propose(c, fleet.Command{Submit: &fleet.JobSubmit{ID: "dc1.late"}})
+	require.NotNil(t, refusal)
+	require.Equal(t, api.NotRun, refusal.Verdict)
+	require.Equal(t, api.CodeNoQuorum, refusal.Code)
+	require.Positive(t, refusal.RetryAfterMS)
+	require.Contains(t, refusal.Message, "no contact", "refused before any attempt")
+}
+
 // Guards against not_run for a submission that a store may have taken.
 func TestProposeVerdicts(t *testing.T) {
 	for unsent, verdict := range map[bool]api.Verdict{true: api.NotRun, false: api.MayHaveRun} {
