Give the remaining failures a type

Cause: twelve errors were made from bare strings, so a caller could tell them apart only by their text.

--- a/cmd/samphire-backend/main.go
+++ b/cmd/samphire-backend/main.go
@@ -19,6 +19,8 @@
 	"github.com/samphirefork/samphirefork/internal/history"
 )
 
+var errMissingFlag = errors.New("-instance, -service and -entries are required")
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "samphire-backend:", err)
@@ -42,7 +44,7 @@
 	flag.DurationVar(&cfg.Grace, "grace", 4*time.Second, "time to go on serving after the announcement of leaving")
 	flag.Parse()
 	if cfg.Instance == "" || cfg.Service == "" || *entries == "" {
-		return errors.New("-instance, -service and -entries are required")
+		return errMissingFlag
 	}
 	cfg.Entries = strings.Split(*entries, ",")
 	if *faults != "" {
--- a/internal/backendsim/announce.go
+++ b/internal/backendsim/announce.go
@@ -16,6 +16,9 @@
 
 const announceInterval = time.Second
 
+// ErrAnnounceRefused is an entry's refusal of an announcement.
+var ErrAnnounceRefused = errors.New("backendsim: announcement refused")
+
 // announceLoop announces the server each second until ctx ends.
 func (s *Server) announceLoop(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
@@ -75,7 +78,7 @@
 	// A connection is used again only after its answer was read to the end.
 	_, _ = io.Copy(io.Discard, resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("backendsim: announce: status %d, verdict %q", resp.StatusCode, resp.Header.Get(api.HeaderVerdict))
+		return errors.Wrapf(ErrAnnounceRefused, "status %d, verdict %q", resp.StatusCode, resp.Header.Get(api.HeaderVerdict))
 	}
 	return nil
 }
--- a/internal/ledger/journal.go
+++ b/internal/ledger/journal.go
@@ -68,14 +68,20 @@
 	return binary.BigEndian.AppendUint32(out, crc32.Checksum(out, table32))
 }
 
+// Reasons of an ErrCorrupt about the header.
+var (
+	errNotJournal     = errors.New("not a ledger journal")
+	errHeaderChecksum = errors.New("header checksum does not match")
+)
+
 func decodeHeader(data []byte) (header, error) {
 	var h header
 	if len(data) < headerBytes || !bytes.Equal(data[:8], magic) {
-		return h, errors.New("not a ledger journal")
+		return h, errNotJournal
 	}
 	sum := binary.BigEndian.Uint32(data[24:28])
 	if crc32.Checksum(data[:24], table32) != sum {
-		return h, errors.New("header checksum does not match")
+		return h, errHeaderChecksum
 	}
 	copy(h.salt[:], data[8:16])
 	h.epoch = int64(binary.BigEndian.Uint64(data[16:24]))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	return fmt.Sprintf("settings: %s: field %q: %s", e.File, e.Field, e.Reason)
 }
 
+// ErrDuration is a duration that is not a string with a unit.
+var ErrDuration = errors.New("a duration is a string with a unit, such as \"250ms\"")
+
 // Duration is a JSON string with a unit, such as "250ms"; a bare number is rejected.
 type Duration time.Duration
 
@@ -32,14 +35,14 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var s string
 	if err := json.Unmarshal(data, &s); err != nil {
-		return errors.New("a duration is a string with a unit, such as \"250ms\"")
+		return ErrDuration
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return errors.Errorf("duration %q: %v", s, err)
+		return errors.Wrapf(ErrDuration, "%q", s)
 	}
 	if v < 0 {
-		return errors.Errorf("duration %q is negative", s)
+		return errors.Wrapf(ErrDuration, "%q is negative", s)
 	}
 	*d = Duration(v)
 	return nil
--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -118,7 +119,7 @@
 		return err
 	}
 	if n < len(data) {
-		return errors.Errorf("short write of %d of %d bytes", n, len(data))
+		return errors.Wrapf(io.ErrShortWrite, "%d of %d bytes", n, len(data))
 	}
 	return file.Sync()
 }
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -1,8 +1,6 @@
 package wal
 
 import (
-	"fmt"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -140,11 +138,17 @@
 		return nil
 	}
 	if h.Meta != ld.contents.Meta {
-		return errors.Errorf("segment belongs to member %d, not %d", h.Meta.MemberID, ld.contents.Meta.MemberID)
+		return errors.Wrapf(errForeignSegment, "member %d instead of %d", h.Meta.MemberID, ld.contents.Meta.MemberID)
 	}
 	return nil
 }
 
+// Reasons of an ErrCorrupt about the order of records.
+var (
+	errForeignSegment = errors.New("segment belongs to another member")
+	errGap            = errors.New("entries are missing")
+)
+
 // takeEntry adds an entry. An entry whose index is taken replaces the rest of
 // the log. Entries before the first one left after Trim may be missing.
 func (ld *loader) takeEntry(payload []byte) error {
@@ -160,7 +164,7 @@
 	}
 	first, next := entries[0].Index, entries[len(entries)-1].Index+1
 	if e.Index > next {
-		return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+		return errors.Wrapf(errGap, "entry %d follows entry %d", e.Index, next-1)
 	}
 	if e.Index < first {
 		entries = entries[:0]
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -24,6 +25,9 @@
 // unknown, so the log takes no further work.
 var ErrFailed = errors.New("wal: an earlier write or sync failed")
 
+// ErrTooLarge is a record beyond the size limit.
+var ErrTooLarge = errors.New("wal: record exceeds the size limit")
+
 // ErrCorrupt is a damaged record that is not a torn last batch.
 type ErrCorrupt struct {
 	File   string
@@ -168,7 +172,7 @@
 		return nil, errors.Wrap(err, "wal: encode")
 	}
 	if len(payload) > maxPayloadBytes {
-		return nil, errors.Errorf("wal: record of %d bytes exceeds the limit", len(payload))
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(payload))
 	}
 	return appendRecord(buf, l.size, k, payload), nil
 }
@@ -176,7 +180,7 @@
 func (l *Log) write(buf []byte) error {
 	n, err := l.file.Write(buf)
 	if err == nil && n < len(buf) {
-		err = errors.Errorf("short write of %d of %d bytes", n, len(buf))
+		err = errors.Wrapf(io.ErrShortWrite, "%d of %d bytes", n, len(buf))
 	}
 	if err == nil {
 		err = l.file.Sync()
