Let a worker report carry backend servers too

An entry reports instance, incarnation and address of a backend server in the same list as workers, and the declared kind tells them apart. No field is added, since the leader takes a new incarnation over by the same rule for both.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -122,7 +122,8 @@
 	TaskNotStarted   TaskState = "not_started"
 )
 
-// WorkerState is one worker's latest announcement.
+// WorkerState is the latest announcement of a worker, or of a backend server with
+// instance, incarnation and address only.
 type WorkerState struct {
 	Instance    string          `cbor:"1,keyasint" json:"instance"`
 	Incarnation string          `cbor:"2,keyasint" json:"incarnation"`
@@ -134,7 +135,8 @@
 	Leaving     bool            `cbor:"8,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
-// WorkerReport is a batch of worker states that an entry has heard since its last report.
+// WorkerReport is a batch of announcements that an entry has heard since its last
+// report. The kind of the declared instance tells workers and backend servers apart.
 type WorkerReport struct {
 	Entry   string        `cbor:"1,keyasint"`
 	Workers []WorkerState `cbor:"2,keyasint,omitempty"`
