Finish maintenance plans on pools of backend servers; reboot once

Cause: the leader never heard of backend servers, so a plan on their pool waited for ever. A leader also kept in memory from which incarnation a reboot was ordered; after a change of leadership it ordered the reboot again when the worker had just restarted.

Entries report the backend servers that announce themselves to them. The state keeps the incarnation at the start of the phase rebooting, and another one proves the reboot under any leader. A backend server instance stays drained for the lease, the longest call and its late answer before it is given to the platform, and gets no orders. An aborted plan gives back an instance that was not rebooted yet.

Ruled out: an own message for backend servers, and declaring the reboot done by an operator's command, which would depend on a person per instance.

--- a/cmd/samphire-entry/main.go
+++ b/cmd/samphire-entry/main.go
@@ -44,6 +44,7 @@
 	e := entry.New(set, entry.Options{Log: log, Seed: seed})
 	workers := platform.NewManager(set.Instance, e.Leader(), platform.HTTPDriver{Client: &http.Client{}}, log)
 	workers.Mount(e.Echo())
+	e.OnBackend(workers.AnnounceBackend)
 	path, handler := operator.NewHandler(e.Leader(), operator.Options{Token: set.OperatorToken, KeySecret: []byte(set.SharedSecret)})
 	e.Echo().Any(path+"*", echo.WrapHandler(handler))
 	return serve(ctx, e, workers)
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -41,6 +41,12 @@
 	return res, nil
 }
 
+func (l *fakeLog) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
 func (l *fakeLog) Read(f func(*fleet.State)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -39,7 +39,8 @@
 	c.log.Read(func(s *fleet.State) {
 		for _, name := range sortedKeys(c.workers) {
 			w := c.workers[name]
-			if w.entry != entry || !w.heard(now) {
+			// Nothing on a backend server instance takes orders.
+			if w.entry != entry || !w.heard(now) || s.Config.Instances[name].Kind == fleet.KindBackend {
 				continue
 			}
 			all := c.taskOrders(s, w, now)
@@ -164,15 +165,10 @@
 		w.undrains = 0
 		return []wire.Order{w.order(wire.OrderDrain, wire.TaskKey{})}
 	case fleet.PhaseRebooting:
-		if w.rebootFrom == "" {
-			// A new leader can't know whether the reboot happened, and orders it.
-			w.rebootFrom = w.state.Incarnation
-		}
-		if w.rebootFrom == w.state.Incarnation {
+		if st.RebootFrom == w.state.Incarnation {
 			return []wire.Order{w.order(wire.OrderReboot, wire.TaskKey{})}
 		}
 	case fleet.PhaseActive:
-		w.rebootFrom = ""
 		if w.undrains < maxUndrains {
 			return []wire.Order{w.order(wire.OrderUndrain, wire.TaskKey{})}
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -26,12 +26,10 @@
 	// retired holds the incarnations that were replaced.
 	retired map[string]bool
 	// seen holds the attempts that this incarnation reported, with the latest time.
-	seen map[wire.TaskKey]fleet.Time
-	sent map[orderKey]sending
-	// rebootFrom is the incarnation that was ordered to reboot.
-	rebootFrom string
-	skippedAt  fleet.Time
-	undrains   int
+	seen      map[wire.TaskKey]fleet.Time
+	sent      map[orderKey]sending
+	skippedAt fleet.Time
+	undrains  int
 }
 
 // heard reports whether the worker announced itself a short time ago.
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -103,19 +103,8 @@
 		return nil
 	}
 	cmd := fleet.Command{Maintenance: &fleet.PhaseChange{Steps: plan.Steps, Waiting: changed}}
-	res, err := c.propose(ctx, "maintenance", cmd)
-	if err != nil || res.Refusal != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i, step := range plan.Steps {
-		_, refused := res.Rejected[i]
-		if w := c.workers[step.Instance]; w != nil && !refused && step.Phase == fleet.PhaseRebooting {
-			w.rebootFrom = w.state.Incarnation
-		}
-	}
-	return nil
+	_, err := c.propose(ctx, "maintenance", cmd)
+	return err
 }
 
 func (c *Controller) maintained(s *fleet.State, now fleet.Time) []maintenance.Instance {
@@ -124,14 +113,15 @@
 		st := s.Status[name]
 		i := maintenance.Instance{
 			Name: name, Pool: in.Pool, Rack: in.Rack, DataCentre: in.DataCentre,
-			Phase: st.Phase, PhaseSince: st.PhaseSince, Plan: st.Plan, Lost: st.Lost,
+			Backend: in.Kind == fleet.KindBackend,
+			Phase:   st.Phase, PhaseSince: st.PhaseSince, Plan: st.Plan, Lost: st.Lost,
 			Down: st.QuarantinedUntil > now || (in.Kind == fleet.KindWorker && !st.Seen),
 		}
 		if w := c.workers[name]; w != nil {
 			i.Healthy = w.heard(now)
 			i.HealthySince = w.healthySince
 			i.SkippedAt = w.skippedAt
-			i.Rebooted = i.Healthy && w.rebootFrom != "" && w.rebootFrom != w.state.Incarnation
+			i.Rebooted = i.Healthy && st.Incarnation == w.state.Incarnation && st.Incarnation != st.RebootFrom
 		}
 		for _, j := range assignedJobs(s, name) {
 			i.Tasks++
--- a/internal/controller/upkeep_test.go
+++ b/internal/controller/upkeep_test.go
@@ -54,6 +54,61 @@
 	require.Equal(t, fleet.JobAssigned, r.job(watch).State)
 }
 
+// Guards against a maintenance plan on backend servers that never ends, or that
+// counts an instance as rebooted on which calls may still run.
+func TestMaintenanceOfBackendServersWaitsForTheirReboot(t *testing.T) {
+	r := newRig(t, 0, Options{})
+	for _, name := range []string{"b0", "b1", "b2"} {
+		r.change(fleet.ChangeItem{PutInstance: &fleet.Instance{Name: name, Pool: "p", DataCentre: "dc", Kind: fleet.KindBackend}})
+		r.workers[name] = &wire.WorkerState{Instance: name, Incarnation: "1", Address: "x"}
+	}
+	r.round(obey)
+	r.change(fleet.ChangeItem{StartPlan: &fleet.MaintenancePlan{Name: "m", Pool: "p", DrainTimeoutMS: 20_000}})
+	drainedAt := map[string]fleet.Time{}
+	for rounds := 0; r.plan("m").State != fleet.PlanDone; rounds++ {
+		require.Less(t, rounds, 100, "waiting for: %s", r.plan("m").WaitingFor)
+		if rounds == 20 {
+			r.log.set(func() { r.log.leadership.Term++ })
+		}
+		r.round(obey)
+		r.log.Read(func(s *fleet.State) {
+			require.LessOrEqual(t, s.Unavailable("p"), 2)
+			for name, w := range r.workers {
+				st := s.Status[name]
+				switch {
+				case st.Phase == fleet.PhaseDraining:
+					drainedAt[name] = st.PhaseSince
+				case st.Phase == fleet.PhaseRebooting && w.Incarnation == "1":
+					require.GreaterOrEqual(t, st.PhaseSince.Sub(drainedAt[name]), fleet.MaxCallTime+fleet.CallLinger)
+					w.Incarnation = "2"
+				}
+			}
+		})
+	}
+	require.Empty(t, r.orders)
+	for _, w := range r.workers {
+		require.Equal(t, "2", w.Incarnation)
+	}
+}
+
+// Guards against a second reboot of a worker that restarted just before the
+// leader changed.
+func TestNewLeaderOrdersNoSecondReboot(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	r.round(obey)
+	r.change(fleet.ChangeItem{StartPlan: &fleet.MaintenancePlan{Name: "m", Pool: "p", DrainTimeoutMS: 20_000}})
+	for rounds := 0; r.workers["w00"].Incarnation == "1"; rounds++ {
+		require.Less(t, rounds, 20)
+		r.round(obey)
+	}
+	r.log.set(func() { r.log.leadership.Term++ })
+	for rounds := 0; r.plan("m").State != fleet.PlanDone; rounds++ {
+		require.Less(t, rounds, 20)
+		r.round(obey)
+	}
+	require.Equal(t, "1+", r.workers["w00"].Incarnation)
+}
+
 // Guards against urgent work that starts later than 6 s after its acceptance on a
 // full pool, and against a stopped task that is not idempotent.
 func TestUrgentStartsInTime(t *testing.T) {
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -31,10 +31,19 @@
 		return e.respond(c, "", asAnswer(api.Refuse(http.StatusBadRequest, api.CodeBadRequest, reason)))
 	}
 	news := e.sched.announce([]wire.BackendInfo{info})
+	if e.backendHeard != nil && len(news) > 0 {
+		e.backendHeard(info.Instance, info.Incarnation, info.Address)
+	}
 	e.mesh.pass(context.WithoutCancel(c.Request().Context()), news)
 	return c.JSON(http.StatusOK, announceReply{LeaseMS: routing.Lease.Milliseconds(), Entry: e.set.Instance})
 }
 
+// OnBackend sets what is called with each announcement of a backend server that
+// this entry hears itself. It is to be set before Run.
+func (e *Entry) OnBackend(heard func(instance, incarnation, address string)) {
+	e.backendHeard = heard
+}
+
 // checkBackend returns the reason why an announcement is invalid, or "".
 func checkBackend(info wire.BackendInfo) string {
 	if info.Instance == "" || info.Incarnation == "" || info.Service == "" {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,8 @@
 	stopGrace   time.Duration
 	incarnation string
 	peerAddress string
+	// backendHeard may be nil.
+	backendHeard func(instance, incarnation, address string)
 
 	echo     *echo.Echo
 	mux      wire.Mux
--- a/internal/fleet/phases.go
+++ b/internal/fleet/phases.go
@@ -80,8 +80,12 @@
 	st.Phase = step.Phase
 	st.Plan = step.Plan
 	st.PhaseSince = s.Now
-	if step.Phase == PhaseActive {
+	switch step.Phase {
+	case PhaseRebooting:
+		st.RebootFrom = st.Incarnation
+	case PhaseActive:
 		st.Plan = ""
+		st.RebootFrom = ""
 	}
 	s.Status[step.Instance] = st
 	if p, ok := s.Plans[step.Plan]; ok && step.Completed {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -239,6 +239,9 @@
 	QuarantinedUntil Time `cbor:"8,keyasint,omitempty" json:"quarantined_until_ms,omitempty"`
 	// Seen is true once the instance has announced itself.
 	Seen bool `cbor:"9,keyasint,omitempty" json:"seen,omitempty"`
+	// RebootFrom is the incarnation at the start of PhaseRebooting, until the
+	// instance is active again. Another incarnation proves the reboot.
+	RebootFrom string `cbor:"10,keyasint,omitempty" json:"reboot_from,omitempty"`
 }
 
 // PlanState is the state of a maintenance plan.
--- a/internal/maintenance/advance.go
+++ b/internal/maintenance/advance.go
@@ -34,9 +34,7 @@
 		case fleet.PhaseDraining:
 			p.advanceDrain(i, plan)
 		case fleet.PhaseRebooting:
-			if i.Rebooted {
-				p.step(i, plan.Name, fleet.PhaseVerifying, false)
-			}
+			p.advanceReboot(i, plan)
 		case fleet.PhaseVerifying:
 			p.advanceVerify(i, plan)
 		}
@@ -53,6 +51,9 @@
 		p.giveBack(i, plan)
 		return
 	}
+	if i.Backend && p.Now.Sub(i.PhaseSince) < BackendDrainTime {
+		return
+	}
 	if i.Tasks == 0 {
 		p.step(i, plan.Name, fleet.PhaseRebooting, false)
 		return
@@ -73,6 +74,17 @@
 	}
 }
 
+// advanceReboot waits for another incarnation. An aborted plan gives back a
+// backend server instance that still runs, since nothing was ordered to reboot it.
+func (p *planner) advanceReboot(i Instance, plan fleet.MaintenancePlan) {
+	switch {
+	case i.Rebooted:
+		p.step(i, plan.Name, fleet.PhaseVerifying, false)
+	case i.Backend && i.Healthy && plan.State == fleet.PlanAborted:
+		p.giveBack(i, plan)
+	}
+}
+
 func (p *planner) clear(i Instance, level Clearing) {
 	if level == ClearWatch && i.Watch == 0 {
 		return
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/lease"
 )
 
 // Policy names a way of taking instances.
@@ -30,6 +31,10 @@
 	// CheckpointTime is the time after the drain time limit after which
 	// idempotent tasks that did not checkpoint are stopped.
 	CheckpointTime = 5 * time.Second
+	// BackendDrainTime is the time after which no call runs on a drained backend
+	// server: entries learn of the drain within a lease, and a call that began
+	// before has its time limit and the wait for a late answer.
+	BackendDrainTime = lease.Duration + fleet.MaxCallTime + fleet.CallLinger
 	// DefaultDrainTimeout applies to plans without a drain time limit.
 	DefaultDrainTimeout = 30 * time.Second
 )
@@ -40,6 +45,9 @@
 	Pool       string
 	Rack       string
 	DataCentre string
+	// Backend instances run backend servers. The platform or an operator reboots
+	// them; nothing of the system runs there.
+	Backend    bool
 	Phase      fleet.InstancePhase
 	PhaseSince fleet.Time
 	Plan       string
@@ -314,6 +322,8 @@
 			return fmt.Sprintf("tasks of %s have not ended within the drain time limit", i.Name)
 		case i.Plan != plan.Name && i.Phase != fleet.PhaseActive:
 			return fmt.Sprintf("%s is held by another drain or plan", i.Name)
+		case i.Plan == plan.Name && i.Phase == fleet.PhaseRebooting && i.Backend && i.Healthy && !i.Rebooted:
+			return fmt.Sprintf("%s is drained and waits for the platform's reboot", i.Name)
 		case i.Phase == fleet.PhaseActive && !i.Healthy:
 			return fmt.Sprintf("%s does not announce itself", i.Name)
 		case i.Phase == fleet.PhaseActive && i.SkippedAt > 0:
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,6 +78,7 @@
 	mu       sync.Mutex
 	workers  map[string]*worker
 	pending  map[string]Announcement
+	backends map[string]wire.WorkerState
 	carrying map[orderKey]struct{}
 	term     uint64
 	wake     chan struct{}
@@ -103,6 +106,7 @@
 		log:      log,
 		workers:  map[string]*worker{},
 		pending:  map[string]Announcement{},
+		backends: map[string]wire.WorkerState{},
 		carrying: map[orderKey]struct{}{},
 		wake:     make(chan struct{}, 1),
 		slots:    make(chan struct{}, maxOrders),
@@ -128,6 +132,22 @@
 	return AnnounceReply{LeaseMS: lease.Task.Milliseconds(), LeaderSequence: w.leader}
 }
 
+// AnnounceBackend takes a backend server's announcement, of which the leader
+// learns the instance and the incarnation with the next request for orders.
+func (m *Manager) AnnounceBackend(instance, incarnation, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.backends[instance] = wire.WorkerState{Instance: instance, Incarnation: incarnation, Address: address}
+}
+
+func (m *Manager) takeBackends() []wire.WorkerState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	states := slices.Collect(maps.Values(m.backends))
+	clear(m.backends)
+	return states
+}
+
 func (m *Manager) signal() {
 	select {
 	case m.wake <- struct{}{}:
@@ -177,7 +197,7 @@
 
 func (m *Manager) orderLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		req := wire.WorkerReport{Entry: m.entry, HoldMS: orderHold.Milliseconds()}
+		req := wire.WorkerReport{Entry: m.entry, Workers: m.takeBackends(), HoldMS: orderHold.Milliseconds()}
 		if err := m.exchange(ctx, req, func() {}); err != nil {
 			pause(ctx, retryDelay)
 		}
