Keep a frozen worker or large results from cutting off other workers

Cause 1: all orders of an entry shared 64 slots, and the loops that report announcements waited for a free one. A frozen worker holds a slot for 2 s per order, so some hundred orders for it stopped the reports of all workers of the entry beyond their task lease, and their jobs were given up. Each worker now has slots of its own, and the loops never wait.

Cause 2: a report carried all pending announcements. Ten workers with eight results of 64 KiB each exceed a frame of 4 MiB; the report then failed again and again. An announcement of more than 1 MiB was refused by the entry, so its results could not be acknowledged either.

Ruled out: dropping orders when the slots are full, since the leader repeats them only after 1.2 s and the frozen worker's orders would win the slots again.

Before: with 1,000 orders for a frozen worker the order for a healthy one is not carried out within 10 s, and 20 workers with 100 results each are never acknowledged. After: both tests pass, three times with -race.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -21,7 +21,8 @@
 // AnnouncePath is the path at which an entry takes announcements of workers.
 const AnnouncePath = "/v1/announce/worker"
 
-const maxAnnouncementBytes = 1 << 20
+// maxAnnouncementBytes has room for all results that the state keeps, in base64.
+const maxAnnouncementBytes = 2 * fleet.MaxRetainedBytes
 
 // TaskOrder is the body of a request to a worker.
 type TaskOrder struct {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,8 +35,10 @@
 	reportSpacing = 100 * time.Millisecond
 	orderHold     = 500 * time.Millisecond
 	retryDelay    = 100 * time.Millisecond
-	maxOrders     = 64
-	forgetAfter   = time.Minute
+	// maxOrders bounds the orders in progress at one worker. It is a bound for each
+	// worker, so that workers that don't answer hold up no orders or reports of others.
+	maxOrders   = 8
+	forgetAfter = time.Minute
 )
 
 // Announcement is a worker's statement that it is alive, with its tasks.
@@ -82,7 +84,8 @@
 	carrying map[orderKey]struct{}
 	term     uint64
 	wake     chan struct{}
-	slots    chan struct{}
+	slots    map[string]chan struct{}
+	orders   sync.WaitGroup
 }
 
 type worker struct {
@@ -109,7 +112,7 @@
 		backends: map[string]wire.WorkerState{},
 		carrying: map[orderKey]struct{}{},
 		wake:     make(chan struct{}, 1),
-		slots:    make(chan struct{}, maxOrders),
+		slots:    map[string]chan struct{}{},
 	}
 }
 
@@ -162,9 +165,7 @@
 	loops.Go(func() { m.reportLoop(ctx) })
 	loops.Go(func() { m.orderLoop(ctx) })
 	loops.Wait()
-	for range maxOrders {
-		m.slots <- struct{}{}
-	}
+	m.orders.Wait()
 }
 
 func (m *Manager) reportLoop(ctx context.Context) {
@@ -178,8 +179,8 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if err := m.report(ctx, batch); err != nil {
-			m.putBack(batch)
+		if rest := m.report(ctx, batch); len(rest) > 0 {
+			m.putBack(rest)
 			pause(ctx, retryDelay)
 			continue
 		}
@@ -187,12 +188,19 @@
 	}
 }
 
-func (m *Manager) report(ctx context.Context, batch []Announcement) error {
-	req := wire.WorkerReport{Entry: m.entry}
-	for _, a := range batch {
-		req.Workers = append(req.Workers, a.WorkerState)
+// report sends announcements in as many reports as needed, and returns those that
+// did not reach the leader.
+func (m *Manager) report(ctx context.Context, batch []Announcement) []Announcement {
+	for len(batch) > 0 {
+		states, rest := fill(batch)
+		sent := batch[:len(states)]
+		req := wire.WorkerReport{Entry: m.entry, Workers: states}
+		if err := m.exchange(ctx, req, func() { m.acknowledge(sent) }); err != nil {
+			return batch
+		}
+		batch = rest
 	}
-	return m.exchange(ctx, req, func() { m.acknowledge(batch) })
+	return nil
 }
 
 func (m *Manager) orderLoop(ctx context.Context) {
@@ -287,17 +295,30 @@
 	}
 	address := w.last.Address
 	m.carrying[key] = struct{}{}
+	slots := m.slots[order.Worker]
+	if slots == nil {
+		slots = make(chan struct{}, maxOrders)
+		m.slots[order.Worker] = slots
+	}
 	m.mu.Unlock()
 
-	m.slots <- struct{}{}
-	go func() {
-		defer func() { <-m.slots }()
+	m.orders.Go(func() {
 		defer m.finish(key)
-		m.carry(ctx, address, order, expires)
-	}()
+		m.carry(ctx, slots, address, order, expires)
+	})
 }
 
-func (m *Manager) carry(ctx context.Context, address string, order wire.Order, expires time.Time) {
+func (m *Manager) carry(ctx context.Context, slots chan struct{}, address string, order wire.Order, expires time.Time) {
+	expired := time.NewTimer(time.Until(expires))
+	defer expired.Stop()
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-expired.C:
+		return
+	case <-ctx.Done():
+		return
+	}
 	if time.Now().After(expires) {
 		return
 	}
@@ -323,6 +344,7 @@
 	for name, w := range m.workers {
 		if time.Since(w.heard) > forgetAfter {
 			delete(m.workers, name)
+			delete(m.slots, name)
 		}
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -25,7 +28,7 @@
 func (f *fakeLeader) Call(ctx context.Context, _ wire.Type, req, resp any, _ time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if frame, err := cbor.Marshal(req); err != nil || f.down || len(frame) > wire.MaxFrameBytes {
 		return errors.New("no leader")
 	}
 	for _, w := range req.(wire.WorkerReport).Workers {
@@ -48,7 +51,14 @@
 	carried chan wire.Order
 }
 
-func (f *fakeDriver) Carry(_ context.Context, _ string, o wire.Order) error {
+// frozen is the address of a worker that accepts connections and never answers.
+const frozen = "127.0.0.1:2"
+
+func (f *fakeDriver) Carry(ctx context.Context, address string, o wire.Order) error {
+	if address == frozen {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	f.carried <- o
 	return nil
 }
@@ -126,3 +136,55 @@
 		})
 	}
 }
+
+// Guards against a frozen worker whose unanswered orders hold up the orders and
+// reports of the others, so that healthy workers are given up.
+func TestFrozenWorkerHoldsUpNoOther(t *testing.T) {
+	l := &fakeLeader{term: 1}
+	m, driver := startManager(t, l)
+	m.Announce(announcement(1))
+	stuck := announcement(1)
+	stuck.Instance, stuck.Address = "w2", frozen
+	m.Announce(stuck)
+	var orders []wire.Order
+	for i := range 1000 {
+		orders = append(orders, wire.Order{Worker: "w2", Incarnation: "i1", Kind: wire.OrderStop, Task: wire.TaskKey{JobID: "j", Attempt: i}})
+	}
+	orders = append(orders, wire.Order{Worker: "w1", Incarnation: "i1", Kind: wire.OrderStop})
+	l.set(func() { l.orders = orders })
+	select {
+	case o := <-driver.carried:
+		require.Equal(t, "w1", o.Worker)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the order for the healthy worker waits for those of the frozen one")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.Greater(t, len(m.carrying), 900, "orders for the frozen worker are still waiting")
+}
+
+// Guards against results that together exceed a frame, after which no report of
+// the entry reaches the leader and all its workers are given up.
+func TestReportsWithManyResultsFitIntoFrames(t *testing.T) {
+	l := &fakeLeader{term: 1}
+	m, _ := startManager(t, l)
+	a := announcement(1)
+	for i := range 100 {
+		a.Tasks = append(a.Tasks, wire.TaskReport{JobID: "j", Attempt: i, State: wire.TaskDone, Result: make([]byte, fleet.MaxBlobBytes)})
+	}
+	for i := range 20 {
+		a.Instance = "w" + strconv.Itoa(i)
+		m.Announce(a)
+	}
+	for i := range 20 {
+		a.Instance = "w" + strconv.Itoa(i)
+		require.Eventually(t, func() bool { return m.Announce(a).LeaderSequence == 1 }, 10*time.Second, 5*time.Millisecond)
+	}
+	a.Tasks[0].Result = make([]byte, 2*fleet.MaxBlobBytes)
+	cut := fit(a.WorkerState).Tasks
+	require.Len(t, cut, 100)
+	require.Equal(t, wire.TaskDone, cut[0].State)
+	require.Len(t, cut[0].Result, fleet.MaxBlobBytes+1)
+	require.Equal(t, wire.TaskRunning, cut[99].State)
+	require.Len(t, a.Tasks[99].Result, fleet.MaxBlobBytes, "the announcement itself is unchanged")
+}
