--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -55,6 +55,14 @@
 	b.ReportMetric(float64(len(data)), "snapshot-bytes")
 }
 
+// BenchmarkCapture is the part of a snapshot that holds up the apply loop.
+func BenchmarkCapture(b *testing.B) {
+	w := designSize(b)
+	for b.Loop() {
+		w.s.Capture()
+	}
+}
+
 func BenchmarkRestore(b *testing.B) {
 	data, err := designSize(b).s.EncodeSnapshot()
 	require.NoError(b, err)
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"testing"
@@ -32,7 +33,16 @@
 	for id, j := range h.s.Jobs {
 		attempts[id] = j.Attempt
 	}
+	whole, err := h.s.EncodeSnapshot()
+	require.NoError(rt, err)
+	captured := make(chan []byte, 1)
+	encode := h.s.Capture()
+	go func() {
+		data, _ := encode()
+		captured <- data
+	}()
 	r := h.do(cmd)
+	require.True(rt, bytes.Equal(whole, <-captured), "a captured snapshot holds a later command")
 	cmd.Time = h.clock
 	h.cmds = append(h.cmds, cmd)
 	if r.Refusal != nil {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -55,6 +58,32 @@
 	return data, errors.Wrap(err, "fleet: encode snapshot")
 }
 
+// Capture returns a function that encodes the state as it is now, as
+// EncodeSnapshot does. The function may run while later commands are applied.
+func (s *State) Capture() func() ([]byte, error) {
+	return s.frozen().EncodeSnapshot
+}
+
+// frozen copies what Apply changes in place. The maps of the configuration and
+// the elements of the answers and tombstones never change, nor do the bytes of jobs.
+func (s *State) frozen() *State {
+	c := &State{
+		Applied: s.Applied, Now: s.Now, Config: s.Config, InForce: s.InForce,
+		Status: maps.Clone(s.Status), Plans: maps.Clone(s.Plans),
+		Jobs: make(map[string]*Job, len(s.Jobs)), Grants: make(map[string]map[string]int, len(s.Grants)),
+		Audit: slices.Clone(s.Audit), Answers: s.Answers, Tombstones: s.Tombstones,
+	}
+	jobs := make([]Job, 0, len(s.Jobs))
+	for id, j := range s.Jobs {
+		jobs = append(jobs, *j)
+		c.Jobs[id] = &jobs[len(jobs)-1]
+	}
+	for entry, units := range s.Grants {
+		c.Grants[entry] = maps.Clone(units)
+	}
+	return c
+}
+
 // DecodeSnapshot returns the state of a snapshot. The error wraps ErrSnapshot.
 func DecodeSnapshot(data []byte) (*State, error) {
 	var snap snapshot
--- a/internal/store/fleetmachine.go
+++ b/internal/store/fleetmachine.go
@@ -12,7 +12,7 @@
 	return m.state.Apply(index, cmd)
 }
 
-func (m *fleetMachine) Encode() ([]byte, error) { return m.state.EncodeSnapshot() }
+func (m *fleetMachine) Capture() func() ([]byte, error) { return m.state.Capture() }
 
 func (m *fleetMachine) Restore(data []byte) error {
 	state, err := fleet.DecodeSnapshot(data)
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -186,7 +186,8 @@
 		return err
 	}
 	n.core.Advance(rd)
-	return n.saveSnapshot()
+	n.saveSnapshot()
+	return nil
 }
 
 func (n *Node) install(s raft.Snapshot) error {
--- a/internal/store/machine.go
+++ b/internal/store/machine.go
@@ -7,8 +7,9 @@
 type Machine interface {
 	// Apply carries out a committed command.
 	Apply(index uint64, cmd fleet.Command) fleet.Result
-	// Encode returns a snapshot of the state.
-	Encode() ([]byte, error)
+	// Capture returns a function that encodes a snapshot of the state as it is
+	// now. The function may run while later commands are applied.
+	Capture() func() ([]byte, error)
 	// Restore replaces the state by a snapshot.
 	Restore(data []byte) error
 	// State returns the present state, for readers.
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -63,24 +63,27 @@
 }
 
 // saveSnapshot starts to write a snapshot when enough entries were applied.
-func (n *Node) saveSnapshot() error {
+func (n *Node) saveSnapshot() {
 	if n.saving || n.applied < n.snapshotAt+uint64(n.cfg.SnapshotEntries) {
-		return nil
-	}
-	data, err := n.machine.Encode()
-	if err != nil {
-		return errors.Wrap(err, "store: encode snapshot")
+		return
 	}
-	s := raft.Snapshot{Position: n.core.PositionAt(n.applied), Data: data}
+	encode := n.machine.Capture()
+	position := n.core.PositionAt(n.applied)
 	n.saving = true
 	n.snapshotAt = n.applied
-	n.running.Add(1)
-	go func() {
-		defer n.running.Done()
-		oldest, err := n.save(s)
-		n.snapSaved <- saveResult{snapshot: s, oldest: oldest, err: err}
-	}()
-	return nil
+	n.running.Go(func() { n.snapSaved <- n.encodeAndSave(position, encode) })
+}
+
+// encodeAndSave runs outside the loop, since encoding a large state takes longer
+// than an election timeout.
+func (n *Node) encodeAndSave(position raft.Position, encode func() ([]byte, error)) saveResult {
+	data, err := encode()
+	if err != nil {
+		return saveResult{err: errors.Wrap(err, "store: encode snapshot")}
+	}
+	s := raft.Snapshot{Position: position, Data: data}
+	oldest, err := n.save(s)
+	return saveResult{snapshot: s, oldest: oldest, err: err}
 }
 
 // afterSave drops what the snapshot covers. The log on disk keeps what follows
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"path/filepath"
 	"testing"
@@ -44,8 +45,9 @@
 	Seen map[string]int
 }
 
-func (c *counter) Encode() ([]byte, error) {
-	return json.Marshal(counterSnapshot{Now: c.state.Now, Seen: c.seen})
+func (c *counter) Capture() func() ([]byte, error) {
+	copied := counterSnapshot{Now: c.state.Now, Seen: maps.Clone(c.seen)}
+	return func() ([]byte, error) { return json.Marshal(copied) }
 }
 
 func (c *counter) Restore(data []byte) error {
