--- /dev/null
+++ b/internal/measure/all.go
@@ -0,0 +1,5 @@
+package measure
+
+import "context"
+
+func measureAll(ctx context.Context, b *bench) error { return nil }
--- /dev/null
+++ b/internal/measure/faults.go
@@ -0,0 +1,176 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/harness"
+)
+
+const (
+	steadyCalls   = 100.0
+	steadyJobs    = 15.0
+	steadyJobCPU  = 1000
+	steadyJobRun  = 100 * time.Millisecond
+	steadyGiveUp  = 12 * time.Second
+	faultBefore   = 200 * time.Millisecond
+	faultObserved = 5 * time.Second
+	frozenFor     = 4 * time.Second
+	cutFor        = 4 * time.Second
+	faultSettle   = 1500 * time.Millisecond
+)
+
+// ErrNoLeader is returned when the leader is none of the stores.
+var ErrNoLeader = errors.New("measure: no leader found")
+
+// steady is a load of calls and jobs at constant rates.
+type steady struct {
+	calls, jobs *load
+	stop        context.CancelFunc
+}
+
+// startSteady starts the load; half of the requests are idempotent.
+func (b *bench) startSteady(ctx context.Context, name string, callers []*harness.Caller) *steady {
+	for _, c := range callers {
+		c.Attempts = 1000
+		c.AttemptTimeout = 3 * callLimit
+	}
+	s := &steady{calls: b.newLoad(callers, 50), jobs: b.newLoad(b.jobCallers(callers, name), 51)}
+	loading, stop := context.WithCancel(ctx)
+	s.stop = stop
+	end := time.Hour
+	n := 0
+	s.calls.running.Go(func() {
+		s.calls.at(loading, steadyCalls, end, func() {
+			n++
+			s.calls.call(ctx, b.services[n%len(b.services)], n%2 == 0, steadyGiveUp)
+		})
+	})
+	m := 0
+	s.jobs.running.Go(func() {
+		s.jobs.at(loading, steadyJobs, end, func() {
+			m++
+			shape := jobShape{cpuMilli: steadyJobCPU, run: steadyJobRun, idempotent: m%2 == 0}
+			s.jobs.job(ctx, []string{b.normal, b.light}[m%2], shape, steadyGiveUp)
+		})
+	})
+	return s
+}
+
+// jobCallers returns callers for jobs, whose waits last longer than calls.
+func (b *bench) jobCallers(like []*harness.Caller, name string) []*harness.Caller {
+	out := b.callers(name + "-job")
+	for i, c := range out {
+		c.Record = like[i].Record
+		c.Attempts = 1000
+		c.AttemptTimeout = 3 * time.Second
+	}
+	return out
+}
+
+// end stops the load and waits for the requests that are under way.
+func (s *steady) end() {
+	s.stop()
+	s.calls.close()
+	s.jobs.close()
+}
+
+func (b *bench) leader(ctx context.Context) (*harness.Process, error) {
+	status, err := b.op.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, store := range b.fleet.Stores {
+		if store.Advertised == status.GetLeader() {
+			return store, nil
+		}
+	}
+	return nil, ErrNoLeader
+}
+
+// measureFaults kills and freezes the leader and cuts a data centre off, one
+// after the other under a steady load.
+func measureFaults(ctx context.Context, b *bench) error {
+	s := b.startSteady(ctx, "steady", b.callers("steady"))
+	pause(ctx, faultSettle)
+	windows := map[string]interval{}
+	names := []string{"no fault", "leader killed", "leader frozen", "data centre cut"}
+	steps := []func(context.Context) error{b.noFault, b.killLeader, b.freezeLeader, b.cutOne}
+	for i, step := range steps {
+		began := time.Now().Add(-faultBefore)
+		if err := step(ctx); err != nil {
+			s.stop()
+			return errors.Wrap(err, names[i])
+		}
+		pause(ctx, time.Until(began.Add(faultObserved)))
+		windows[names[i]] = interval{began, time.Now()}
+		pause(ctx, faultSettle)
+	}
+	s.end()
+	for _, name := range names {
+		b.reportFault(name, "calls", windows[name], s.calls.calls.all)
+		b.reportFault(name, "jobs", windows[name], s.jobs.jobs.all)
+	}
+	return nil
+}
+
+func (b *bench) noFault(context.Context) error { return nil }
+
+func (b *bench) killLeader(ctx context.Context) error {
+	store, err := b.leader(ctx)
+	if err != nil {
+		return err
+	}
+	store.Kill()
+	pause(ctx, frozenFor)
+	return store.Start()
+}
+
+func (b *bench) freezeLeader(ctx context.Context) error {
+	store, err := b.leader(ctx)
+	if err != nil {
+		return err
+	}
+	if err := store.Pause(); err != nil {
+		return err
+	}
+	pause(ctx, frozenFor)
+	return store.Resume()
+}
+
+func (b *bench) cutOne(ctx context.Context) error {
+	dcs := harness.SortedKeys(b.cfg.DataCentres)
+	if err := b.fleet.SetFaults(ctx, b.fleet.Isolate(dcs[len(dcs)-1])...); err != nil {
+		return err
+	}
+	pause(ctx, cutFor)
+	return b.fleet.SetFaults(ctx)
+}
+
+// reportFault adds the distribution of the time to the right answer of the
+// requests that began in a window.
+func (b *bench) reportFault(fault, kind string, w interval, all []sample) {
+	hist := newTimes()
+	asked := 0
+	for _, s := range all {
+		if s.start.Before(w.from) || s.start.After(w.to) {
+			continue
+		}
+		asked++
+		if s.right {
+			hist.record(s.took())
+		}
+	}
+	name := fault + ": time to the right answer of " + kind + ", "
+	for _, p := range []struct {
+		label string
+		at    float64
+	}{{"median", 50}, {"90%", 90}, {"99%", 99}, {"largest", 100}} {
+		b.value(Value{Name: name + p.label, Unit: "s", Value: hist.seconds(p.at), Samples: hist.n()})
+	}
+	b.value(Value{Name: fault + ": " + kind + " answered right before their caller gave up", Unit: "part", Value: ratio(float64(hist.n()), float64(asked)), Samples: asked})
+	gap := longestGap(all, w.from, w.to)
+	b.value(Value{Name: fault + ": longest time without a right answer of " + kind, Unit: "s", Value: gap.Seconds(), Samples: hist.n()})
+}
