Give callers of the harness a latency and a time limit for each attempt

The measurements need callers at the distance of the deployments, callers that give up a silent entry after less than 12 s, cancellation of jobs, and identifiers of jobs that are known before their end. The defaults change nothing for the demo and the integration tests.

--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -78,6 +78,10 @@
 	HomeDataCentre string
 	// Attempts is the largest number of times that a request is sent.
 	Attempts int
+	// AttemptTimeout bounds the wait for the answer to one attempt; 0 means 12 s.
+	AttemptTimeout time.Duration
+	// Latency is the one-way delay between the caller and the entries.
+	Latency time.Duration
 	// Open names the queues and services that take requests without a key;
 	// requests to them belong to no team.
 	Open map[string]bool
@@ -102,7 +106,8 @@
 	}
 }
 
-func (c *Caller) nextID() string {
+// NextID returns a new request identifier.
+func (c *Caller) NextID() string {
 	id := fmt.Sprintf("%s-%s-%d", c.prefix, c.Team, c.serial.Add(1))
 	if c.HomeDataCentre != "" {
 		id = c.HomeDataCentre + "." + id
@@ -140,7 +145,7 @@
 // Call makes a direct call and sends it again, with the same identifier, while
 // the answer is not final and attempts are left.
 func (c *Caller) Call(ctx context.Context, service string, body []byte, idempotent bool, timeout time.Duration) Outcome {
-	out := Outcome{RequestID: c.nextID()}
+	out := Outcome{RequestID: c.NextID()}
 	began := time.Now()
 	for out.Attempts < max(c.Attempts, 1) && ctx.Err() == nil {
 		out.Attempts++
@@ -178,6 +183,18 @@
 
 // do sends a request. A connection that breaks before the whole answer is lost.
 func (c *Caller) do(req *http.Request, entry *Process) reply {
+	if c.AttemptTimeout > 0 {
+		ctx, cancel := context.WithTimeout(req.Context(), c.AttemptTimeout)
+		defer cancel()
+		req = req.WithContext(ctx)
+	}
+	sleep(req.Context(), c.Latency)
+	r := c.exchange(req, entry)
+	sleep(req.Context(), c.Latency)
+	return r
+}
+
+func (c *Caller) exchange(req *http.Request, entry *Process) reply {
 	resp, err := c.client.Do(req)
 	if err != nil {
 		c.Balancer.refused(entry)
@@ -226,7 +243,12 @@
 
 // Job submits a job and waits for its end.
 func (c *Caller) Job(ctx context.Context, queue string, spec fleet.JobSpec) Outcome {
-	out := Outcome{RequestID: c.nextID()}
+	return c.JobAs(ctx, c.NextID(), queue, spec)
+}
+
+// JobAs is Job under an identifier that NextID returned.
+func (c *Caller) JobAs(ctx context.Context, id, queue string, spec fleet.JobSpec) Outcome {
+	out := Outcome{RequestID: id}
 	began := time.Now()
 	body, err := json.Marshal(spec)
 	if err != nil {
@@ -299,10 +321,24 @@
 	}
 }
 
+// Cancel asks for the end of a job, once.
+func (c *Caller) Cancel(ctx context.Context, id string) {
+	entry := c.Balancer.pick()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+entry.Address+"/v1/jobs/"+id, nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set(api.HeaderKey, c.Key)
+	c.do(req, entry)
+}
+
 // Close ends the caller's idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
