--- a/cmd/samphire-measure/main.go
+++ b/cmd/samphire-measure/main.go
@@ -28,7 +28,7 @@
 	flags.StringVar(&opts.Bin, "bin", "bin", "folder of the binaries")
 	flags.StringVar(&opts.Examples, "examples", "examples", "folder of the deployments' declarations")
 	flags.StringVar(&opts.Docs, "docs", "docs", "folder of the results")
-	flags.StringVar(&opts.Only, "only", "", "part to run alone: burst, share, urgent, maintenance, faults, changes or all")
+	flags.StringVar(&opts.Only, "only", "", "part to run alone: burst, jobs, share, urgent, maintenance, faults, changes or all")
 	flags.StringVar(&opts.Deployment, "deployment", "", "deployment to run alone: carregaguia or khovd")
 	keep := flags.Bool("keep", false, "keep the files of the run")
 	if err := ff.Parse(flags, args); err != nil {
