--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -29,8 +29,8 @@
 	grantsSeq   uint64
 	grantsUntil time.Time
 	usage       map[string]int
-	// asked holds, for each request without a reply, the units to which the leader
-	// may already have lowered the grants: wanted, and no more than granted.
+	// asked holds the units that each request without a reply stated; the leader may
+	// already have lowered the grants to them.
 	asked map[uint64]map[string]int
 }
 
@@ -45,29 +45,23 @@
 	return &holder{asked: map[uint64]map[string]int{}}
 }
 
-// begin notes a request before it is sent.
-func (h *holder) begin(seq uint64, wanted map[string]int) standing {
+// begin notes a request before it is sent. It returns what the request states,
+// and the entry keeps to the stated units until it has the reply.
+func (h *holder) begin(now time.Time, seq uint64, wanted map[string]int) standing {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.asked) >= askedLimit {
-		h.asked = map[uint64]map[string]int{seq - 1: h.leastAsked()}
+	s := standing{term: h.term, granted: make(map[string]int, len(wanted))}
+	for team, n := range wanted {
+		s.granted[team] = min(n, h.unitsNow(now, team))
 	}
-	s := standing{term: h.term, granted: map[string]int{}}
-	maps.Copy(s.granted, h.grants)
 	if h.config != nil {
 		s.revision = h.config.Revision
 	}
-	h.asked[seq] = bounded(wanted, s.granted)
-	return s
-}
-
-// bounded returns the smaller of wanted and granted units by team.
-func bounded(wanted, granted map[string]int) map[string]int {
-	out := make(map[string]int, len(wanted))
-	for team, n := range wanted {
-		out[team] = min(n, granted[team])
+	if len(h.asked) >= askedLimit {
+		h.asked = map[uint64]map[string]int{seq - 1: h.leastAsked()}
 	}
-	return out
+	h.asked[seq] = s.granted
+	return s
 }
 
 // leastAsked returns the smallest wanted units of the unanswered requests by
@@ -156,6 +150,10 @@
 func (h *holder) units(now time.Time, team string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.unitsNow(now, team)
+}
+
+func (h *holder) unitsNow(now time.Time, team string) int {
 	if !now.Before(h.grantsUntil) {
 		return 0
 	}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -69,7 +69,7 @@
 	r.seq++
 	config, _ := e.lease.view(e.clock())
 	wanted, used := e.sched.wanted(config)
-	last := e.lease.begin(r.seq, wanted)
+	last := e.lease.begin(e.clock(), r.seq, wanted)
 	return wire.RenewRequest{
 		Instance:    e.set.Instance,
 		DataCentre:  e.set.DataCentre,
--- a/internal/slopes/sizes.go
+++ b/internal/slopes/sizes.go
@@ -160,7 +160,7 @@
 }
 
 func designReply(teams int) wire.RenewReply {
-	r := wire.RenewReply{Term: 9, LeaseMS: 2000, Revision: 100000, Grants: unitsOf(teams), TeamUsage: unitsOf(teams)}
+	r := wire.RenewReply{Term: 9, LeaseMS: 2000, Revision: 100000, Grants: unitsOf(teams), TeamCalls: unitsOf(teams)}
 	for i := range designDataCentres * entriesPerDC {
 		r.Entries = append(r.Entries, wire.EntryInfo{Instance: fmt.Sprintf("%s-e%d", dcName(i), i), DataCentre: dcName(i), PeerAddress: "10.10.0.1:7070"})
 	}
