--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -217,3 +217,18 @@
 	w.accept(Command{InForce: &MarkInForce{Revision: w.s.Config.Revision}})
 	require.Equal(t, w.s.Now, w.s.Audit[len(w.s.Audit)-1].InForceAt)
 }
+
+// Guards against a state that grows until no store can restore its snapshot.
+func TestRetainedRecordsFitIntoASnapshot(t *testing.T) {
+	w := newWorld(t)
+	w.s.Tombstones = make([]Tombstone, maxElements-1)
+	w.accept(submit("last", "a", "q", true))
+	refused := w.do(submit("more", "a", "q", true))
+	require.Equal(t, CodeQueueFull, code(refused))
+	require.Positive(t, refused.Refusal.RetryAfterMS)
+	w.s.forget("last")
+	data, err := w.s.EncodeSnapshot()
+	require.NoError(t, err)
+	_, err = DecodeSnapshot(data)
+	require.NoError(t, err)
+}
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -89,6 +89,11 @@
 		ref.RetryAfterMS = queueRetryMS
 		return ref
 	}
+	if len(s.Jobs)+len(s.Tombstones) >= maxElements {
+		ref := refusal(CodeQueueFull, "%d job records and identifiers are retained", maxElements)
+		ref.RetryAfterMS = retainedRetryMS
+		return ref
+	}
 	if s.RetainedBytes()+len(c.Spec.Payload) > MaxRetainedBytes {
 		ref := refusal(CodeQueueFull, "retained payloads and results exceed %d bytes", MaxRetainedBytes)
 		ref.RetryAfterMS = retainedRetryMS
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -10,7 +10,9 @@
 
 const (
 	snapshotVersion = 1
-	maxElements     = 1 << 20
+	// maxElements bounds each list and map of a snapshot or command. Job records
+	// and tombstones together stay below it, so that every state can be restored.
+	maxElements = 1 << 20
 )
 
 // Errors of decoding.
