--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -261,9 +261,13 @@
 	c.log.compact(min(keepFrom, snap.Index))
 }
 
-// PositionAt returns the position of an applied index, for a snapshot.
-func (c *Core) PositionAt(index uint64) Position {
+// PositionAt returns the position of an applied index, for a snapshot, and false
+// when a received snapshot has replaced the log up to a later index.
+func (c *Core) PositionAt(index uint64) (Position, bool) {
+	term, ok := c.log.term(index)
+	if !ok {
+		return Position{}, false
+	}
 	members, _ := c.log.members(index)
-	term, _ := c.log.term(index)
-	return Position{Index: index, Term: term, Members: slices.Clone(members)}
+	return Position{Index: index, Term: term, Members: slices.Clone(members)}, true
 }
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -211,8 +211,11 @@
 		s.verify(n, e.Term)
 	}
 	n.core.Advance(rd)
+	position, known := n.core.PositionAt(n.applied)
+	require.Equal(s.t, n.applied >= n.core.log.base.Index, known)
 	if s.rng.Float64() < 0.02 && n.applied > n.core.snapshot.Index {
-		snap := Snapshot{Position: n.core.PositionAt(n.applied), Data: dataOf(n.state)}
+		require.Equal(s.t, s.terms[n.applied], position.Term)
+		snap := Snapshot{Position: position, Data: dataOf(n.state)}
 		n.disk.snap = snap
 		n.core.Compact(snap, snap.Index-min(snap.Index, uint64(s.rng.IntN(5))))
 	}
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -196,7 +196,7 @@
 	if err := n.machine.Restore(s.Data); err != nil {
 		return errors.Wrap(err, "store: restore snapshot")
 	}
-	n.applied, n.snapshotAt = s.Index, s.Index
+	n.applied, n.snapshotAt, n.sinceBytes = s.Index, s.Index, 0
 	n.announceChange()
 	return nil
 }
@@ -219,6 +219,7 @@
 
 func (n *Node) apply(e raft.Entry) error {
 	n.applied = e.Index
+	n.sinceBytes += len(e.Data)
 	switch e.Kind {
 	case raft.EntryMembership:
 		n.settleChange(e)
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -64,13 +64,20 @@
 
 // saveSnapshot starts to write a snapshot when enough entries were applied.
 func (n *Node) saveSnapshot() {
-	if n.saving || n.applied < n.snapshotAt+uint64(n.cfg.SnapshotEntries) {
+	due := n.applied >= n.snapshotAt+uint64(n.cfg.SnapshotEntries) || n.sinceBytes >= snapshotBytes
+	if n.saving || !due {
+		return
+	}
+	position, ok := n.core.PositionAt(n.applied)
+	if !ok {
+		// A snapshot of the leader has replaced the log and is about to be installed.
 		return
 	}
 	encode := n.machine.Capture()
-	position := n.core.PositionAt(n.applied)
 	n.saving = true
+	n.keepFrom = n.snapshotAt
 	n.snapshotAt = n.applied
+	n.sinceBytes = 0
 	n.running.Go(func() { n.snapSaved <- n.encodeAndSave(position, encode) })
 }
 
@@ -86,15 +93,15 @@
 	return saveResult{snapshot: s, oldest: oldest, err: err}
 }
 
-// afterSave drops what the snapshot covers. The log on disk keeps what follows
+// afterSave drops what the snapshot covers, but for the commands since the one
+// before, for members that are a little behind. The log on disk keeps what follows
 // the older of the two snapshots, so that a damaged one can be passed over.
 func (n *Node) afterSave(res saveResult) error {
 	n.saving = false
 	if res.err != nil {
 		return res.err
 	}
-	keep := uint64(n.cfg.SnapshotEntries)
-	n.core.Compact(res.snapshot, res.snapshot.Index-min(keep, res.snapshot.Index))
+	n.core.Compact(res.snapshot, n.keepFrom)
 	n.trimTo = res.oldest
 	n.log.Info().Uint64("index", res.snapshot.Index).Int("bytes", len(res.snapshot.Data)).Msg("snapshot saved")
 	return nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,13 +29,16 @@
 	electionTicks          = 10
 	defaultTick            = 50 * time.Millisecond
 	defaultSnapshotEntries = 10_000
-	maxAppendBytes         = 1 << 20
-	maxInflightAppends     = 32
-	snapshotChunkBytes     = 1 << 20
-	maxCommandBytes        = 3 << 20
-	inboxMessages          = 4096
-	maxPending             = 4096
-	proposalBacklog        = 256
+	// snapshotBytes bounds the commands between two snapshots, which the log also
+	// keeps in memory: 10,000 payloads of 64 KiB would take 640 MB.
+	snapshotBytes      = 8 << 20
+	maxAppendBytes     = 1 << 20
+	maxInflightAppends = 32
+	snapshotChunkBytes = 1 << 20
+	maxCommandBytes    = 3 << 20
+	inboxMessages      = 4096
+	maxPending         = 4096
+	proposalBacklog    = 256
 )
 
 // ErrCommandTooLarge refuses a command that does not fit into a frame.
@@ -121,17 +124,21 @@
 	incarnation uint64
 
 	// The fields below belong to the loop.
-	peers       map[uint64]uint64
-	peersDirty  bool
-	warned      map[uint64]bool
-	fatal       error
-	pending     map[uint64]*proposal
-	change      *change
-	persisting  bool
-	saving      bool
-	trimTo      uint64
-	applied     uint64
-	snapshotAt  uint64
+	peers      map[uint64]uint64
+	peersDirty bool
+	warned     map[uint64]bool
+	fatal      error
+	pending    map[uint64]*proposal
+	change     *change
+	persisting bool
+	saving     bool
+	trimTo     uint64
+	applied    uint64
+	snapshotAt uint64
+	// sinceBytes is the size of the commands applied since snapshotAt, and
+	// keepFrom the index of the snapshot before the one that is being saved.
+	sinceBytes  int
+	keepFrom    uint64
 	leadingTerm uint64
 	lead        tenure
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -191,3 +193,22 @@
 		require.False(t, s.machine.regressed)
 	}
 }
+
+// Guards against a log whose large commands are all kept in memory until their
+// number calls for a snapshot, and against a restart that loses some of them.
+func TestLargeCommandsCallForASnapshot(t *testing.T) {
+	s := newGroup(t, 1, nil)[0]
+	large := strings.Repeat("x", 1<<20)
+	for i := range 20 {
+		propose(t, []*testStore{s}, fmt.Sprint(i, large))
+	}
+	snapshots := func() int {
+		names, err := os.ReadDir(filepath.Join(s.cfg.DataFolder, "snapshots"))
+		require.NoError(t, err)
+		return len(names)
+	}
+	eventually(t, "a snapshot", func() bool { return snapshots() > 0 })
+	require.NoError(t, s.stop())
+	s.start(nil)
+	eventually(t, "restored commands", func() bool { return s.has(fmt.Sprint(0, large)) && s.has(fmt.Sprint(19, large)) })
+}
