Bound the commands of the controllers, and outlive one that is refused

Cause: outcomes were batched by the size of their results only, and observations not at all, while names announced by workers had no bound. A command above 3 MiB is refused by the log, for every leader in the same way, and the error ended the controllers and with them the store: the log would be lost to one large wave.

Outcomes are now committed 2,000 and observations 250 at a time, announced names have at most 256 bytes, and a failed pass is logged and repeated.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,6 +67,11 @@
 	// proposeTimeout bounds one proposal, so that a lost quorum doesn't hold up
 	// the controllers after the next election.
 	proposeTimeout = 3 * time.Second
+	// maxElements bounds the elements of one command. Names have up to 256 bytes,
+	// and a command above 3 MiB is refused by the log.
+	maxElements = 2000
+	// maxObservations is the same for observations, which list started jobs.
+	maxObservations = 250
 	// planDuty is the ratio of the pause after a pass to its duration, up to maxPause.
 	planDuty = 10
 )
@@ -172,13 +177,16 @@
 	return l, l.Leading
 }
 
-// Run acts until the context ends, and returns its error.
+// Run acts until the context ends, and returns the context's error. A failed pass
+// is repeated.
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		changed := c.log.Changed()
 		began := time.Now()
 		if err := c.Pass(ctx); err != nil && !transient(err) {
-			return err
+			// The next leader would fail in the same way, so ending the store
+			// would only take the log down as well.
+			c.opts.Logger.Error().Err(err).Msg("a pass of the controllers failed")
 		}
 		pause := max(passInterval, min(planDuty*time.Since(began), maxPause))
 		if !c.sleep(ctx, pause) {
--- a/internal/controller/fakelog_test.go
+++ b/internal/controller/fakelog_test.go
@@ -6,12 +6,15 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
+var errTooLarge = errors.New("command is too large")
+
 // fakeLog applies commands at once, under a manual clock.
 type fakeLog struct {
 	mu         sync.Mutex
@@ -20,6 +23,8 @@
 	leadership fleet.Leadership
 	changed    chan struct{}
 	commands   []fleet.Command
+	// refuse is the number of commands that fail as too large.
+	refuse int
 	// before is called with each command ahead of its application.
 	before func(fleet.Command)
 }
@@ -30,6 +35,10 @@
 	if !l.leadership.Leading {
 		return fleet.Result{}, fleet.ErrNotLeader
 	}
+	if l.refuse > 0 {
+		l.refuse--
+		return fleet.Result{}, errTooLarge
+	}
 	if l.before != nil {
 		l.before(cmd)
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -171,8 +171,8 @@
 // commitReports commits what the reports since the last pass changed.
 func (c *Controller) commitReports(ctx context.Context) error {
 	observe, outcomes := c.changes()
-	if len(observe) > 0 {
-		cmd := fleet.Command{Observe: &fleet.Observe{Observations: observe}}
+	for part := range slices.Chunk(observe, maxObservations) {
+		cmd := fleet.Command{Observe: &fleet.Observe{Observations: part}}
 		if _, err := c.propose(ctx, "observe", cmd); err != nil {
 			c.markDirty()
 			return err
@@ -188,12 +188,12 @@
 	return nil
 }
 
-// batch returns the number of findings whose results fit into one command.
+// batch returns the number of findings that fit into one command.
 func batch(found []finding) int {
 	size := 0
 	for i, f := range found {
-		size += len(f.report.Result)
-		if i > 0 && size > maxReplyBytes {
+		size += len(f.report.Result) + len(f.report.Reason)
+		if i == maxElements || i > 0 && size > maxReplyBytes {
 			return i
 		}
 	}
--- a/internal/controller/run_test.go
+++ b/internal/controller/run_test.go
@@ -38,6 +38,21 @@
 	require.ErrorIs(t, <-ended, context.Canceled)
 }
 
+// Guards against a store that ends because the log refuses one command.
+func TestRunOutlivesRefusedCommand(t *testing.T) {
+	r := newRig(t, 1, Options{})
+	id := r.submit("normal", 1000, true)
+	r.log.refuse = 1
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.c.Run(ctx) }()
+	_, err := r.c.Report(ctx, wire.WorkerReport{Entry: "e", Workers: []wire.WorkerState{*r.workers["w00"]}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.job(id).State == fleet.JobAssigned }, 20*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
 // Guards against jobs that are placed on a worker that the new leader has not
 // heard, or that drains, and against a drain that is not undone.
 func TestPlacesOnlyOnHeardActiveWorkers(t *testing.T) {
@@ -63,6 +78,38 @@
 	require.Equal(t, wire.OrderUndrain, last)
 }
 
+// Guards against a wave of ended jobs that makes a command which the log refuses
+// as too large, so that no end is ever committed.
+func TestWaveOfOutcomesIsCommittedInParts(t *testing.T) {
+	const jobs = maxElements + 500
+	r := newRig(t, 1, Options{})
+	r.workers["w00"].Capacity = fleet.Resources{CPUMilli: 1 << 30, MemoryMiB: 1 << 30}
+	r.round(obey)
+	r.change(fleet.ChangeItem{PutTeam: &fleet.Team{Name: "a", Share: 1, Limit: jobs}},
+		fleet.ChangeItem{PutQueue: &fleet.Queue{Name: "normal", Pool: "p", Class: fleet.ClassNormal, MaxQueuedPerTeam: jobs}})
+	for range jobs {
+		r.submit("normal", 1, true)
+	}
+	for range 3 {
+		r.round(obey)
+	}
+	require.Len(t, r.workers["w00"].Tasks, jobs)
+	finishing(wire.TaskDone)(r.workers["w00"], wire.Order{})
+	largest := 0
+	r.log.before = func(cmd fleet.Command) {
+		if cmd.Outcome != nil {
+			largest = max(largest, len(cmd.Outcome.Outcomes))
+		}
+	}
+	r.round(obey)
+	r.log.Read(func(s *fleet.State) {
+		for id, j := range s.Jobs {
+			require.Equal(t, fleet.JobDone, j.State, id)
+		}
+	})
+	require.Equal(t, maxElements, largest)
+}
+
 // One second of the leader at the design size: 2,000 workers announce 10,000
 // tasks through 40 entries, with 10 passes and one new job in each.
 func BenchmarkSecond(b *testing.B) {
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -12,7 +12,10 @@
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
-const maxAnnounceBytes = 64 << 10
+const (
+	maxAnnounceBytes = 64 << 10
+	maxNameBytes     = 256
+)
 
 // announceReply answers a backend server's announcement.
 type announceReply struct {
@@ -49,6 +52,9 @@
 	if info.Instance == "" || info.Incarnation == "" || info.Service == "" {
 		return "instance, incarnation and service are required"
 	}
+	if len(info.Instance) > maxNameBytes || len(info.Incarnation) > maxNameBytes {
+		return "instance and incarnation have at most 256 bytes"
+	}
 	if info.Slots < 1 || info.Connections < 1 {
 		return "slots and connections are at least 1"
 	}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -24,6 +24,8 @@
 // maxAnnouncementBytes has room for all results that the state keeps, in base64.
 const maxAnnouncementBytes = 2 * fleet.MaxRetainedBytes
 
+const maxNameBytes = 256
+
 // TaskOrder is the body of a request to a worker.
 type TaskOrder struct {
 	Incarnation string                `json:"incarnation"`
@@ -104,6 +106,9 @@
 	if a.Instance == "" || a.Incarnation == "" || a.Sequence == 0 {
 		return errors.Wrap(ErrBadAnnouncement, "instance, incarnation and sequence are required")
 	}
+	if len(a.Instance) > maxNameBytes || len(a.Incarnation) > maxNameBytes {
+		return errors.Wrapf(ErrBadAnnouncement, "instance and incarnation have at most %d bytes", maxNameBytes)
+	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return errors.Wrap(ErrBadAnnouncement, fmt.Sprintf("address %q", a.Address))
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,6 +127,7 @@
 	tests := map[string]func(*Announcement){
 		"no incarnation": func(a *Announcement) { a.Incarnation = "" },
 		"no sequence":    func(a *Announcement) { a.Sequence = 0 },
+		"long name":      func(a *Announcement) { a.Incarnation = strings.Repeat("x", 257) },
 		"host name":      func(a *Announcement) { a.Address = "worker:80" },
 	}
 	for name, spoil := range tests {
