Refuse a membership change that leaves no majority in contact

Cause: with one of three voters lost, the leader accepted the removal of the other live one. A change takes effect when it is appended, so the two voters left could neither commit it nor undo it, and the log stopped for good. The leader now refuses a change after which no majority of voters has answered within an election timeout; the reply is busy, since contact may return.

Ruled out: refusing removals of live voters at all, which a planned replacement needs.

Before: the new test's removal is accepted (run with the check disabled). After: it is refused, the lost voter can be removed, and the group commits.

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -25,6 +25,9 @@
 		c.Transfer()
 		return 0, ErrNotLeader
 	}
+	if !c.inContact(members) {
+		return 0, ErrNoQuorum
+	}
 	c.appendOwn(Entry{Kind: EntryMembership, Members: members})
 	c.broadcastAppend()
 	return c.log.last(), nil
@@ -45,6 +48,23 @@
 	}
 }
 
+// inContact reports whether a majority of the voters answered a short time ago. A
+// change that leaves less, such as the removal of a live voter while another one is
+// lost, could not commit itself nor be undone.
+func (c *Core) inContact(members []Member) bool {
+	voters, live := 0, 0
+	for _, m := range members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if p := c.peers[m.ID]; m.ID == c.cfg.ID || p != nil && c.now-p.acked < c.cfg.MinElection {
+			live++
+		}
+	}
+	return live > voters/2
+}
+
 func (ch Change) single() bool {
 	count := 0
 	for _, set := range []bool{ch.Add != nil, ch.Promote != 0, ch.Remove != 0} {
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -210,6 +211,22 @@
 	s.until("two voters agree", 100, func() bool { return s.nodes[9].core.isVoter(9) && s.nodes[9].applied == s.nodes[id].applied })
 }
 
+// Guards against the removal of the wrong voter after the loss of another one,
+// which would stop the group for good.
+func TestRemovalKeepsAQuorum(t *testing.T) {
+	s, id := settled(t, 3)
+	others := slices.DeleteFunc(slices.Clone(s.ids), func(other uint64) bool { return other == id })
+	s.isolate(others[0])
+	for range 40 {
+		s.step()
+	}
+	_, err := s.nodes[id].core.ChangeMembers(Change{Remove: others[1]})
+	require.ErrorIs(t, err, ErrNoQuorum)
+	_, err = s.nodes[id].core.ChangeMembers(Change{Remove: others[0]})
+	require.NoError(t, err)
+	s.until("a further commit", 100, func() bool { return s.propose("x") })
+}
+
 // Guards against a leader that appends its own removal, and then neither stands
 // for election nor votes for a member with a shorter log.
 func TestLeaderDoesNotRemoveItself(t *testing.T) {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -16,6 +16,7 @@
 	ErrUnknownMember = errors.New("raft: no such member")
 	ErrMemberExists  = errors.New("raft: member exists")
 	ErrNotCaughtUp   = errors.New("raft: learner has not caught up")
+	ErrNoQuorum      = errors.New("raft: the change would leave no majority of voters in contact")
 	ErrLastVoter     = errors.New("raft: the last voter cannot be removed")
 	ErrBadChange     = errors.New("raft: a membership change names exactly one action")
 )
--- a/internal/store/handle.go
+++ b/internal/store/handle.go
@@ -127,7 +127,7 @@
 		body.Leader = n.Leadership().Leader
 	case errors.Is(err, fleet.ErrUncertain):
 		body.Code = wire.CodeUncertain
-	case errors.Is(err, raft.ErrChangePending), errors.Is(err, raft.ErrNotCaughtUp):
+	case errors.Is(err, raft.ErrChangePending), errors.Is(err, raft.ErrNotCaughtUp), errors.Is(err, raft.ErrNoQuorum):
 		body.Code = wire.CodeBusy
 	}
 	return body
