Free no job that a cut-off worker still runs

Cause 1: whether the leader frees the jobs of a lost worker followed the present on_partition of their queue, but the worker acts on the policy that came with the start order. After a change from keep to stop the leader freed the units of a task that the cut-off worker went on with: an idempotent job then ran twice at once and its team could exceed its limit. The job record now holds the policy of its latest assignment (a field is added to fleet.Job).

Cause 2: an operator could declare a worker lost that still announces itself and runs jobs, with the same effect. This is refused, with a retry time, until the worker has been silent for its lease.

Ruled out: sending the changed policy to workers, which does not reach one that is cut off.

Before: the new test fails, with the declaration accepted. After: it passes, and the packages with -race.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -102,7 +102,7 @@
 		if _, seen := w.seen[key]; seen || ranBefore(j) {
 			continue
 		}
-		orders = append(orders, startOrder(s, w, j, now))
+		orders = append(orders, startOrder(w, j, now))
 	}
 	return orders
 }
@@ -116,7 +116,7 @@
 // startOrder starts an attempt that the worker never reported. A cancelled or
 // late one is stopped instead; the worker answers that it was not started, and
 // refuses a start that arrives after the stop.
-func startOrder(s *fleet.State, w *worker, j *fleet.Job, now fleet.Time) wire.Order {
+func startOrder(w *worker, j *fleet.Job, now fleet.Time) wire.Order {
 	key := wire.TaskKey{JobID: j.ID, Attempt: j.Attempt}
 	if j.CancelRequested || late(j, now) {
 		return w.order(wire.OrderStop, key)
@@ -124,7 +124,7 @@
 	o := w.order(wire.OrderStart, key)
 	spec := j.Spec
 	o.Spec = &spec
-	o.OnPartition = s.Config.Queues[j.Queue].OnPartition
+	o.OnPartition = j.OnPartition
 	if o.OnPartition == "" {
 		o.OnPartition = fleet.PartitionStop
 	}
--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -232,3 +232,22 @@
 	_, err = DecodeSnapshot(data)
 	require.NoError(t, err)
 }
+
+// Guards against a job that is freed for another attempt while a cut-off worker
+// still runs it, because its queue changed or an operator declared the loss early.
+func TestJobsOfRunningWorkersAreNotFreed(t *testing.T) {
+	w := newWorld(t)
+	w.accept(submit("kept", "a", "watch", true))
+	w.accept(submit("stops", "a", "q", true))
+	w.accept(assign("kept", "w0", "1"))
+	w.accept(assign("stops", "w0", "1"))
+	require.Equal(t, CodeInUse, code(w.do(w.change(ChangeItem{DeclareLost: "w0"}))))
+	watch, q := w.s.Config.Queues["watch"], w.s.Config.Queues["q"]
+	watch.OnPartition, q.OnPartition = PartitionStop, PartitionKeep
+	w.accept(w.change(ChangeItem{PutQueue: &watch}, ChangeItem{PutQueue: &q}))
+	w.accept(observe(Observation{Instance: "w0", Incarnation: "1", Lost: true}))
+	require.Equal(t, JobAssigned, w.s.Jobs["kept"].State)
+	require.Equal(t, JobQueued, w.s.Jobs["stops"].State)
+	w.accept(w.change(ChangeItem{DeclareLost: "w0"}))
+	require.Equal(t, JobQueued, w.s.Jobs["kept"].State)
+}
--- a/internal/fleet/config_items.go
+++ b/internal/fleet/config_items.go
@@ -281,11 +281,22 @@
 	return nil
 }
 
+// lostRetryMS is a little more than the time after which a silent worker is lost.
+const lostRetryMS = 10_000
+
+// declareLost frees the units of an instance that is known to run nothing more.
+// While a worker is in contact its jobs would go on beside their next attempts
+// and beyond the limit of their team.
 func (tx *changeTx) declareLost(name string) *Refusal {
 	st, ok := tx.status[name]
 	if !ok {
 		return refusal(CodeNotFound, "no instance %q", name)
 	}
+	if n := len(tx.s.AssignedTo(name)); n > 0 && st.Seen && !st.Lost {
+		ref := refusal(CodeInUse, "instance %s still announces itself and may run %d jobs", name, n)
+		ref.RetryAfterMS = lostRetryMS
+		return ref
+	}
 	st.Lost = true
 	tx.setStatus(name, st)
 	tx.lost = append(tx.lost, name)
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -203,6 +203,7 @@
 			j.Worker = a.Worker
 			j.WorkerIncarnation = a.Incarnation
 			j.AssignedAt = s.Now
+			j.OnPartition = s.Config.Queues[j.Queue].OnPartition
 			j.RetryNotBefore = 0
 			j.Reason = ""
 		})
--- a/internal/fleet/outcomes.go
+++ b/internal/fleet/outcomes.go
@@ -192,7 +192,8 @@
 }
 
 // stopsAlone reports whether a worker that is cut off has stopped the job by the
-// end of its task lease. Watch tasks that are kept stay counted.
+// end of its task lease. Watch tasks that are kept stay counted. A later change of
+// the queue does not reach the worker, so it does not count.
 func (s *State) stopsAlone(j *Job) bool {
-	return s.Config.Queues[j.Queue].OnPartition != PartitionKeep
+	return j.OnPartition != PartitionKeep
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -209,6 +209,9 @@
 	// Fingerprint identifies the submitted team, queue and spec after the payload
 	// is dropped, so that a repeated submission is still recognised.
 	Fingerprint uint64 `cbor:"19,keyasint,omitempty" json:"-"`
+	// OnPartition is the policy of the queue at the latest assignment, which the
+	// worker acts on.
+	OnPartition PartitionPolicy `cbor:"20,keyasint,omitempty" json:"on_partition,omitempty"`
 }
 
 // InstancePhase is the maintenance phase of an instance.
