Let operators delete a lost instance under maintenance

Cause: an instance in maintenance could not be deleted. One that does not come back from its reboot then held its plan for ever, and neither an abort nor declaring it lost released it. A lost instance without jobs can now be deleted in any phase; it was counted as unavailable, so no budget changes by it.

Ruled out: ending the phase by itself after a time, which would give work to an instance whose reboot was never verified.

Before: the deletion is refused in the new test. After: it is accepted, and the plan is done.

--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -251,3 +251,19 @@
 	w.accept(w.change(ChangeItem{DeclareLost: "w0"}))
 	require.Equal(t, JobQueued, w.s.Jobs["kept"].State)
 }
+
+// Guards against a maintenance plan that never ends because an instance does not
+// come back from its reboot and can't be deleted either.
+func TestLostInstanceUnderMaintenanceCanBeDeleted(t *testing.T) {
+	w := newWorld(t)
+	remove := ChangeItem{Delete: &EntityRef{EntityInstance, "w0"}}
+	w.accept(w.change(ChangeItem{StartPlan: &MaintenancePlan{Name: "m", Pool: "p"}},
+		ChangeItem{Delete: &EntityRef{EntityInstance, "w1"}}, ChangeItem{Delete: &EntityRef{EntityInstance, "w2"}}))
+	for _, phase := range []InstancePhase{PhaseDraining, PhaseRebooting} {
+		w.accept(Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Plan: "m", Phase: phase}}}})
+		require.Equal(t, CodeInUse, code(w.do(w.change(remove))))
+	}
+	w.accept(observe(Observation{Instance: "w0", Incarnation: "1", Lost: true}))
+	w.accept(w.change(remove))
+	require.Equal(t, PlanDone, w.s.Plans["m"].State)
+}
--- a/internal/fleet/config_items.go
+++ b/internal/fleet/config_items.go
@@ -99,8 +99,8 @@
 
 // checkIdle refuses a change to an instance that runs jobs or is under maintenance.
 func (tx *changeTx) checkIdle(name string) *Refusal {
-	if n := len(tx.s.AssignedTo(name)); n > 0 {
-		return refusal(CodeInUse, "instance %s runs %d jobs", name, n)
+	if ref := tx.checkNoJobs(name); ref != nil {
+		return ref
 	}
 	if phase := tx.status[name].Phase; phase != PhaseActive {
 		return refusal(CodeInUse, "instance %s is %s", name, phase)
@@ -108,6 +108,13 @@
 	return nil
 }
 
+func (tx *changeTx) checkNoJobs(name string) *Refusal {
+	if n := len(tx.s.AssignedTo(name)); n > 0 {
+		return refusal(CodeInUse, "instance %s runs %d jobs", name, n)
+	}
+	return nil
+}
+
 func (tx *changeTx) putPool(v Pool) *Refusal {
 	if ref := checkName(EntityPool, v.Name); ref != nil {
 		return ref
--- a/internal/fleet/config_refs.go
+++ b/internal/fleet/config_refs.go
@@ -23,9 +23,14 @@
 	x := &tx.s.index
 	switch ref.Kind {
 	case EntityInstance:
-		if _, ok := tx.cfg.Instances[ref.Name]; ok {
-			return tx.checkIdle(ref.Name)
+		if _, ok := tx.cfg.Instances[ref.Name]; !ok {
+			return nil
 		}
+		if tx.status[ref.Name].Lost {
+			// One that does not come back from its reboot would hold its plan for ever.
+			return tx.checkNoJobs(ref.Name)
+		}
+		return tx.checkIdle(ref.Name)
 	case EntityQueue:
 		if n := x.open[ref.Name]; n > 0 {
 			return refusal(CodeInUse, "queue %s holds %d jobs", ref.Name, n)
