--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -217,3 +217,53 @@
 	w.accept(Command{InForce: &MarkInForce{Revision: w.s.Config.Revision}})
 	require.Equal(t, w.s.Now, w.s.Audit[len(w.s.Audit)-1].InForceAt)
 }
+
+// Guards against a state that grows until no store can restore its snapshot.
+func TestRetainedRecordsFitIntoASnapshot(t *testing.T) {
+	w := newWorld(t)
+	w.s.Tombstones = make([]Tombstone, maxElements-1)
+	w.accept(submit("last", "a", "q", true))
+	refused := w.do(submit("more", "a", "q", true))
+	require.Equal(t, CodeQueueFull, code(refused))
+	require.Positive(t, refused.Refusal.RetryAfterMS)
+	w.s.forget("last")
+	data, err := w.s.EncodeSnapshot()
+	require.NoError(t, err)
+	_, err = DecodeSnapshot(data)
+	require.NoError(t, err)
+}
+
+// Guards against a job that is freed for another attempt while a cut-off worker
+// still runs it, because its queue changed or an operator declared the loss early.
+func TestJobsOfRunningWorkersAreNotFreed(t *testing.T) {
+	w := newWorld(t)
+	w.accept(submit("kept", "a", "watch", true))
+	w.accept(submit("stops", "a", "q", true))
+	w.accept(assign("kept", "w0", "1"))
+	w.accept(assign("stops", "w0", "1"))
+	require.Equal(t, CodeInUse, code(w.do(w.change(ChangeItem{DeclareLost: "w0"}))))
+	watch, q := w.s.Config.Queues["watch"], w.s.Config.Queues["q"]
+	watch.OnPartition, q.OnPartition = PartitionStop, PartitionKeep
+	w.accept(w.change(ChangeItem{PutQueue: &watch}, ChangeItem{PutQueue: &q}))
+	w.accept(observe(Observation{Instance: "w0", Incarnation: "1", Lost: true}))
+	require.Equal(t, JobAssigned, w.s.Jobs["kept"].State)
+	require.Equal(t, JobQueued, w.s.Jobs["stops"].State)
+	w.accept(w.change(ChangeItem{DeclareLost: "w0"}))
+	require.Equal(t, JobQueued, w.s.Jobs["kept"].State)
+}
+
+// Guards against a maintenance plan that never ends because an instance does not
+// come back from its reboot and can't be deleted either.
+func TestLostInstanceUnderMaintenanceCanBeDeleted(t *testing.T) {
+	w := newWorld(t)
+	remove := ChangeItem{Delete: &EntityRef{EntityInstance, "w0"}}
+	w.accept(w.change(ChangeItem{StartPlan: &MaintenancePlan{Name: "m", Pool: "p"}},
+		ChangeItem{Delete: &EntityRef{EntityInstance, "w1"}}, ChangeItem{Delete: &EntityRef{EntityInstance, "w2"}}))
+	for _, phase := range []InstancePhase{PhaseDraining, PhaseRebooting} {
+		w.accept(Command{Maintenance: &PhaseChange{Steps: []PhaseStep{{Instance: "w0", Plan: "m", Phase: phase}}}})
+		require.Equal(t, CodeInUse, code(w.do(w.change(remove))))
+	}
+	w.accept(observe(Observation{Instance: "w0", Incarnation: "1", Lost: true}))
+	w.accept(w.change(remove))
+	require.Equal(t, PlanDone, w.s.Plans["m"].State)
+}
--- a/internal/fleet/config_items.go
+++ b/internal/fleet/config_items.go
@@ -99,8 +99,8 @@
 
 // checkIdle refuses a change to an instance that runs jobs or is under maintenance.
 func (tx *changeTx) checkIdle(name string) *Refusal {
-	if n := len(tx.s.AssignedTo(name)); n > 0 {
-		return refusal(CodeInUse, "instance %s runs %d jobs", name, n)
+	if ref := tx.checkNoJobs(name); ref != nil {
+		return ref
 	}
 	if phase := tx.status[name].Phase; phase != PhaseActive {
 		return refusal(CodeInUse, "instance %s is %s", name, phase)
@@ -108,6 +108,13 @@
 	return nil
 }
 
+func (tx *changeTx) checkNoJobs(name string) *Refusal {
+	if n := len(tx.s.AssignedTo(name)); n > 0 {
+		return refusal(CodeInUse, "instance %s runs %d jobs", name, n)
+	}
+	return nil
+}
+
 func (tx *changeTx) putPool(v Pool) *Refusal {
 	if ref := checkName(EntityPool, v.Name); ref != nil {
 		return ref
@@ -281,11 +288,22 @@
 	return nil
 }
 
+// lostRetryMS is a little more than the time after which a silent worker is lost.
+const lostRetryMS = 10_000
+
+// declareLost frees the units of an instance that is known to run nothing more.
+// While a worker is in contact its jobs would go on beside their next attempts
+// and beyond the limit of their team.
 func (tx *changeTx) declareLost(name string) *Refusal {
 	st, ok := tx.status[name]
 	if !ok {
 		return refusal(CodeNotFound, "no instance %q", name)
 	}
+	if n := len(tx.s.AssignedTo(name)); n > 0 && st.Seen && !st.Lost {
+		ref := refusal(CodeInUse, "instance %s still announces itself and may run %d jobs", name, n)
+		ref.RetryAfterMS = lostRetryMS
+		return ref
+	}
 	st.Lost = true
 	tx.setStatus(name, st)
 	tx.lost = append(tx.lost, name)
