Take no usage sample before a worker knows the usage, and at most two a second

Cause: each announcement counted as a sample, workers announce every change of any task, and usage is reported as zero for the first second; five such samples within milliseconds lowered the charged size of a task to its floor, and that of the waiting jobs of its team and queue as well.

--- a/internal/placement/sizes.go
+++ b/internal/placement/sizes.go
@@ -25,6 +25,9 @@
 	// groupWeight is the weight of the latest task in the mean of its group.
 	groupWeight = 0.2
 	sampleAge   = time.Minute
+	// sampleSpacing is the shortest time between two samples of an attempt.
+	// Workers announce each change of any task, so reports can be milliseconds apart.
+	sampleSpacing = 500 * time.Millisecond
 )
 
 // Sizer corrects declared sizes by observed usage. Usage is reported with a lag
@@ -54,12 +57,18 @@
 	return &Sizer{tasks: map[wire.TaskKey]*measured{}, groups: map[groupKey]*groupSize{}}
 }
 
-// Observe takes one sample of the usage of an attempt.
+// Observe takes one sample of the usage of an attempt. A report without any usage
+// is no sample, since workers report usage with a lag.
 func (z *Sizer) Observe(key wire.TaskKey, team, queue string, declared, usage fleet.Resources, now fleet.Time) {
+	if usage == (fleet.Resources{}) {
+		return
+	}
 	m := z.tasks[key]
 	if m == nil {
 		m = &measured{}
 		z.tasks[key] = m
+	} else if now.Sub(m.at) < sampleSpacing {
+		return
 	}
 	m.at = now
 	m.samples = append(m.samples, usage)
