--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -51,9 +51,10 @@
 	used := usedBy(pairRuns(events, at(900)), map[string]int64{"head-office": 2000, "faro": 1000}, at(200), at(800))
 	require.InDelta(t, 0.4, used["head-office"], 1e-9)
 	require.InDelta(t, 0.6, used["faro"], 1e-9)
-	relative, points := worstDeviation(used, map[string]int{"head-office": 1, "faro": 1})
+	relative, points, worst := worstDeviation(used, map[string]int{"head-office": 1, "faro": 1})
 	require.InDelta(t, 0.2, relative, 1e-9)
 	require.InDelta(t, 0.1, points, 1e-9)
+	require.Contains(t, worst, "head-office got 0.4")
 }
 
 // Guards against declarations of a deployment that the parts can't be run with.
--- a/internal/measure/share.go
+++ b/internal/measure/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -78,23 +79,26 @@
 }
 
 // worstDeviation returns the largest deviation of a team's part from its share,
-// relative to the share, and the largest in points of the whole.
-func worstDeviation(used map[string]float64, shares map[string]int) (relative, points float64) {
+// relative to the share and with its team, and the largest in points of the whole.
+func worstDeviation(used map[string]float64, shares map[string]int) (relative, points float64, worst string) {
 	total, weights := 0.0, 0
 	for team, share := range shares {
 		total += used[team]
 		weights += share
 	}
 	if total == 0 {
-		return 1, 1
+		return 1, 1, ""
 	}
-	for team, share := range shares {
+	for _, team := range harness.SortedKeys(shares) {
+		share := shares[team]
 		want := float64(share) / float64(weights)
 		got := used[team] / total
-		relative = max(relative, math.Abs(got/want-1))
+		if off := math.Abs(got/want - 1); off >= relative {
+			relative, worst = off, fmt.Sprintf("%s got %.4f, share %.4f", team, got, want)
+		}
 		points = max(points, math.Abs(got-want))
 	}
-	return relative, points
+	return relative, points, worst
 }
 
 func (b *bench) reportShare(from, to time.Time) {
@@ -105,13 +109,17 @@
 		cpu[team] = shareSizes[i%len(shareSizes)]
 	}
 	var relative, points float64
+	note := ""
 	windows := 0
 	for start := from; !start.Add(shareWindow).After(to); start = start.Add(shareStep) {
-		r, p := worstDeviation(usedBy(runs, cpu, start, start.Add(shareWindow)), shares)
-		relative, points = max(relative, r), max(points, p)
+		r, p, team := worstDeviation(usedBy(runs, cpu, start, start.Add(shareWindow)), shares)
+		if r >= relative {
+			relative, note = r, team
+		}
+		points = max(points, p)
 		windows++
 	}
-	all, _ := worstDeviation(usedBy(runs, cpu, from, to), shares)
+	all, _, allNote := worstDeviation(usedBy(runs, cpu, from, to), shares)
 	jobs, busy := 0, 0.0
 	for _, r := range runs {
 		if team, ok := teamOf(r.id, sharePrefix); ok && r.within(from, to) > 0 {
@@ -120,8 +128,8 @@
 		}
 	}
 	capacity := float64(b.workersOf(b.main)*workerCPU) * to.Sub(from).Seconds()
-	b.value(Value{Name: "largest deviation of a team from its share in a 10 s window, relative", Unit: "part", Value: relative, Samples: windows, Target: atMost(shareBound)})
+	b.value(Value{Name: "largest deviation of a team from its share in a 10 s window, relative", Unit: "part", Value: relative, Samples: windows, Target: atMost(shareBound), Note: note})
 	b.value(Value{Name: "the same, in points of the whole", Unit: "part", Value: points, Samples: windows})
-	b.value(Value{Name: "largest deviation over the whole time, relative", Unit: "part", Value: all, Samples: jobs})
+	b.value(Value{Name: "largest deviation over the whole time, relative", Unit: "part", Value: all, Samples: jobs, Note: allNote})
 	b.value(Value{Name: "processors in use while all teams wait", Unit: "part", Value: ratio(busy, capacity), Samples: jobs})
 }
