Reboot a backend server only while the leader hears of it

Cause: while the leader did not hear of a draining backend server, the entries that did might not know of the drain either, and the wait for its calls ran on. It now counts from the later of the drain and the return of contact, and a silent instance stays drained.

Ruled out: proof from each entry that it stopped its calls, which an entry that is cut off cannot give. An entry cut off alone can still call the backend server for an open service; the backend server's own announcement that it leaves ends that.

--- a/internal/integration/planned_test.go
+++ b/internal/integration/planned_test.go
@@ -1,11 +1,13 @@
 package integration
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/history"
@@ -63,3 +65,45 @@
 	rows := e.check()
 	require.GreaterOrEqual(t, rows[0].Observed, 6, "fewer drains than instances of the pool")
 }
+
+// Guards against a plan on backend servers that never sees their reboot, or that
+// gives an instance to the platform while a call still runs there.
+func TestMaintenanceSeesRebootOfBackendServer(t *testing.T) {
+	e := start(t, nil)
+	e.startLoad()
+	require.NoError(t, e.op.StartMaintenance(e.ctx, "wave", "shopfront", 10*time.Second))
+	name := ""
+	e.await(func(status *samphireforkv1.StatusResponse) bool {
+		for _, in := range status.GetInstances() {
+			if in.GetPhase() == string(fleet.PhaseRebooting) {
+				name = in.GetInstance()
+			}
+		}
+		return name != ""
+	})
+	e.reboot(name)
+	e.await(func(status *samphireforkv1.StatusResponse) bool {
+		return slices.Contains(status.GetPlans()[0].GetCompleted(), name)
+	})
+	e.check()
+}
+
+// await waits until the status meets a condition.
+func (e *env) await(cond func(*samphireforkv1.StatusResponse) bool) {
+	require.Eventually(e.t, func() bool {
+		status, err := e.op.Status(e.ctx)
+		return err == nil && cond(status)
+	}, planLimit, 200*time.Millisecond)
+}
+
+// reboot restarts a backend server as the platform does.
+func (e *env) reboot(name string) {
+	for _, p := range e.fleet.Backends {
+		if p.Name != name {
+			continue
+		}
+		e.record.Record(history.Event{Kind: history.Terminated, Target: name})
+		require.NoError(e.t, p.Terminate(stopLimit))
+		require.NoError(e.t, p.Start())
+	}
+}
--- a/internal/maintenance/advance.go
+++ b/internal/maintenance/advance.go
@@ -51,7 +51,7 @@
 		p.giveBack(i, plan)
 		return
 	}
-	if i.Backend && p.Now.Sub(i.PhaseSince) < BackendDrainTime {
+	if i.Backend && !p.quiet(i) {
 		return
 	}
 	if i.Tasks == 0 {
@@ -74,6 +74,12 @@
 	}
 }
 
+// quiet reports whether no call can run on a draining backend server any more. While
+// the leader does not hear of it, the entries that do may not know of the drain.
+func (p *planner) quiet(i Instance) bool {
+	return i.Healthy && p.Now.Sub(max(i.PhaseSince, i.HealthySince)) >= BackendDrainTime
+}
+
 // advanceReboot waits for another incarnation. An aborted plan gives back a
 // backend server instance that still runs, since nothing was ordered to reboot it.
 func (p *planner) advanceReboot(i Instance, plan fleet.MaintenancePlan) {
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -286,3 +286,38 @@
 		Compute(PolicyWaves, s)
 	}
 }
+
+// Guards against a backend server that is given to the platform while entries may
+// still call it, and against an aborted plan that keeps one that was not rebooted.
+func TestBackendServersAreQuietBeforeTheirReboot(t *testing.T) {
+	drained := Instance{Name: "b", Pool: "p", Backend: true, Plan: "m", Phase: fleet.PhaseDraining, Healthy: true, PhaseSince: 1000}
+	now := drained.PhaseSince.Add(BackendDrainTime)
+	tests := map[string]struct {
+		change func(*Instance)
+		state  fleet.PlanState
+		want   fleet.InstancePhase
+	}{
+		"quiet":                {func(*Instance) {}, fleet.PlanRunning, fleet.PhaseRebooting},
+		"too early":            {func(i *Instance) { i.PhaseSince++ }, fleet.PlanRunning, ""},
+		"silent":               {func(i *Instance) { i.Healthy = false }, fleet.PlanRunning, ""},
+		"back in contact":      {func(i *Instance) { i.HealthySince = now - 1 }, fleet.PlanRunning, ""},
+		"aborted":              {func(i *Instance) { i.Phase = fleet.PhaseRebooting }, fleet.PlanAborted, fleet.PhaseActive},
+		"aborted while away":   {func(i *Instance) { i.Phase, i.Healthy = fleet.PhaseRebooting, false }, fleet.PlanAborted, ""},
+		"aborted and rebooted": {func(i *Instance) { i.Phase, i.Rebooted = fleet.PhaseRebooting, true }, fleet.PlanAborted, fleet.PhaseVerifying},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			i := drained
+			test.change(&i)
+			plan := Compute(PolicyWaves, Snapshot{
+				Now: now, Pools: map[string]fleet.Pool{"p": {Name: "p", MaxUnavailable: 1}}, Instances: []Instance{i},
+				Plans: []fleet.MaintenancePlan{{Name: "m", Pool: "p", State: test.state}},
+			})
+			var got fleet.InstancePhase
+			for _, step := range plan.Steps {
+				got = step.Phase
+			}
+			require.Equal(t, test.want, got)
+		})
+	}
+}
