--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -124,7 +124,16 @@
 	c.finish()
 	c.leases()
 	c.round(c.work)
+	running := 0
+	for _, w := range c.workers {
+		for _, t := range w.Tasks {
+			if t.State == wire.TaskRunning || t.State == wire.TaskThrottled {
+				running++
+			}
+		}
+	}
 	c.log.Read(func(s *fleet.State) {
+		require.LessOrEqual(c.t, running, s.Config.Teams["a"].Limit)
 		require.LessOrEqual(c.t, s.Running("a"), s.Config.Teams["a"].Limit)
 		held := 0
 		for _, st := range s.Status {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -212,3 +212,23 @@
 	s.start(nil)
 	eventually(t, "restored commands", func() bool { return s.has(fmt.Sprint(0, large)) && s.has(fmt.Sprint(19, large)) })
 }
+
+// Guards against a member that cannot catch up from a snapshot of many chunks
+// while further commands and snapshots come.
+func TestMemberCatchesUpByLargeSnapshot(t *testing.T) {
+	group := newGroup(t, 3, nil)
+	behind := group[0]
+	require.NoError(t, behind.stop())
+	large := strings.Repeat("x", 1<<20)
+	for i := range 30 {
+		propose(t, group, fmt.Sprint(i, large))
+	}
+	behind.start(nil)
+	for i := range 10 {
+		propose(t, group, fmt.Sprint("more", i, large))
+	}
+	eventually(t, "catch up", func() bool { return behind.has(fmt.Sprint(0, large)) && behind.has(fmt.Sprint("more", 9, large)) })
+	require.NoError(t, behind.stop())
+	behind.start(nil)
+	eventually(t, "restart", func() bool { return behind.has(fmt.Sprint(0, large)) && behind.has(fmt.Sprint("more", 9, large)) })
+}
