Keep a team's unit while a call may still run

A second attempt of an idempotent call ran beside the first one without a unit of its own, so a team could have more calls running than its limit grant. A call whose connection to the backend server or to another data centre broke gave its unit back at once, although the other side may run it until the deadline. An attempt that had passed its own limit was cut off before the deadline that the backend server was told.

Now a second attempt needs a unit within the grant, a call that goes on without its connection holds its unit until the deadline plus the linger time, and an attempt is awaited for the same time. When no second attempt is possible, the entry waits for the first one until the deadline instead of answering may_have_run at 60% of the time limit.

Holding the slot as well was ruled out: the backend server refuses work beyond its slots itself, and dropped connections would take its capacity.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -42,6 +42,8 @@
 	answer  *wire.CallAnswer
 	// late is not nil when the attempt ran out of time and goes on in the background.
 	late <-chan attempt
+	// goesOn is true when the call may still run although the attempt has ended.
+	goesOn bool
 }
 
 // backendClient calls backend servers, with one transport for each address, so
@@ -122,7 +124,9 @@
 		return notRun(routing.Failed, api.CodeBackendFailed, "no connection to the backend server")
 	}
 	if err != nil {
-		return broken(ctx, api.CodeBackendFailed, "the connection to the backend server broke")
+		got := broken(ctx, api.CodeBackendFailed, "the connection to the backend server broke")
+		got.goesOn = true
+		return got
 	}
 	defer resp.Body.Close()
 	return judge(ctx, resp, req)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -118,19 +119,39 @@
 		tried[where.name()] = true
 		next, ok := e.elsewhere(req, got, tried, n)
 		if !ok {
-			return worst(uncertain, got.answer)
+			return worst(uncertain, e.awaitLate(req, got))
 		}
 		where = next
 	}
 }
 
+// awaitLate waits until the deadline of the call for an attempt that passed its
+// own limit, and returns its answer.
+func (e *Entry) awaitLate(req *callRequest, last attempt) *wire.CallAnswer {
+	if last.late == nil {
+		return last.answer
+	}
+	timer := time.NewTimer(req.deadline.Sub(e.clock()))
+	defer timer.Stop()
+	select {
+	case got := <-last.late:
+		return got.answer
+	case <-timer.C:
+		return last.answer
+	}
+}
+
 // worst turns a refusal into may_have_run when an earlier attempt may have run.
 func worst(uncertain bool, answer *wire.CallAnswer) *wire.CallAnswer {
+	if answer.Verdict == string(api.Done) {
+		return answer
+	}
 	return asAnswer(soften(&callRequest{retry: uncertain, idempotent: true}, asRefusal(answer)))
 }
 
-// elsewhere finds a place for a further attempt, within the retry budget unless
-// the last attempt certainly ran nothing.
+// elsewhere finds a place for a further attempt. Unless the last attempt certainly
+// ran nothing, it needs a unit beside the one of the last attempt, which may still
+// run, and must be within the retry budget.
 func (e *Entry) elsewhere(req *callRequest, last attempt, tried map[string]bool, n int) (place, bool) {
 	if n >= maxAttempts || !e.clock().Before(req.deadline) {
 		return place{}, false
@@ -139,7 +160,7 @@
 	if !ok {
 		return place{}, false
 	}
-	if last.effect == effectUnknown && !e.sched.takeRetry(req.team) {
+	if last.effect == effectUnknown && !(e.sched.within(req.team) && e.sched.takeRetry(req.team)) {
 		e.sched.release(req.service, where, routing.Unused, 0)
 		return place{}, false
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -35,7 +35,7 @@
 	case api.NotRun:
 		return attempt{effect: effectNotRun, outcome: routing.Failed, answer: &answer}
 	default:
-		return attempt{effect: effectUnknown, outcome: routing.Unused, answer: &answer}
+		return attempt{effect: effectUnknown, outcome: routing.Unused, answer: &answer, goesOn: true}
 	}
 }
 
@@ -46,7 +46,9 @@
 	if refused || errors.Is(err, wire.ErrNotSent) || errors.Is(err, wire.ErrTooLarge) {
 		return notRun(routing.Failed, api.CodeNoBackend, "the other data centre did not take the call")
 	}
-	return broken(ctx, api.CodeOutcomeUnknown, "the other data centre did not answer")
+	got := broken(ctx, api.CodeOutcomeUnknown, "the other data centre did not answer")
+	got.goesOn = true
+	return got
 }
 
 // serveForward runs a call for an entry of another data centre, at once or not at
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -269,6 +269,14 @@
 	s.running[team]++
 }
 
+// within reports whether the units that the team holds are within its limit
+// grant, which hold may have passed.
+func (s *scheduler) within(team string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return team == "" || s.running[team] <= s.lease.units(s.clock(), team)
+}
+
 // leave gives back the unit of the team.
 func (s *scheduler) leave(team string) {
 	s.mu.Lock()
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -14,7 +14,7 @@
 	// firstTryShare is the part of the time limit that the first attempt of an
 	// idempotent call may use, so that a frozen backend server leaves time for another.
 	firstTryShare = 0.6
-	// linger is the time after the limit of an attempt for which its place is
+	// linger is the time after the deadline of a call for which its place is
 	// held and its answer awaited. The backend server may still run the call, and
 	// a place that is given back at once would make it exceed its slots.
 	linger = fleet.CallLinger
@@ -37,7 +37,8 @@
 
 	mu    sync.Mutex
 	ended bool
-	// overdue is true when the attempt passed its limit and holds a unit of its own.
+	// overdue is true when the attempt holds a unit of its own, after it passed its
+	// limit or lost its connection.
 	overdue bool
 }
 
@@ -66,9 +67,12 @@
 }
 
 func (r *running) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.limit+linger)
-	defer cancel()
 	e := r.entry
+	// The backend server is told the deadline of the call, not of the attempt, and
+	// may run until then.
+	last := r.req.deadline.Sub(r.started) + linger
+	ctx, cancel := context.WithTimeout(ctx, last)
+	defer cancel()
 	var got attempt
 	if r.where.forward != "" {
 		got = e.forward(ctx, r.req, r.where.forward)
@@ -81,14 +85,29 @@
 		ran = 0
 	}
 	e.sched.release(r.req.service, r.where, got.outcome, ran)
-	r.mu.Lock()
-	r.ended = true
-	overdue := r.overdue
-	r.mu.Unlock()
-	if overdue {
+	held := r.finish(got.goesOn)
+	if held && got.goesOn {
+		defer e.sched.leave(r.req.team)
+	} else if held {
 		e.sched.leave(r.req.team)
 	}
 	r.end <- got
+	if held && got.goesOn {
+		<-ctx.Done()
+	}
+}
+
+// finish marks the end of the attempt and reports whether it holds a unit of its
+// own. An attempt that goes on without its connection takes one.
+func (r *running) finish(goesOn bool) (held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	if !r.overdue && goesOn && !r.req.forwarded {
+		r.overdue = true
+		r.entry.sched.hold(r.req.team)
+	}
+	return r.overdue
 }
 
 // outcome judges a late end: it is a failure of the backend server only when the
