Bound the ledger's kept answers; make its clock and age checks robust

Kept answers were bounded in age only: at 50 answers of 256 KiB per second the ledger would hold 7.5 GB. Their bodies are now bounded at 64 MiB. The oldest are dropped first, and a retry then gets done with answer_not_kept.

It now takes wall time once at its start and counts monotonic time from there. A wrong wall clock at a restart is not covered.

An identifier of a caller such as dc1.20261204-7 was taken for one that the system generated in 1970, and its call never ran. The age is now read only from identifiers of the generated form. After a lost disk, an identifier generated by an entry whose clock is ahead passed for a new one; a margin of one minute covers that.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,7 +25,8 @@
 
 // Options are the parts of a ledger that its owner sets.
 type Options struct {
-	// Clock returns wall time; the default is time.Now.
+	// Clock returns wall time; the default takes it once and then counts
+	// monotonic time, so that a step of the clock expires no record.
 	Clock func() time.Time
 	// FirstStart says that this data centre never had a ledger before. Without
 	// it, a folder without a journal is taken for a lost disk: for 24 hours,
@@ -65,7 +66,7 @@
 // none. A journal with a damaged middle is an *ErrCorrupt.
 func Open(folder string, opts Options) (*Ledger, error) {
 	if opts.Clock == nil {
-		opts.Clock = time.Now
+		opts.Clock = steadyClock()
 	}
 	if opts.Sync == nil {
 		opts.Sync = (*os.File).Sync
@@ -87,6 +88,11 @@
 	return l, nil
 }
 
+func steadyClock() func() time.Time {
+	start := time.Now()
+	return func() time.Time { return start.Add(time.Since(start)) }
+}
+
 func (l *Ledger) load() error {
 	if err := os.MkdirAll(l.folder, 0o750); err != nil {
 		return errors.Wrap(err, "ledger: folder")
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,16 @@
 	// ownerMargin is added to an owner's deadline before it counts as dead, for
 	// clocks that run at unequal rates and messages on their way.
 	ownerMargin = 500 * time.Millisecond
+	// epochMargin covers the difference between the wall clocks of an entry, which
+	// stamps an identifier, and of the ledger, which stamps its epoch.
+	epochMargin = time.Minute
+	// mintedDigits and mintedRandom are the lengths of the parts of an identifier
+	// that the system generated.
+	mintedDigits = 13
+	mintedRandom = 24
+	// keptBytes bounds the bodies of all kept answers. Beyond it the oldest are
+	// dropped, and a retry gets the answer without its body.
+	keptBytes = 64 << 20
 	// MaxAnswerBytes bounds a stored answer's body.
 	MaxAnswerBytes = 256 << 10
 )
@@ -73,6 +84,10 @@
 	epoch      int64
 	records    map[string]*record
 	tombstones map[uint64]int64
+	// kept lists the finished records with a body, oldest first; keptBytes is the
+	// size of these bodies. A record that was removed since stays listed until its turn.
+	kept      []*record
+	keptBytes int
 }
 
 func newTable(epoch int64) *table {
@@ -122,17 +137,22 @@
 	if req.FirstAttempt || t.epoch == 0 || now-t.epoch > keepTombstone.Milliseconds() {
 		return wire.LedgerNew
 	}
-	if known && minted > t.epoch {
+	if known && minted > t.epoch+epochMargin.Milliseconds() {
 		return wire.LedgerNew
 	}
 	return wire.LedgerForgotten
 }
 
 // mintedAt returns the creation time in an identifier that the system generated.
+// The length of both parts tells it from a caller's own identifier, such as one
+// with a date and a number.
 func mintedAt(id string) (int64, bool) {
 	_, opaque, _ := strings.Cut(id, ".")
-	ms, _, found := strings.Cut(opaque, "-")
-	if !found {
+	ms, random, _ := strings.Cut(opaque, "-")
+	if len(ms) != mintedDigits || len(random) != mintedRandom {
+		return 0, false
+	}
+	if _, err := hex.DecodeString(random); err != nil {
 		return 0, false
 	}
 	at, err := strconv.ParseInt(ms, 10, 64)
@@ -184,6 +204,10 @@
 	if len(answer.Body) <= MaxAnswerBytes {
 		return answer
 	}
+	return withoutBody(answer)
+}
+
+func withoutBody(answer *wire.CallAnswer) *wire.CallAnswer {
 	kept := *answer
 	kept.Body = nil
 	kept.Code = CodeAnswerNotKept
@@ -215,6 +239,7 @@
 		rec.finishedAt = change.FinishedAt
 		rec.answer = change.Answer
 		rec.seq = seq
+		t.keep(rec)
 	case opRelease:
 		if rec != nil && rec.owner == change.Owner && rec.state != wire.LedgerFinished {
 			delete(t.records, change.ID)
@@ -224,9 +249,38 @@
 	}
 }
 
+// keep notes the body of a finished record and drops the oldest ones beyond the bound.
+func (t *table) keep(rec *record) {
+	if len(rec.answer.Body) == 0 {
+		return
+	}
+	t.kept = append(t.kept, rec)
+	t.keptBytes += len(rec.answer.Body)
+	for t.keptBytes > keptBytes {
+		t.dropOldest()
+	}
+}
+
+// dropOldest drops the oldest kept body.
+func (t *table) dropOldest() {
+	rec := t.kept[0]
+	t.kept[0] = nil
+	t.kept = t.kept[1:]
+	t.keptBytes -= len(rec.answer.Body)
+	rec.answer = withoutBody(rec.answer)
+}
+
+// forgetKept drops the bodies of answers that are older than keepAnswer.
+func (t *table) forgetKept(now int64) {
+	for len(t.kept) > 0 && now-t.kept[0].finishedAt > keepAnswer.Milliseconds() {
+		t.dropOldest()
+	}
+}
+
 // expire turns old finished records into tombstones and drops old tombstones and
 // lapsed claims. Both follow from times in the journal and need no change of their own.
 func (t *table) expire(now int64) {
+	t.forgetKept(now)
 	for id, rec := range t.records {
 		switch {
 		case rec.state == wire.LedgerClaimed:
