Count a request that waits behind a failed write as not sent

A write to a stalled peer holds the write lock for up to 2 s and then ends the connection. The requests that waited for the lock had checked the connection before, and got ErrClosed, so a forwarded call that never left was answered may_have_run. The check is now behind the lock.

TestWaitingRequestIsNotSent got ErrClosed on the former code, unless the call saw the end of the connection before its write; it gets ErrNotSent now.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -235,11 +235,13 @@
 	if len(data) > MaxFrameBytes {
 		return ErrTooLarge
 	}
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	// Checked behind the lock: a write to a stalled peer holds it, and ends the
+	// connection before the frames that wait for it are sent.
 	if ctx.Err() != nil || c.ctx.Err() != nil {
 		return ErrNotSent
 	}
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
 	writeCtx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
 	if err := c.ws.Write(writeCtx, websocket.MessageBinary, data); err != nil {
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -109,3 +109,26 @@
 	stop()
 	<-ended
 }
+
+// Guards against a request that counts as sent although it waited behind a write
+// that ended the connection.
+func TestWaitingRequestIsNotSent(t *testing.T) {
+	creds := Credentials{Instance: "a", Secret: []byte("secret of the fleet")}
+	addr := serve(t, creds, echoHandler)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := Dial(ctx, addr, creds, echoHandler)
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.writeMu.Lock()
+	result := make(chan error, 1)
+	go func() { result <- conn.Call(ctx, TypeJobWait, JobWaitRequest{}, nil) }()
+	require.Eventually(t, func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.waiting) == 1
+	}, 10*time.Second, time.Millisecond)
+	conn.cancel()
+	conn.writeMu.Unlock()
+	require.ErrorIs(t, <-result, ErrNotSent)
+}
