Answer not_run only while the claim is held

An entry that was frozen or slow while its claim lapsed, or whose claim was lost at a restart of the ledger, refused the call as not_run although another attempt with the identifier had taken the claim over and run. The ledger's answer to the release now decides: when the claim is not held, or when the ledger does not answer and the claim's time is over, the verdict is may_have_run.

A check of the time alone was ruled out, since a restarted ledger forgets claims before their time.

TestLostClaimMayHaveRun: not_run before, may_have_run after.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -264,6 +264,22 @@
 	require.NotNil(t, te.beforeDispatch(req, held))
 }
 
+// Guards against a refusal as not_run from an entry whose claim was taken over by
+// an attempt that ran.
+func TestLostClaimMayHaveRun(t *testing.T) {
+	store := newFakeStore(t)
+	te := startEntry(t, store, "e1", "dc1")
+	req := &callRequest{id: "dc1.y", open: true, deadline: te.clock().Add(generous)}
+	held, answer := te.claim(t.Context(), req)
+	require.Nil(t, answer)
+	refusal := asAnswer(api.ComeBack(api.CodeLate, "too late", time.Second))
+	require.Equal(t, string(api.NotRun), te.finish(held, refusal).Verdict)
+	other, answer := te.claim(t.Context(), req)
+	require.Nil(t, answer)
+	require.Nil(t, te.beforeDispatch(req, other))
+	require.Equal(t, string(api.MayHaveRun), te.finish(held, refusal).Verdict)
+}
+
 // Guards against the loss of an answer that arrived after the caller's time
 // limit, and against a slot that is given away while its call still runs.
 func TestLateAnswerIsKept(t *testing.T) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -32,6 +32,8 @@
 	home  string
 	id    string
 	owner string
+	// until is the end of the time for which the ledger gives the claim to no other.
+	until time.Time
 }
 
 // runOnce runs a call that must not run twice, under a record of its home ledger.
@@ -112,16 +114,22 @@
 // finish records the outcome, and returns the answer. When the ledger doesn't
 // answer, the caller has its answer without the record, and the recording goes on
 // in the background. An outcome that is never recorded leaves a record that was
-// dispatched, which stands for may_have_run.
+// dispatched, which stands for may_have_run. A refusal is not_run only while the
+// claim is held: another attempt may have taken a lapsed one over and run.
 func (e *Entry) finish(held claim, answer *wire.CallAnswer) *wire.CallAnswer {
-	if e.recordOutcome(held, answer) {
+	final, lost := e.recordOutcome(held, answer)
+	lost = lost || !final && !e.clock().Before(held.until)
+	if lost && answer.Verdict == string(api.NotRun) {
+		answer = asAnswer(api.Unknown(api.CodeOutcomeUnknown, "another attempt may have run"))
+	}
+	if final {
 		return answer
 	}
 	e.background.Add(1)
 	go func() {
 		defer e.background.Done()
 		for range finishAttempts {
-			if e.recordOutcome(held, answer) {
+			if final, _ := e.recordOutcome(held, answer); final {
 				return
 			}
 			pause(context.Background(), finishSpacing)
@@ -130,25 +138,29 @@
 	return answer
 }
 
-// recordOutcome makes one try to record an outcome. It reports whether a further
-// one is pointless.
-func (e *Entry) recordOutcome(held claim, answer *wire.CallAnswer) bool {
+// recordOutcome makes one try to record an outcome. final is true when a further
+// one is pointless, and lost when the ledger does not know the claim.
+func (e *Entry) recordOutcome(held claim, answer *wire.CallAnswer) (final, lost bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
 	defer cancel()
 	update := wire.LedgerUpdate{RequestID: held.id, Owner: held.owner, Answer: ledger.Storable(answer)}
 	err := e.pool.Call(ctx, held.home, wire.TypeLedgerFinish, update, nil)
 	if err == nil {
-		return true
+		return true, false
 	}
 	e.log.Warn().Err(err).Str("request_id", held.id).Msg("outcome was not recorded")
 	var body *wire.ErrorBody
-	return errors.As(err, &body) && body.Code != wire.CodeUncertain && body.Code != wire.CodeBusy
+	if !errors.As(err, &body) {
+		return false, false
+	}
+	final = body.Code != wire.CodeUncertain && body.Code != wire.CodeBusy
+	return final, body.Code == ledger.CodeNotHeld
 }
 
 // claim claims the request identifier at its home ledger. The answer is not nil
 // when the call must not be dispatched.
 func (e *Entry) claim(ctx context.Context, req *callRequest) (claim, *wire.CallAnswer) {
-	held := claim{home: e.home(req.id), id: req.id, owner: e.nextOwner()}
+	held := claim{home: e.home(req.id), id: req.id, owner: e.nextOwner(), until: req.deadline}
 	wait := time.Duration(0)
 	for {
 		rec, err := e.askLedger(ctx, held, req, wait)
