Wait for a unit before a further attempt; bound dials to backend servers

A held unit now counts as demand, which asks for a larger grant at once, and the further attempt waits for it, or for the late answer of the last attempt, until the deadline.

A dial to a backend server was bounded only by the call's deadline of up to 10 s. A key that was withdrawn during the dial still dispatched the call. A dial now ends after 500 ms, so lease and dial together stay below 3 s. No test shows this, as a connection that hangs in the dial needs a network that drops packets.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -22,7 +23,8 @@
 	// maxAnswerBytes leaves room in a peer frame for the answer's other fields.
 	maxAnswerBytes  = wire.MaxFrameBytes - 64<<10
 	idleConnTimeout = 30 * time.Second
-	dialTimeout     = time.Second
+	// dialTimeout bounds the time between the check of a key and the dispatch.
+	dialTimeout = 500 * time.Millisecond
 )
 
 // effect is what is known about a call after an attempt.
@@ -102,6 +104,7 @@
 
 func newTransport(limit int) *http.Transport {
 	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     limit,
 		MaxIdleConnsPerHost: limit,
 		IdleConnTimeout:     idleConnTimeout,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -111,7 +111,7 @@
 			e.sched.release(req.service, where, routing.Unused, 0)
 			return worst(uncertain, asAnswer(refusal))
 		}
-		got := e.try(ctx, req, where, n)
+		got := e.awaitUnit(req, e.try(ctx, req, where, n), n)
 		if got.effect == effectAnswered {
 			return got.answer
 		}
@@ -125,6 +125,25 @@
 	}
 }
 
+// awaitUnit waits, after an attempt that may still run, until the team has a unit
+// for a further attempt, the answer of the last one arrives, or the deadline. The
+// wait also gives the leader time to raise the grant.
+func (e *Entry) awaitUnit(req *callRequest, last attempt, n int) attempt {
+	if last.effect != effectUnknown || n >= maxAttempts {
+		return last
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !e.sched.within(req.team) && e.clock().Before(req.deadline) {
+		select {
+		case got := <-last.late:
+			return got
+		case <-ticker.C:
+		}
+	}
+	return last
+}
+
 // awaitLate waits until the deadline of the call for an attempt that passed its
 // own limit, and returns its answer.
 func (e *Entry) awaitLate(req *callRequest, last attempt) *wire.CallAnswer {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -267,6 +267,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[team]++
+	s.noteDemand(s.clock(), team)
 }
 
 // within reports whether the units that the team holds are within its limit
