--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -282,6 +282,8 @@
 	RemainingMS int64  `cbor:"5,keyasint"`
 	ContentType string `cbor:"6,keyasint,omitempty"`
 	Body        []byte `cbor:"7,keyasint,omitempty"`
+	// KeyID is the key under which the call was admitted; empty for an open service.
+	KeyID string `cbor:"8,keyasint,omitempty"`
 }
 
 // StatusRequest asks a store for its view; the reply is StatusReply.
