Check the key of a forwarded call where it arrives

A forwarded call was checked only by its sender. An entry that is frozen for many seconds keeps the message in its socket and ran the call when it resumed, under a key that was withdrawn in between. The receiving entry now refuses a keyed call as not run unless its own lease is valid and knows the key.

A deadline on a shared clock was ruled out, since clocks of data centres are not assumed to agree. A call that a frozen entry reads after its lease was renewed still gets its full remaining time.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -23,6 +23,7 @@
 		RemainingMS: max(req.deadline.Sub(e.clock()).Milliseconds(), 1),
 		ContentType: req.contentType,
 		Body:        req.body,
+		KeyID:       req.keyID,
 	}
 	var answer wire.CallAnswer
 	err := e.pool.Call(ctx, addr, wire.TypeForward, msg, &answer)
@@ -52,14 +53,15 @@
 }
 
 // serveForward runs a call for an entry of another data centre, at once or not at
-// all. The sender has admitted the call and recorded it in its ledger.
+// all. The sender has admitted the call and recorded it in its ledger; the key is
+// checked here as well.
 func (e *Entry) serveForward(ctx context.Context, msg wire.Request) (any, error) {
 	var fwd wire.ForwardRequest
 	if err := msg.Decode(&fwd); err != nil {
 		return nil, err
 	}
 	refusal := api.ComeBack(api.CodeNoBackend, "no slot is free", defaultRetryAfter)
-	if e.stopping.Load() {
+	if e.stopping.Load() || !e.honours(&fwd) {
 		return asAnswer(refusal), nil
 	}
 	lent, ok := e.sched.pickLocal(fwd.Service)
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 )
 
 func (te *testEntry) runningOf(team string) int {
@@ -66,3 +67,26 @@
 	finish()
 	require.Eventually(t, func() bool { return te.runningOf("red") == 0 }, generous, time.Millisecond)
 }
+
+// Guards against a forwarded call that runs under a key that the entry it reaches
+// knows to be withdrawn, or without a lease there.
+func TestForwardChecksKey(t *testing.T) {
+	store, other := newFakeStore(t), newFakeStore(t)
+	near := startEntry(t, store, "e1", "dc1")
+	far := startEntry(t, other, "e2", "dc2", near.peerAddress)
+	far.register(t, "b1", "plan", echoBackend)
+	call := func() api.Verdict {
+		return near.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderTimeoutMS, "500").verdict
+	}
+	require.Eventually(t, func() bool { return call() == api.Done }, generous, time.Millisecond)
+	other.change(func(c *fleet.Config) {
+		key := c.Keys["k1"]
+		key.Withdrawn = true
+		c.Keys = map[string]fleet.Key{"k1": key}
+	})
+	require.Eventually(t, func() bool { return call() == api.NotRun }, generous, time.Millisecond)
+	other.change(func(c *fleet.Config) { c.Keys = testConfig().Keys })
+	require.Eventually(t, func() bool { return call() == api.Done }, generous, time.Millisecond)
+	other.setSilent(true)
+	require.Eventually(t, func() bool { return call() == api.NotRun }, generous, time.Millisecond)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -41,6 +41,7 @@
 	service     string
 	team        string
 	key         string
+	keyID       string
 	open        bool
 	idempotent  bool
 	contentType string
@@ -129,6 +130,20 @@
 	return known.Team, keyID, nil
 }
 
+// honours reports whether this entry's own lease allows a forwarded call. An entry
+// that was frozen may read the call long after its sender was permitted to run it.
+func (e *Entry) honours(fwd *wire.ForwardRequest) bool {
+	if fwd.KeyID == "" {
+		return true
+	}
+	config, valid := e.lease.view(e.clock())
+	if !valid {
+		return false
+	}
+	key, ok := config.Keys[fwd.KeyID]
+	return ok && !key.Withdrawn && key.Team == fwd.Team
+}
+
 // permitted checks again, just before a dispatch, that the call may run.
 func (e *Entry) permitted(req *callRequest) *api.Refusal {
 	if !e.clock().Before(req.deadline) {
@@ -164,7 +179,7 @@
 	}
 	req.open = service.Open
 	if !req.open {
-		if req.team, _, refusal = e.authorize(req.key); refusal != nil {
+		if req.team, req.keyID, refusal = e.authorize(req.key); refusal != nil {
 			return req, refusal
 		}
 	}
