--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -22,7 +23,8 @@
 	// maxAnswerBytes leaves room in a peer frame for the answer's other fields.
 	maxAnswerBytes  = wire.MaxFrameBytes - 64<<10
 	idleConnTimeout = 30 * time.Second
-	dialTimeout     = time.Second
+	// dialTimeout bounds the time between the check of a key and the dispatch.
+	dialTimeout = 500 * time.Millisecond
 )
 
 // effect is what is known about a call after an attempt.
@@ -42,6 +44,8 @@
 	answer  *wire.CallAnswer
 	// late is not nil when the attempt ran out of time and goes on in the background.
 	late <-chan attempt
+	// goesOn is true when the call may still run although the attempt has ended.
+	goesOn bool
 }
 
 // backendClient calls backend servers, with one transport for each address, so
@@ -100,6 +104,7 @@
 
 func newTransport(limit int) *http.Transport {
 	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     limit,
 		MaxIdleConnsPerHost: limit,
 		IdleConnTimeout:     idleConnTimeout,
@@ -122,7 +127,9 @@
 		return notRun(routing.Failed, api.CodeBackendFailed, "no connection to the backend server")
 	}
 	if err != nil {
-		return broken(ctx, api.CodeBackendFailed, "the connection to the backend server broke")
+		got := broken(ctx, api.CodeBackendFailed, "the connection to the backend server broke")
+		got.goesOn = true
+		return got
 	}
 	defer resp.Body.Close()
 	return judge(ctx, resp, req)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -23,6 +23,7 @@
 		RemainingMS: max(req.deadline.Sub(e.clock()).Milliseconds(), 1),
 		ContentType: req.contentType,
 		Body:        req.body,
+		KeyID:       req.keyID,
 	}
 	var answer wire.CallAnswer
 	err := e.pool.Call(ctx, addr, wire.TypeForward, msg, &answer)
@@ -35,7 +36,7 @@
 	case api.NotRun:
 		return attempt{effect: effectNotRun, outcome: routing.Failed, answer: &answer}
 	default:
-		return attempt{effect: effectUnknown, outcome: routing.Unused, answer: &answer}
+		return attempt{effect: effectUnknown, outcome: routing.Unused, answer: &answer, goesOn: true}
 	}
 }
 
@@ -46,18 +47,21 @@
 	if refused || errors.Is(err, wire.ErrNotSent) || errors.Is(err, wire.ErrTooLarge) {
 		return notRun(routing.Failed, api.CodeNoBackend, "the other data centre did not take the call")
 	}
-	return broken(ctx, api.CodeOutcomeUnknown, "the other data centre did not answer")
+	got := broken(ctx, api.CodeOutcomeUnknown, "the other data centre did not answer")
+	got.goesOn = true
+	return got
 }
 
 // serveForward runs a call for an entry of another data centre, at once or not at
-// all. The sender has admitted the call and recorded it in its ledger.
+// all. The sender has admitted the call and recorded it in its ledger; the key is
+// checked here as well.
 func (e *Entry) serveForward(ctx context.Context, msg wire.Request) (any, error) {
 	var fwd wire.ForwardRequest
 	if err := msg.Decode(&fwd); err != nil {
 		return nil, err
 	}
 	refusal := api.ComeBack(api.CodeNoBackend, "no slot is free", defaultRetryAfter)
-	if e.stopping.Load() {
+	if e.stopping.Load() || !e.honours(&fwd) {
 		return asAnswer(refusal), nil
 	}
 	lent, ok := e.sched.pickLocal(fwd.Service)
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -267,6 +267,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[team]++
+	s.noteDemand(s.clock(), team)
+}
+
+// within reports whether the units that the team holds are within its limit
+// grant, which hold may have passed.
+func (s *scheduler) within(team string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return team == "" || s.running[team] <= s.lease.units(s.clock(), team)
 }
 
 // leave gives back the unit of the team.
