--- a/cmd/samphire-slopes/main.go
+++ b/cmd/samphire-slopes/main.go
@@ -31,8 +31,8 @@
 	opts := slopes.Options{Out: os.Stdout}
 	flags.StringVar(&opts.Bin, "bin", "bin", "folder of the binaries")
 	flags.StringVar(&opts.Only, "only", "", "measure one dimension, such as workers or calls")
-	flags.DurationVar(&opts.Settle, "settle", 4*time.Second, "time before the first window")
-	flags.DurationVar(&opts.Window, "window", 5*time.Second, "length of a window")
+	flags.DurationVar(&opts.Settle, "settle", 3*time.Second, "time before the first window")
+	flags.DurationVar(&opts.Window, "window", 4*time.Second, "length of a window")
 	flags.IntVar(&opts.Windows, "windows", 2, "number of windows at each size")
 	out := flags.String("out", "docs/capacity.json", "file of points and fits")
 	if err := ff.Parse(flags, args); err != nil {
--- a/internal/slopes/spec.go
+++ b/internal/slopes/spec.go
@@ -81,6 +81,8 @@
 			Spec: with(func(s *Spec, n float64) { s.EntriesPerDC = int(n) / 3 })},
 		{Name: "voters", Unit: "voter, in 3 data centres", Sizes: []float64{3, 5, 7},
 			Spec: with(func(s *Spec, n float64) { s.Stores = spread(int(n), 3) })},
+		{Name: "team_entries", Unit: "entry, with 240 teams and 60 calls/s", Sizes: []float64{3, 9, 18},
+			Spec: with(func(s *Spec, n float64) { s.EntriesPerDC, s.Teams, s.Backends, s.Calls = int(n)/3, 240, 12, 60 })},
 		{Name: "changes", Unit: "configuration change/s", Sizes: []float64{0, 2, 5, 10}, Rate: true,
 			Spec: with(func(s *Spec, n float64) { s.Changes = n })},
 		{Name: "jobs", Unit: "job/s, with 24 workers", Sizes: []float64{0, 5, 10, 20}, Rate: true,
