--- a/cmd/samphire-measure/main.go
+++ b/cmd/samphire-measure/main.go
@@ -30,10 +30,14 @@
 	flags.StringVar(&opts.Docs, "docs", "docs", "folder of the results")
 	flags.StringVar(&opts.Only, "only", "", "part to run alone: burst, jobs, share, urgent, maintenance, faults, changes or all")
 	flags.StringVar(&opts.Deployment, "deployment", "", "deployment to run alone: carregaguia or khovd")
+	render := flags.Bool("render", false, "measure nothing; write the page and the plots again from docs/measurements.json")
 	keep := flags.Bool("keep", false, "keep the files of the run")
 	if err := ff.Parse(flags, args); err != nil {
 		return err
 	}
+	if *render {
+		return measure.Render(opts.Docs)
+	}
 	dir, err := os.MkdirTemp("", "samphire-measure-")
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/measure/causes.go
@@ -0,0 +1,21 @@
+package measure
+
+import "strings"
+
+// knownCauses tell, as far as found, why a target may be missed, by part and the
+// beginning of the figure's name.
+var knownCauses = []struct{ part, prefix, text string }{
+	{PartShare, "largest deviation", "the team with the smallest share and the largest jobs gets more than its share. The " +
+		"ranking compares what teams run before the next job is added, which favours large jobs, and reservations for jobs " +
+		"that do not fit favour them as well."},
+}
+
+// cause returns what is known of the cause of a missed target.
+func cause(v Value) string {
+	for _, c := range knownCauses {
+		if c.part == v.Part && strings.HasPrefix(v.Name, c.prefix) {
+			return "Cause as far as found: " + c.text
+		}
+	}
+	return "Cause not found."
+}
--- a/internal/measure/changes.go
+++ b/internal/measure/changes.go
@@ -46,6 +46,7 @@
 	}
 	s := b.startSteady(ctx, "change")
 	defer s.end()
+	defer s.giveUp()
 	pause(ctx, faultSettle)
 	if err := b.changeCase(ctx, "under load", false); err != nil {
 		return err
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -30,7 +30,8 @@
 // steady is a load of calls and jobs at constant rates.
 type steady struct {
 	calls, jobs *load
-	stop        context.CancelFunc
+	// stop ends the sending, and giveUp also the requests that are under way.
+	stop, giveUp context.CancelFunc
 }
 
 // startSteady starts the load; half of the requests are idempotent.
@@ -40,6 +41,7 @@
 		calls: b.newLoad(b.steadyCallers(name+"-call", callTimeout), 50),
 		jobs:  b.newLoad(b.steadyCallers(name+"-job", jobTimeout), 51),
 	}
+	ctx, s.giveUp = context.WithCancel(ctx)
 	loading, stop := context.WithCancel(ctx)
 	s.stop = stop
 	n := 0
@@ -77,6 +79,7 @@
 	s.stop()
 	s.calls.close()
 	s.jobs.close()
+	s.giveUp()
 }
 
 func (b *bench) leader(ctx context.Context) (*harness.Process, error) {
