Space the samples of TestSizesFollowUsage

Cause: ignores usage samples that are less than 500 ms apart, and the test gave all of them at one time. The expected sizes stay as they were. Measured: the tests of internal/placement pass.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -330,10 +330,12 @@
 func TestSizesFollowUsage(t *testing.T) {
 	declared := fleet.Resources{CPUMilli: 1000, MemoryMiB: 1000, Accelerators: 1}
 	z := NewSizer()
+	now := fleet.Time(0)
 	observe := func(attempt int, cpu int64, n int) wire.TaskKey {
 		key := wire.TaskKey{JobID: "j", Attempt: attempt}
 		for range n {
-			z.Observe(key, "a", "q", declared, fleet.Resources{CPUMilli: cpu, MemoryMiB: 10}, 0)
+			now = now.Add(sampleSpacing)
+			z.Observe(key, "a", "q", declared, fleet.Resources{CPUMilli: cpu, MemoryMiB: 10}, now)
 		}
 		return key
 	}
