--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -23,6 +23,9 @@
 	// ownerMargin is added to an owner's deadline before it counts as dead, for
 	// clocks that run at unequal rates and messages on their way.
 	ownerMargin = 500 * time.Millisecond
+	// sweepInterval is the time between two searches for old tombstones, of which
+	// there may be millions. A tombstone may last that much longer.
+	sweepInterval = 10 * time.Minute
 	// epochMargin covers the difference between the wall clocks of an entry, which
 	// stamps an identifier, and of the ledger, which stamps its epoch.
 	epochMargin = time.Minute
@@ -84,6 +87,7 @@
 	epoch      int64
 	records    map[string]*record
 	tombstones map[uint64]int64
+	sweptAt    int64
 	// kept lists the finished records with a body, oldest first; keptBytes is the
 	// size of these bodies. A record that was removed since stays listed until its turn.
 	kept      []*record
@@ -294,6 +298,10 @@
 			t.tombstones[idHash(id)] = rec.claimedAt
 		}
 	}
+	if now-t.sweptAt < sweepInterval.Milliseconds() {
+		return
+	}
+	t.sweptAt = now
 	for hash, claimedAt := range t.tombstones {
 		if now-claimedAt > keepTombstone.Milliseconds() {
 			delete(t.tombstones, hash)
--- a/internal/ledger/table_test.go
+++ b/internal/ledger/table_test.go
@@ -204,3 +204,16 @@
 	require.Zero(t, tb.keptBytes)
 	require.Empty(t, tb.kept)
 }
+
+// Guards against a search of all tombstones, under the ledger's lock, every second.
+func BenchmarkExpire(b *testing.B) {
+	tb := newTable(0)
+	now := int64(keepTombstone / time.Millisecond)
+	for i := range uint64(1_000_000) {
+		tb.tombstones[i] = now
+	}
+	for b.Loop() {
+		now += expireInterval.Milliseconds()
+		tb.expire(now)
+	}
+}
