--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +133,36 @@
 	conn.writeMu.Unlock()
 	require.ErrorIs(t, <-result, ErrNotSent)
 }
+
+// Guards against a planned stop that closes a connection between the end of a
+// request and the write of its reply.
+func TestServingLastsUntilReplyIsWritten(t *testing.T) {
+	creds := Credentials{Instance: "a", Secret: []byte("secret of the fleet")}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var handled atomic.Bool
+	conns := make(chan *Conn, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := Accept(w, r, creds, func(context.Context, Request) (any, error) {
+			handled.Store(true)
+			return nil, nil
+		})
+		if err == nil {
+			conns <- conn
+			<-conn.Done()
+		}
+	}))
+	defer srv.Close()
+	conn, err := Dial(ctx, strings.TrimPrefix(srv.URL, "http://"), creds, echoHandler)
+	require.NoError(t, err)
+	defer conn.Close()
+	served := <-conns
+	served.writeMu.Lock()
+	result := make(chan error, 1)
+	go func() { result <- conn.Call(ctx, TypeJobWait, JobWaitRequest{}, nil) }()
+	require.Eventually(t, handled.Load, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, served.Serving())
+	served.writeMu.Unlock()
+	require.NoError(t, <-result)
+	require.Eventually(t, func() bool { return served.Serving() == 0 }, 10*time.Second, time.Millisecond)
+}
