Wait for the replies to forwarded calls at a planned stop

The count of forwarded calls ended with the handler, before its reply was written. A stop that saw the count at zero could close the connection first, and the sender answered may_have_run for a call that was done. The stop now also waits until no reply is outstanding.

--- a/internal/entry/conns.go
+++ b/internal/entry/conns.go
@@ -33,6 +33,17 @@
 	delete(s.conns, conn)
 }
 
+// serving returns the number of requests of peers whose reply has not been written.
+func (s *connSet) serving() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for conn := range s.conns {
+		n += conn.Serving()
+	}
+	return n
+}
+
 func (s *connSet) closeAll() {
 	s.mu.Lock()
 	s.ended = true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -206,7 +206,7 @@
 	if err := server.Shutdown(deadline); err != nil {
 		return errors.Wrap(err, "entry: requests in flight did not end")
 	}
-	for e.forwarded.Load() > 0 && deadline.Err() == nil {
+	for e.forwarded.Load()+int64(e.conns.serving()) > 0 && deadline.Err() == nil {
 		pause(deadline, tickInterval)
 	}
 	return nil
