Bound the ledger's kept answers by 8 MiB

Cause: 64 MiB did not fit the control budget of 32 MB a node. Beyond the bound the oldest bodies are dropped, and a retry is answered done without a body. Measured: the ledger tests pass.

--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -35,7 +35,7 @@
 	mintedRandom = 24
 	// keptBytes bounds the bodies of all kept answers. Beyond it the oldest are
 	// dropped, and a retry gets the answer without its body.
-	keptBytes = 64 << 20
+	keptBytes = 8 << 20
 	// MaxAnswerBytes bounds a stored answer's body.
 	MaxAnswerBytes = 256 << 10
 )
