Bound the job requests that an entry holds at the leader

Cause: each caller that waits for a job held one request on the entry's connection to the leader, which carries 4,096 at once. With more callers than that the renewal of the lease was refused as busy, and after 2 s the entry refused all work that requires a key. At most 1,024 are held now; the other callers take turns of at most 2 s and get the present record at the end of their wait.

Ruled out: a larger bound of the connection, since each held request also looks at the state after every applied batch; and answering early, since callers would repeat the request at once.

Before: the new test sees a held request beyond the bound (run without it). After: it passes, and the package with -race. The loss of a lease itself was not reproduced.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	owners    atomic.Uint64
 	forwarded atomic.Int64
 	stopping  atomic.Bool
+	jobWaits  chan struct{}
 	conns     connSet
 	// background counts the goroutines that record outcomes.
 	background sync.WaitGroup
@@ -96,6 +97,7 @@
 		lease:       newHolder(),
 		backends:    newBackendClient(),
 		metrics:     newCounters(),
+		jobWaits:    make(chan struct{}, maxJobWaits),
 	}
 	if e.peerAddress == "" {
 		e.peerAddress = set.PeerListen
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -38,11 +38,13 @@
 	ledger *ledger.Ledger
 	claims atomic.Int64
 
-	mu      sync.Mutex
-	config  fleet.Config
-	grant   int
-	silent  bool
-	jobs    map[string]*fleet.Job
+	mu     sync.Mutex
+	config fleet.Config
+	grant  int
+	silent bool
+	jobs   map[string]*fleet.Job
+	// held counts the job requests with a hold time.
+	held    atomic.Int64
 	entries []wire.EntryInfo
 }
 
@@ -135,6 +137,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if msg.WaitMS > 0 {
+		s.held.Add(1)
+	}
 	return wire.JobWaitReply{Job: s.jobs[msg.ID]}, nil
 }
 
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -24,6 +24,9 @@
 	jobWaitLimit = 60 * time.Second
 	// jobWaitChunk bounds one held request, so that a lost leader is noticed.
 	jobWaitChunk = 2 * time.Second
+	// maxJobWaits bounds the held requests at the leader. The connection carries
+	// 4096 requests at once, and the renewal of the lease must find room.
+	maxJobWaits = 1024
 )
 
 // handleSubmit serves POST /v1/queues/:queue/jobs.
@@ -137,7 +140,7 @@
 	for {
 		left := max(end.Sub(e.clock()), 0)
 		hold := min(left, jobWaitChunk)
-		reply, err := e.askJob(ctx, id, team, hold)
+		reply, err := e.askInTurn(ctx, id, team, hold)
 		if err != nil {
 			refusal := api.Unknown(api.CodeNoQuorum, "no leading store answered")
 			refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
@@ -152,6 +155,27 @@
 	}
 }
 
+// askInTurn asks for a job with one of the maxJobWaits held requests, or after the
+// hold time without holding the request.
+func (e *Entry) askInTurn(ctx context.Context, id, team string, hold time.Duration) (wire.JobWaitReply, error) {
+	if hold <= 0 {
+		return e.askJob(ctx, id, team, 0)
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	began := time.Now()
+	select {
+	case e.jobWaits <- struct{}{}:
+		defer func() { <-e.jobWaits }()
+		hold = max(hold-time.Since(began), 0)
+	case <-timer.C:
+		hold = 0
+	case <-ctx.Done():
+		hold = 0
+	}
+	return e.askJob(ctx, id, team, hold)
+}
+
 func (e *Entry) askJob(ctx context.Context, id, team string, hold time.Duration) (wire.JobWaitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+proposeTimeout)
 	defer cancel()
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -61,3 +61,23 @@
 	refusal := proposeRefusal(&wire.ErrorBody{Code: wire.CodeBadMessage})
 	require.Equal(t, api.NotRun, refusal.Verdict)
 }
+
+// Guards against callers that wait for jobs in such numbers that the connection to
+// the leader has no room left for the renewal of the lease.
+func TestHeldJobRequestsAreBounded(t *testing.T) {
+	store := newFakeStore(t)
+	te := startEntry(t, store, "e1", "dc1")
+	te.mustCall(t, "/v1/queues/nightly/jobs", `{"run_time_ms":5}`, api.HeaderKey, testKey, api.HeaderRequestID, "dc1.job")
+	for range maxJobWaits {
+		te.jobWaits <- struct{}{}
+	}
+	job, refusal := te.waitJob(t.Context(), "dc1.job", "red", 10*time.Millisecond)
+	require.Nil(t, refusal)
+	require.Equal(t, fleet.JobQueued, job.State)
+	require.Zero(t, store.held.Load())
+	<-te.jobWaits
+	_, refusal = te.waitJob(t.Context(), "dc1.job", "red", 200*time.Millisecond)
+	require.Nil(t, refusal)
+	require.Positive(t, store.held.Load())
+	require.Len(t, te.jobWaits, maxJobWaits-1)
+}
