Keep the partition policy of an attempt out of the callers' API

Cause: the field added to the job record was also shown to callers, which the golden file of a caller's session (TestCallerSession) does not have. It is replicated, but not part of the JSON record. Found by the integration tests after its commit; TestCallerSession passes again.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -211,7 +211,7 @@
 	Fingerprint uint64 `cbor:"19,keyasint,omitempty" json:"-"`
 	// OnPartition is the policy of the queue at the latest assignment, which the
 	// worker acts on.
-	OnPartition PartitionPolicy `cbor:"20,keyasint,omitempty" json:"on_partition,omitempty"`
+	OnPartition PartitionPolicy `cbor:"20,keyasint,omitempty" json:"-"`
 }
 
 // InstancePhase is the maintenance phase of an instance.
