Look ahead to the next job when teams are ranked

Cause: teams were ranked by what they run before the next job is added. A team's use then varies between its share and one job above it, which favours a team whose jobs are large for its share; by half a job, damped by the history.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -138,7 +138,7 @@
 			p.hold(j, l)
 			p.giveUp(j, l)
 		}
-		l.score = p.score(l.team)
+		l.score = p.score(l)
 		heap.Fix(h, 0)
 	}
 }
@@ -173,7 +173,7 @@
 	started, running := p.started[teamPool{j.Team, j.Pool}]
 	flows := running && p.Now.Sub(started) < withholdTime
 	if flows || (reserves && p.Now.Sub(since) < withholdTime) {
-		pl.withhold(j, p.score(l.team))
+		pl.withhold(j, p.score(l))
 	}
 }
 
@@ -230,11 +230,11 @@
 	})
 }
 
-func (p *planner) score(team string) float64 {
+func (p *planner) score(l *line) float64 {
 	if p.Rank == nil {
 		return 0
 	}
-	return p.Rank.Score(team)
+	return p.Rank.Score(l.team, l.nextSize())
 }
 
 // line is the queued work of one team, by pool.
@@ -260,6 +260,14 @@
 	return Job{}, false
 }
 
+// nextSize returns the size of the first job of the line, or nothing at its end.
+func (l *line) nextSize() fleet.Resources {
+	if l.at >= len(l.jobs) {
+		return fleet.Resources{}
+	}
+	return l.jobs[l.at].Size
+}
+
 type lineHeap []*line
 
 func (h lineHeap) Len() int { return len(h) }
@@ -288,7 +296,7 @@
 		}
 		l := byTeam[j.Team]
 		if l == nil {
-			l = &line{team: j.Team, score: p.score(j.Team), misfits: map[string]int{}, reserved: map[string]fleet.Time{}}
+			l = &line{team: j.Team, misfits: map[string]int{}, reserved: map[string]fleet.Time{}}
 			byTeam[j.Team] = l
 			h = append(h, l)
 		}
@@ -296,6 +304,7 @@
 	}
 	for _, l := range h {
 		slices.SortFunc(l.jobs, before)
+		l.score = p.score(l)
 	}
 	return &h
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -74,9 +74,10 @@
 	Units int
 }
 
-// Ranker ranks teams; the lowest score comes first.
+// Ranker ranks teams; the lowest score comes first. A score looks ahead to the
+// size of the team's next job.
 type Ranker interface {
-	Score(team string) float64
+	Score(team string, next fleet.Resources) float64
 	Add(team string, size fleet.Resources)
 }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -165,13 +165,17 @@
 	return r
 }
 
-// Score returns the team's standing; the team with the lowest score comes first.
-func (r *Ranking) Score(team string) float64 {
+// Score returns the team's standing with half of its next job counted as running;
+// the team with the lowest score comes first. Without the half, a team's use
+// would vary between its share and one job above it, which favours teams whose
+// jobs are large for their share.
+func (r *Ranking) Score(team string, next fleet.Resources) float64 {
 	s := r.standing(team)
 	if r.policy == PolicyEqual {
 		return float64(s.jobs)
 	}
-	return (Dominant(s.running, r.total) + s.debt) / s.weight
+	ahead := Dominant(s.running.Plus(next), r.total)
+	return ((Dominant(s.running, r.total)+ahead)/2 + s.debt) / s.weight
 }
 
 // Add counts a job of the given size as running.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -239,10 +239,10 @@
 			{Team: "heavy", Weight: light + 1, Running: use, Waiting: true},
 		})
 		r := a.Ranking()
-		require.Less(t, r.Score("heavy"), r.Score("light"))
-		before := r.Score("light")
+		require.Less(t, r.Score("heavy", fleet.Resources{}), r.Score("light", fleet.Resources{}))
+		before := r.Score("light", fleet.Resources{})
 		r.Add("light", use)
-		require.Greater(t, r.Score("light"), before)
+		require.Greater(t, r.Score("light", fleet.Resources{}), before)
 	})
 }
 
@@ -259,7 +259,7 @@
 		a.Advance(now, total, usage)
 		r := a.Ranking()
 		for i := range 240 {
-			r.Score(team(i))
+			r.Score(team(i), fleet.Resources{})
 		}
 	}
 }
--- a/internal/slopes/bench_test.go
+++ b/internal/slopes/bench_test.go
@@ -60,6 +60,6 @@
 	for b.Loop() {
 		now = now.Add(100 * time.Millisecond)
 		accounts.Advance(now, fleet.Resources{CPUMilli: designWorkers * workerCPUMilli}, usage)
-		accounts.Ranking().Score(teamName(0))
+		accounts.Ranking().Score(teamName(0), fleet.Resources{})
 	}
 }
