--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,9 +30,10 @@
 
 	reportTimeout = 2 * time.Second
 	// reportSpacing is the least time between two reports, in which announcements
-	// collect. It is short against the lease, and bounds how late the leader hears
-	// of a finished task.
+	// collect; it is short against the lease. A finished task ends the wait after
+	// finishSpacing, since its room stays empty until the leader hears of it.
 	reportSpacing = 100 * time.Millisecond
+	finishSpacing = 20 * time.Millisecond
 	orderHold     = 500 * time.Millisecond
 	retryDelay    = 100 * time.Millisecond
 	// maxOrders bounds the orders in progress at one worker. It is a bound for each
@@ -84,6 +85,7 @@
 	carrying map[orderKey]struct{}
 	term     uint64
 	wake     chan struct{}
+	finished chan struct{}
 	slots    map[string]chan struct{}
 	orders   sync.WaitGroup
 }
@@ -112,6 +114,7 @@
 		backends: map[string]wire.WorkerState{},
 		carrying: map[orderKey]struct{}{},
 		wake:     make(chan struct{}, 1),
+		finished: make(chan struct{}, 1),
 		slots:    map[string]chan struct{}{},
 	}
 }
@@ -130,7 +133,10 @@
 		w.last = a
 		w.heard = time.Now()
 		m.pending[a.Instance] = a
-		m.signal()
+		signal(m.wake)
+		if a.ended() {
+			signal(m.finished)
+		}
 	}
 	return AnnounceReply{LeaseMS: lease.Task.Milliseconds(), LeaderSequence: w.leader}
 }
@@ -151,9 +157,9 @@
 	return states
 }
 
-func (m *Manager) signal() {
+func signal(c chan<- struct{}) {
 	select {
-	case m.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -184,10 +190,29 @@
 			pause(ctx, retryDelay)
 			continue
 		}
-		pause(ctx, reportSpacing)
+		m.space(ctx)
 	}
 }
 
+// space keeps reports apart.
+func (m *Manager) space(ctx context.Context) {
+	pause(ctx, finishSpacing)
+	timer := time.NewTimer(reportSpacing - finishSpacing)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-m.finished:
+	case <-timer.C:
+	}
+}
+
+// ended reports whether a task of the announcement has ended.
+func (a Announcement) ended() bool {
+	return slices.ContainsFunc(a.Tasks, func(t wire.TaskReport) bool {
+		return t.State != wire.TaskRunning && t.State != wire.TaskThrottled
+	})
+}
+
 // report sends announcements in as many reports as needed, and returns those that
 // did not reach the leader.
 func (m *Manager) report(ctx context.Context, batch []Announcement) []Announcement {
@@ -266,7 +291,7 @@
 			m.pending[a.Instance] = a
 		}
 	}
-	m.signal()
+	signal(m.wake)
 }
 
 func (m *Manager) acknowledge(batch []Announcement) {
