--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -24,9 +24,6 @@
 		}
 		// A unit is set aside, so that no more room is cleared than may be used.
 		p.units[j.Team]++
-		if p.Now.Sub(j.AcceptedAt) < UrgentPatience {
-			continue
-		}
 		if p.renewUrgent(j) || p.victims >= MaxVictimsPerPlan {
 			continue
 		}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -146,10 +146,6 @@
 	MaxMisfits = 8
 	// ThrottledCPUPercent is the part of its processors that a throttled task keeps.
 	ThrottledCPUPercent = 50
-	// UrgentPatience is the time for which an urgent job waits for room that ends
-	// by itself before other work is disturbed. With CheckpointPatience it leaves
-	// time for a stop within the 6 s in which urgent work starts.
-	UrgentPatience = 1500 * time.Millisecond
 	// CheckpointPatience is the time after which a checkpoint that has not
 	// freed its room is followed by a stop, so that urgent work still starts
 	// within its 6 s.
