Record the start of a simulated backend server

That process exits after a grace time of 3.5 s, and the test starts a new one, so the call ran on a new process, which invariant 8 allows. The checker knows a return by the event ready, which the simulated backend server did not record.

--- a/internal/backendsim/server.go
+++ b/internal/backendsim/server.go
@@ -94,6 +94,7 @@
 	mux.HandleFunc("POST /call/{service}", s.handleCall)
 	mux.HandleFunc("PUT /faults", s.handleFaults)
 	server := &http.Server{Handler: mux, ConnState: s.countConns}
+	s.record(history.Ready, "", "", "")
 	announce, endAnnounce := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Add(1)
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -66,6 +66,12 @@
 		at(6, Event{Kind: Answer, RequestID: "r", Verdict: "done", Intact: true, Attempt: 2}),
 		at(7, Event{Actor: "w1", Kind: Finish, RequestID: "s"}),
 	}
+	events = append(events,
+		at(8, Event{Actor: "b1", Kind: Leave}),
+		at(12, Event{Actor: "b1", Kind: Ready}),
+		at(13, Event{Actor: "b1", Kind: Start, RequestID: "u"}),
+		at(14, Event{Actor: "b1", Kind: Finish, RequestID: "u"}),
+	)
 	for _, row := range Check(fleet, events) {
 		require.Zero(t, row.Violations, "row %d: %v", row.Number, row.Examples)
 	}
