Keep the pauses between attempts in one package

Cause: seven packages had their own copy of the same wait, two of them with the rule that an attempt needs a least time before the deadline.

--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -13,6 +13,7 @@
 
 	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 // changeFlags let an operator repeat a change whose answer was lost.
@@ -83,7 +84,7 @@
 	}
 	accepted := out.GetRevision()
 	for !out.GetInForce() {
-		if !pause(ctx, retryDelay) {
+		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return nil, notInForce(accepted, h)
 		}
 		out, err = call(ctx, a, try)
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,6 +15,7 @@
 	"github.com/samphirefork/samphirefork/gen/samphirefork/v1/samphireforkv1connect"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/operator"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -114,7 +115,7 @@
 			return zero, final
 		}
 		uncertain = uncertain || mayHaveRun
-		if !pause(ctx, retryDelay) {
+		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return zero, gaveUp(uncertain, last)
 		}
 	}
@@ -190,18 +191,3 @@
 	}
 	return out, err
 }
-
-// pause waits before a further attempt and reports whether there is time for it.
-func pause(ctx context.Context, d time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d+minAttemptTime {
-		return false
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -10,6 +10,7 @@
 
 	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -87,7 +88,7 @@
 		if drained {
 			return nil
 		}
-		if !pause(ctx, pollInterval) {
+		if !wait.ForAttempt(ctx, pollInterval, minAttemptTime) {
 			return stillDraining(instance, text)
 		}
 	}
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -18,6 +18,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 // maxJobAnswerBytes bounds the answer of the callers' interface.
@@ -178,7 +179,7 @@
 			return final
 		}
 		uncertain = uncertain || (mayHaveRun && req.method != http.MethodGet)
-		if !pause(ctx, retryDelay) {
+		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return jobGaveUp(uncertain, req.id, err)
 		}
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,6 +18,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -107,7 +108,7 @@
 	var running sync.WaitGroup
 	harness.StartLoad(load, &running, s.fleet, s.cfg, s.keys, s.record)
 	s.watch(load, &running)
-	sleep(ctx, warmUp)
+	wait.For(ctx, warmUp)
 	for _, step := range []func(context.Context) error{
 		s.startMaintenance, s.killLeader, s.cutDataCentre, s.withdrawKey, s.stopEntry, s.stopBackend, s.awaitMaintenance,
 	} {
@@ -148,7 +149,7 @@
 				if err == nil {
 					s.record.Record(history.Event{Kind: history.RevisionSeen, Entry: e.Name, Revision: status.GetRevision()})
 				}
-				sleep(ctx, watchPeriod)
+				wait.For(ctx, watchPeriod)
 			}
 		})
 	}
@@ -195,12 +196,3 @@
 	dir, err := os.MkdirTemp("", "samphire-demo-")
 	return dir, errors.Wrap(err, "demo: folder")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -10,6 +10,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -58,7 +59,7 @@
 				return nil
 			}
 		}
-		sleep(ctx, watchPeriod)
+		wait.For(ctx, watchPeriod)
 	}
 	return errors.Wrap(ErrStep, "maintenance did not end")
 }
@@ -75,7 +76,7 @@
 		s.record.Record(history.Event{Kind: history.Killed, Target: store.Name})
 		store.Kill()
 		s.say("leader %s killed with SIGKILL", store.Name)
-		sleep(ctx, leaderDown)
+		wait.For(ctx, leaderDown)
 		return store.Start()
 	}
 	return errors.Wrapf(ErrStep, "leader %q is none of the stores", status.GetLeader())
@@ -88,12 +89,12 @@
 		return err
 	}
 	s.say("data centre %s cut off", cut)
-	sleep(ctx, cutTime)
+	wait.For(ctx, cutTime)
 	if err := s.fleet.SetFaults(ctx); err != nil {
 		return err
 	}
 	s.say("data centre %s reachable again", cut)
-	sleep(ctx, afterHeal)
+	wait.For(ctx, afterHeal)
 	return nil
 }
 
@@ -103,7 +104,7 @@
 		return err
 	}
 	s.say("key of team %s withdrawn", team)
-	sleep(ctx, withdrawWait)
+	wait.For(ctx, withdrawWait)
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/samphirefork/samphirefork/internal/admission"
 	"github.com/samphirefork/samphirefork/internal/leader"
 	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -206,12 +207,12 @@
 	deadline, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	e.mesh.beat(deadline)
-	pause(deadline, e.stopGrace)
+	wait.For(deadline, e.stopGrace)
 	if err := server.Shutdown(deadline); err != nil {
 		return errors.Wrap(err, "entry: requests in flight did not end")
 	}
 	for e.forwarded.Load()+int64(e.conns.serving()) > 0 && deadline.Err() == nil {
-		pause(deadline, tickInterval)
+		wait.For(deadline, tickInterval)
 	}
 	return nil
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -225,7 +226,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			pause(ctx, 500*time.Millisecond)
+			wait.For(ctx, 500*time.Millisecond)
 			announce()
 		}
 	}()
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 func (te *testEntry) runningOf(team string) int {
@@ -29,7 +30,7 @@
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		for te.runningOf("red") < 2 && r.Context().Err() == nil {
-			pause(r.Context(), time.Millisecond)
+			wait.For(r.Context(), time.Millisecond)
 		}
 		echoBackend(w, r)
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -13,6 +13,7 @@
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/routing"
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -132,7 +133,7 @@
 			if final, _ := e.recordOutcome(held, answer); final {
 				return
 			}
-			pause(context.Background(), finishSpacing)
+			wait.For(context.Background(), finishSpacing)
 		}
 	}()
 	return answer
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -42,7 +43,7 @@
 func (r *renewer) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.once(ctx, renewHold) {
-			pause(ctx, retrySpacing)
+			wait.For(ctx, retrySpacing)
 		}
 	}
 }
@@ -55,7 +56,7 @@
 			return
 		case <-r.urgent:
 			r.once(ctx, 0)
-			pause(ctx, urgentSpacing)
+			wait.For(ctx, urgentSpacing)
 		}
 	}
 }
@@ -108,13 +109,3 @@
 	}
 	return true
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -21,6 +21,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
 	"github.com/samphirefork/samphirefork/internal/simworker"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -160,7 +161,7 @@
 		if r.verdict == string(api.Done) || c.stops(r) {
 			break
 		}
-		sleep(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
+		wait.For(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
 	}
 	out.Took = time.Since(began)
 	return out
@@ -197,9 +198,9 @@
 		defer cancel()
 		req = req.WithContext(ctx)
 	}
-	sleep(req.Context(), c.Latency)
+	wait.For(req.Context(), c.Latency)
 	r := c.exchange(req, entry)
-	sleep(req.Context(), c.Latency)
+	wait.For(req.Context(), c.Latency)
 	return r
 }
 
@@ -285,7 +286,7 @@
 		if c.stops(r) {
 			return false
 		}
-		sleep(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
+		wait.For(ctx, min(max(r.retryAfter, minRetryAfter), maxRetryAfter))
 	}
 	return false
 }
@@ -303,7 +304,7 @@
 		r := c.do(req, entry)
 		var job fleet.Job
 		if r.status != http.StatusOK || json.Unmarshal(r.body, &job) != nil || !job.State.Final() {
-			sleep(ctx, minRetryAfter)
+			wait.For(ctx, minRetryAfter)
 			continue
 		}
 		c.finishJob(out, job)
@@ -346,15 +347,3 @@
 
 // Close ends the caller's idle connections.
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -10,6 +10,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
 	"github.com/samphirefork/samphirefork/internal/simworker"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -125,7 +126,7 @@
 		}
 		service := services[rng.IntN(len(services))]
 		c.Call(context.WithoutCancel(ctx), service, body, rng.IntN(2) == 0, callTimeout)
-		sleep(ctx, callPause)
+		wait.For(ctx, callPause)
 	}
 }
 
@@ -141,6 +142,6 @@
 			Payload:    payload,
 		}
 		c.Job(ctx, queues[rng.IntN(len(queues))], spec)
-		sleep(ctx, jobPause)
+		wait.For(ctx, jobPause)
 	}
 }
--- a/internal/harness/operator.go
+++ b/internal/harness/operator.go
@@ -17,6 +17,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
 	"github.com/samphirefork/samphirefork/internal/operator/schema"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -261,7 +262,7 @@
 		if connect.CodeOf(err) == connect.CodeUnavailable && strings.Contains(err.Error(), "connection refused") {
 			o.Balancer.refused(entry)
 		}
-		sleep(ctx, minRetryAfter)
+		wait.For(ctx, minRetryAfter)
 	}
 }
 
--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -77,7 +78,7 @@
 		if !refused {
 			unsent = false
 		}
-		if !pause(ctx) {
+		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return &ErrUnavailable{Unsent: unsent, Cause: last}
 		}
 	}
@@ -126,18 +127,3 @@
 		c.current = to
 	}
 }
-
-// pause waits before a further attempt and reports whether there is time for it.
-func pause(ctx context.Context) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < retryDelay+minAttemptTime {
-		return false
-	}
-	timer := time.NewTimer(retryDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/measure/all.go
+++ b/internal/measure/all.go
@@ -17,6 +17,7 @@
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/history"
 	"github.com/samphirefork/samphirefork/internal/simworker"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -102,7 +103,7 @@
 		if err := step(ctx); err != nil {
 			return err
 		}
-		pause(ctx, allPause)
+		wait.For(ctx, allPause)
 	}
 	return ctx.Err()
 }
@@ -117,7 +118,7 @@
 				if err == nil {
 					f.record.Record(history.Event{Kind: history.RevisionSeen, Entry: e.Name, Revision: status.GetRevision()})
 				}
-				pause(ctx, watchPeriod)
+				wait.For(ctx, watchPeriod)
 			}
 		})
 	}
@@ -202,7 +203,7 @@
 			c.JobAs(ctx, id, f.normal, jobShape{cpuMilli: burstJobCPU, run: burstJobRun, idempotent: i%2 == 0}.spec())
 		})
 		f.running.Go(func() {
-			pause(ctx, waveDelay)
+			wait.For(ctx, waveDelay)
 			c.Cancel(ctx, id)
 		})
 	}
@@ -220,7 +221,7 @@
 	if err := f.majority.WithdrawKey(ctx, f.keys[f.withdrawn].ID); err != nil {
 		return err
 	}
-	pause(ctx, withdrawnTime)
+	wait.For(ctx, withdrawnTime)
 	return nil
 }
 
--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -13,6 +13,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -189,7 +190,7 @@
 		if ready >= len(b.fleet.Workers) {
 			return nil
 		}
-		pause(ctx, pollPeriod)
+		wait.For(ctx, pollPeriod)
 	}
 	return nil
 }
@@ -224,15 +225,3 @@
 	v.Part = b.part
 	b.run.Values = append(b.run.Values, v)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/measure/burst.go
+++ b/internal/measure/burst.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -105,7 +106,7 @@
 	full := r.load.fork(10)
 	full.at(ctx, fullFactor*r.capacity, fullWarm+fullTime, func() { r.send(full, r.targets[0]) })
 	r.full = interval{from: began.Add(fullWarm), to: time.Now()}
-	pause(ctx, settleTime)
+	wait.For(ctx, settleTime)
 	for _, c := range r.load.callers {
 		c.Attempts = attempts
 		c.AttemptTimeout = attemptTimeout
--- a/internal/measure/changes.go
+++ b/internal/measure/changes.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -47,7 +48,7 @@
 	s := b.startSteady(ctx, "change")
 	defer s.end()
 	defer s.giveUp()
-	pause(ctx, faultSettle)
+	wait.For(ctx, faultSettle)
 	if err := b.changeCase(ctx, "under load", false); err != nil {
 		return err
 	}
@@ -96,7 +97,7 @@
 	probing, endProbes := context.WithCancel(ctx)
 	defer endProbes()
 	probes := b.startProbes(probing, team, id, key)
-	pause(ctx, probeBefore)
+	wait.For(ctx, probeBefore)
 	if restart, err = b.killFor(ctx, kill); err != nil {
 		return r, err
 	}
@@ -106,7 +107,7 @@
 	if err != nil {
 		return r, err
 	}
-	pause(ctx, probeAfter)
+	wait.For(ctx, probeAfter)
 	endProbes()
 	r.take(probes(), asked)
 	return r, nil
@@ -124,7 +125,7 @@
 	store.Kill()
 	return func() {
 		_ = store.Start()
-		pause(ctx, storeDown)
+		wait.For(ctx, storeDown)
 	}, nil
 }
 
@@ -165,7 +166,7 @@
 				mu.Lock()
 				all = append(all, p)
 				mu.Unlock()
-				pause(ctx, probePeriod)
+				wait.For(ctx, probePeriod)
 			}
 		})
 	}
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -99,7 +100,7 @@
 // after the other under a steady load.
 func measureFaults(ctx context.Context, b *bench) error {
 	s := b.startSteady(ctx, "steady")
-	pause(ctx, faultSettle)
+	wait.For(ctx, faultSettle)
 	windows := map[string]interval{}
 	names := []string{"no fault", "leader killed", "leader frozen", "data centre cut"}
 	steps := []func(context.Context) error{b.noFault, b.killLeader, b.freezeLeader, b.cutOne}
@@ -109,9 +110,9 @@
 			s.stop()
 			return errors.Wrap(err, names[i])
 		}
-		pause(ctx, time.Until(began.Add(faultObserved)))
+		wait.For(ctx, time.Until(began.Add(faultObserved)))
 		windows[names[i]] = interval{began, time.Now()}
-		pause(ctx, faultSettle)
+		wait.For(ctx, faultSettle)
 	}
 	s.end()
 	for _, name := range names {
@@ -129,7 +130,7 @@
 		return err
 	}
 	store.Kill()
-	pause(ctx, frozenFor)
+	wait.For(ctx, frozenFor)
 	return store.Start()
 }
 
@@ -141,7 +142,7 @@
 	if err := store.Pause(); err != nil {
 		return err
 	}
-	pause(ctx, frozenFor)
+	wait.For(ctx, frozenFor)
 	return store.Resume()
 }
 
@@ -150,7 +151,7 @@
 	if err := b.fleet.SetFaults(ctx, b.fleet.Isolate(dcs[len(dcs)-1])...); err != nil {
 		return err
 	}
-	pause(ctx, cutFor)
+	wait.For(ctx, cutFor)
 	return b.fleet.SetFaults(ctx)
 }
 
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -13,6 +13,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/simworker"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -97,10 +98,10 @@
 	for {
 		next = next.Add(time.Duration(l.rng.ExpFloat64() / perSecond * float64(time.Second)))
 		if next.After(end) {
-			pause(ctx, time.Until(end))
+			wait.For(ctx, time.Until(end))
 			return
 		}
-		pause(ctx, time.Until(next))
+		wait.For(ctx, time.Until(next))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/measure/maintain.go
+++ b/internal/measure/maintain.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -71,7 +72,7 @@
 				return done, nil
 			}
 		}
-		pause(ctx, pollPeriod)
+		wait.For(ctx, pollPeriod)
 	}
 	return done, ctx.Err()
 }
--- a/internal/measure/pools.go
+++ b/internal/measure/pools.go
@@ -8,6 +8,7 @@
 	samphireforkv1 "github.com/samphirefork/samphirefork/gen/samphirefork/v1"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 			if err == nil {
 				seen.compare(before, status)
 			}
-			pause(ctx, poolPeriod)
+			wait.For(ctx, poolPeriod)
 		}
 	})
 	return func() poolWatch {
--- a/internal/measure/share.go
+++ b/internal/measure/share.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -41,9 +42,9 @@
 			running.Go(func() { b.keepSubmitted(ctx, c, rng, shareSizes[i%len(shareSizes)]) })
 		}
 	}
-	pause(ctx, shareWarm)
+	wait.For(ctx, shareWarm)
 	from := time.Now()
-	pause(ctx, shareTime)
+	wait.For(ctx, shareTime)
 	to := time.Now()
 	cancel()
 	running.Wait()
--- a/internal/measure/urgent.go
+++ b/internal/measure/urgent.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -39,7 +41,7 @@
 		shape := jobShape{cpuMilli: fillCPU, run: fillRun, idempotent: true}
 		fill.running.Go(func() { owner.JobAs(filling, id, b.normal, shape.spec()) })
 	}
-	pause(ctx, fillSettle)
+	wait.For(ctx, fillSettle)
 	full := b.runningNow(b.main)
 	hist := newTimes()
 	submitted := b.submitUrgent(ctx, hist)
@@ -70,7 +72,7 @@
 			defer cancel()
 			c.JobAs(ctx, id, b.urgent, jobShape{cpuMilli: urgentCPU, run: urgentRun}.spec())
 		})
-		pause(ctx, urgentPause)
+		wait.For(ctx, urgentPause)
 	}
 	l.close()
 	started := map[string]time.Time{}
@@ -108,6 +110,6 @@
 		if err == nil && status.GetJobs()["queued"]+status.GetJobs()["assigned"] == 0 {
 			return
 		}
-		pause(ctx, pollPeriod)
+		wait.For(ctx, pollPeriod)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphirefork/samphirefork/internal/lease"
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -187,7 +188,7 @@
 		}
 		if rest := m.report(ctx, batch); len(rest) > 0 {
 			m.putBack(rest)
-			pause(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 			continue
 		}
 		m.space(ctx)
@@ -196,7 +197,7 @@
 
 // space keeps reports apart.
 func (m *Manager) space(ctx context.Context) {
-	pause(ctx, finishSpacing)
+	wait.For(ctx, finishSpacing)
 	timer := time.NewTimer(reportSpacing - finishSpacing)
 	defer timer.Stop()
 	select {
@@ -232,7 +233,7 @@
 	for ctx.Err() == nil {
 		req := wire.WorkerReport{Entry: m.entry, Workers: m.takeBackends(), HoldMS: orderHold.Milliseconds()}
 		if err := m.exchange(ctx, req, func() {}); err != nil {
-			pause(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 		}
 		m.forgetSilent()
 	}
@@ -373,12 +374,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
