Test the leader client

Cause: the verdict not_run of submissions rests on ErrUnavailable.Unsent, which had no test of its own.

--- /dev/null
+++ b/internal/leader/client_test.go
@@ -0,0 +1,101 @@
+package leader
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/wire"
+)
+
+var creds = wire.Credentials{Instance: "test", Secret: []byte("secret of the fleet")}
+
+// startStore serves peers with the handler and returns its address.
+func startStore(t *testing.T, handler wire.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := wire.Accept(w, r, creds, handler)
+		if err == nil {
+			<-conn.Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func newClient(t *testing.T, stores ...string) *Client {
+	t.Helper()
+	pool := wire.NewPool(creds, wire.Mux{}.Handle)
+	t.Cleanup(pool.Close)
+	return NewClient(pool, stores)
+}
+
+func ask(ctx context.Context, c *Client) (wire.JobWaitRequest, error) {
+	var reply wire.JobWaitRequest
+	err := c.Call(ctx, wire.TypeJobWait, wire.JobWaitRequest{ID: "j"}, &reply, 0)
+	return reply, err
+}
+
+// Guards against a client that stays with a store which does not lead, or that
+// ignores the leader which the store names.
+func TestFollowsRedirection(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	leads := startStore(t, func(context.Context, wire.Request) (any, error) {
+		return wire.JobWaitRequest{ID: "from the leader"}, nil
+	})
+	follows := startStore(t, func(context.Context, wire.Request) (any, error) {
+		return nil, &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: leads}
+	})
+	reply, err := ask(ctx, newClient(t, follows))
+	require.NoError(t, err)
+	require.Equal(t, "from the leader", reply.ID)
+}
+
+// Guards against a request that is reported as certainly not taken although a
+// store has received it, and against the reverse.
+func TestUnavailableSaysWhetherARequestWasSent(t *testing.T) {
+	silent := startStore(t, func(ctx context.Context, _ wire.Request) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	refuses := startStore(t, func(context.Context, wire.Request) (any, error) {
+		return nil, &wire.ErrorBody{Code: wire.CodeNotLeader}
+	})
+	tests := map[string]struct {
+		store  string
+		unsent bool
+	}{
+		"no store there":      {"127.0.0.1:1", true},
+		"store does not lead": {refuses, true},
+		"store is silent":     {silent, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err := ask(ctx, newClient(t, tt.store))
+			var unavailable *ErrUnavailable
+			require.ErrorAs(t, err, &unavailable)
+			require.Equal(t, tt.unsent, unavailable.Unsent)
+		})
+	}
+}
+
+// Guards against endless repetition of a request that no store will ever take.
+func TestFinalErrorEndsTheCall(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	bad := startStore(t, func(context.Context, wire.Request) (any, error) {
+		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage}
+	})
+	_, err := ask(ctx, newClient(t, bad))
+	var body *wire.ErrorBody
+	require.ErrorAs(t, err, &body)
+	require.Equal(t, wire.CodeBadMessage, body.Code)
+}
