End jobs within 250 ms of their deadline

Cause: waiting jobs whose deadline had passed got their final answer with the search for old records, up to 5 s late. The waiting jobs alone are now searched every 250 ms; the search for old records, which reads all jobs, stays at 5 s.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,8 +44,10 @@
 	maxPause     = 250 * time.Millisecond
 	// upkeepInterval separates runs of maintenance and pool moves.
 	upkeepInterval = 500 * time.Millisecond
-	// expireInterval bounds the time for which a late job stays queued.
+	// expireInterval separates searches for old records, and lateInterval bounds the
+	// time for which a late job stays queued.
 	expireInterval = 5 * time.Second
+	lateInterval   = 250 * time.Millisecond
 	// memoryInterval is the time for which observations of ended attempts are kept.
 	memoryInterval = time.Minute
 	// resendAfter is the time after which an order without visible effect is
@@ -115,6 +117,7 @@
 
 	upkeepAt fleet.Time
 	expireAt fleet.Time
+	lateAt   fleet.Time
 	// placedAt and placedIndex are the time and the applied index of the latest plan.
 	placedAt    fleet.Time
 	placedIndex uint64
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -46,10 +46,12 @@
 			}
 		}
 	}
-	needed := false
-	if due {
-		c.log.Read(func(s *fleet.State) { needed = s.ExpireDue(now) })
+	late := now.Sub(c.lateAt) >= lateInterval
+	if late {
+		c.lateAt = now
 	}
+	needed := false
+	c.log.Read(func(s *fleet.State) { needed = late && s.HasLate(now) || due && s.ExpireDue(now) })
 	c.mu.Unlock()
 	if !needed {
 		return nil
--- a/internal/fleet/expire.go
+++ b/internal/fleet/expire.go
@@ -27,6 +27,17 @@
 	return false
 }
 
+// HasLate reports whether the deadline of a waiting job has passed. It costs less
+// than ExpireDue, since it reads the waiting jobs alone.
+func (s *State) HasLate(now Time) bool {
+	for _, j := range s.index.waiting {
+		if j.late(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *Job) forgettable(now Time) bool {
 	return j.State.Final() && j.FinishedAt+jobRetentionMS <= now
 }
