Use the shared wait in the controller and the slopes; read the state only when due

Cause: two copies of the wait were left when the others were joined, and each pass of the controller took the state's read lock for the search for late jobs, also when no search was due. Measured: tests of controller and slopes pass; behaviour is unchanged.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/samphirefork/samphirefork/internal/poolmove"
 	"github.com/samphirefork/samphirefork/internal/retry"
 	"github.com/samphirefork/samphirefork/internal/share"
+	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -192,7 +193,7 @@
 			c.opts.Logger.Error().Err(err).Msg("a pass of the controllers failed")
 		}
 		pause := max(passInterval, min(planDuty*time.Since(began), maxPause))
-		if !c.sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return ctx.Err()
 		}
 		timer := time.NewTimer(idleInterval)
@@ -206,17 +207,6 @@
 	}
 }
 
-func (c *Controller) sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // transient reports whether a failed proposal is repeated by a later pass.
 func transient(err error) bool {
 	return errors.Is(err, fleet.ErrNotLeader) || errors.Is(err, fleet.ErrUncertain) ||
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -51,7 +51,9 @@
 		c.lateAt = now
 	}
 	needed := false
-	c.log.Read(func(s *fleet.State) { needed = late && s.HasLate(now) || due && s.ExpireDue(now) })
+	if late || due {
+		c.log.Read(func(s *fleet.State) { needed = late && s.HasLate(now) || due && s.ExpireDue(now) })
+	}
 	c.mu.Unlock()
 	if !needed {
 		return nil
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/harness"
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
 const (
@@ -147,8 +148,8 @@
 	}
 	r.load = startLoad(r.spec, r.fleet, c, keys)
 	defer r.load.stop()
-	if err := pause(ctx, r.opts.Settle); err != nil {
-		return nil, err
+	if !wait.For(ctx, r.opts.Settle) {
+		return nil, ctx.Err()
 	}
 	return r.windows(ctx, d, size)
 }
@@ -170,8 +171,8 @@
 		if seen >= r.spec.Workers {
 			return nil
 		}
-		if err := pause(ctx, seenInterval); err != nil {
-			return err
+		if !wait.For(ctx, seenInterval) {
+			return ctx.Err()
 		}
 	}
 	return ErrUnseen
@@ -210,8 +211,8 @@
 		return nil, err
 	}
 	began, done, failed := time.Now(), r.load.done.Load(), r.load.failed.Load()
-	if err := pause(ctx, r.opts.Window); err != nil {
-		return nil, err
+	if !wait.For(ctx, r.opts.Window) {
+		return nil, ctx.Err()
 	}
 	rate := float64(r.load.done.Load()-done) / time.Since(began).Seconds()
 	failures := r.load.failed.Load() - failed
@@ -241,14 +242,3 @@
 	}
 	return out, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
