Log dropped messages of peers and the state of a member that is changed

Change: dropped messages are logged, at most 2 lines a second; a membership change is logged with the member's match, its silence and the applied index.

--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -104,15 +104,21 @@
 
 // keep carries out at most one change.
 func (k *Keeper) keep(ctx context.Context) {
-	change, reason := Decision(k.node.Members(), k.voters)
+	members := k.node.Members()
+	change, reason := Decision(members, k.voters)
 	if change == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	err := k.node.ChangeMembers(ctx, *change)
-	k.logger.Info().Err(err).Uint64("promote", change.Promote).Uint64("remove", change.Remove).Str("reason", reason).
-		Msg("membership change")
+	line := k.logger.Info().Err(err).Uint64("promote", change.Promote).Uint64("remove", change.Remove).Str("reason", reason).Uint64("applied", k.node.Applied())
+	for _, m := range members {
+		if m.ID == change.Promote || m.ID == change.Remove {
+			line = line.Uint64("match", m.Match).Int64("silentMs", m.SilentMS)
+		}
+	}
+	line.Msg("membership change")
 }
 
 // Decision returns the change that the leader should make to its membership, or
--- a/internal/store/handle.go
+++ b/internal/store/handle.go
@@ -33,12 +33,15 @@
 func (n *Node) receive(req wire.Request) error {
 	var e envelope
 	if err := req.Decode(&e); err != nil {
+		n.meters.dropped.Inc(1)
+		n.receiveLog.Error().Err(err).Str("from", req.From).Msg("a message of a peer store can't be decoded and is dropped")
 		return err
 	}
 	select {
 	case n.inbox <- e:
 	default:
 		n.meters.dropped.Inc(1)
+		n.receiveLog.Warn().Str("from", req.From).Msg("a message of a peer store is dropped, the inbox is full")
 	}
 	return nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,7 +39,9 @@
 	maxCommandBytes    = 3 << 20
 	inboxMessages      = 4096
 	maxPending         = 4096
-	proposalBacklog    = 256
+	// receiveLogLines a second tell what is wrong with received messages; peers send 20 a second and more.
+	receiveLogLines = 2
+	proposalBacklog = 256
 )
 
 // ErrCommandTooLarge refuses a command that does not fit into a frame.
@@ -100,10 +102,12 @@
 
 // Node is one member of the replicated log. It implements fleet.Log.
 type Node struct {
-	cfg     settings.Store
-	log     zerolog.Logger
-	meters  meters
-	started time.Time
+	cfg settings.Store
+	log zerolog.Logger
+	// receiveLog is log for lines on single messages, bounded in number.
+	receiveLog zerolog.Logger
+	meters     meters
+	started    time.Time
 	// bootStarted is the start on the clock that counts suspended time.
 	bootStarted int64
 	init        bool
@@ -196,22 +200,23 @@
 
 func open(cfg settings.Store, opts Options) (*Node, error) {
 	n := &Node{
-		cfg:       cfg,
-		init:      opts.Initialize,
-		log:       opts.Log,
-		meters:    newMeters(opts.Metrics),
-		started:   time.Now(),
-		inbox:     make(chan envelope, inboxMessages),
-		proposals: make(chan *proposal, proposalBacklog),
-		changes:   make(chan *change),
-		jobs:      make(chan job, 1),
-		persisted: make(chan jobResult, 1),
-		snapSaved: make(chan saveResult, 1),
-		stopped:   make(chan struct{}),
-		pending:   map[uint64]*proposal{},
-		warned:    map[uint64]bool{},
-		machine:   opts.Machine,
-		changed:   make(chan struct{}),
+		cfg:        cfg,
+		init:       opts.Initialize,
+		log:        opts.Log,
+		receiveLog: opts.Log.Sample(&zerolog.BurstSampler{Burst: receiveLogLines, Period: time.Second}),
+		meters:     newMeters(opts.Metrics),
+		started:    time.Now(),
+		inbox:      make(chan envelope, inboxMessages),
+		proposals:  make(chan *proposal, proposalBacklog),
+		changes:    make(chan *change),
+		jobs:       make(chan job, 1),
+		persisted:  make(chan jobResult, 1),
+		snapSaved:  make(chan saveResult, 1),
+		stopped:    make(chan struct{}),
+		pending:    map[uint64]*proposal{},
+		warned:     map[uint64]bool{},
+		machine:    opts.Machine,
+		changed:    make(chan struct{}),
 	}
 	n.bootStarted = n.clock()
 	found, err := n.openDisk(opts.FS)
