Start copies of speculative tasks whose worker is silent

Cause: a task that runs in a data centre that is cut off, or on a worker that crashed without a sign, waited up to 10 s for the end of its lease, also where a step allows copies. Ruled out: shorter leases; they would end sound work when the core is gone for nine seconds. Change: after 1.3 s of silence, while most workers are heard, a speculative run is abandoned: it keeps its room and its share of the team's limit until its end is known, the task starts elsewhere beside it, and the first run that is done counts.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -92,12 +92,14 @@
 			w.ended = nil
 		}
 	}
+	var abandoned []workload.End
 	d.log.Read(func(s *fleet.State) {
 		for life, runs := range s.Workload.OccupiedLives() {
 			if !d.lost(life, now) {
 				if w, ok := d.workers[life]; ok && now-w.heardAt > staleMS {
 					ends = append(ends, w.revoke(s.Workload, d.since)...)
 				}
+				abandoned = append(abandoned, d.abandon(s.Workload, life, now)...)
 				continue
 			}
 			for ref, p := range runs {
@@ -105,7 +107,8 @@
 			}
 		}
 	})
-	return ends, upTo
+	d.logAbandoned(abandoned)
+	return append(ends, abandoned...), upTo
 }
 
 // lost tells whether nothing runs on the life any more.
@@ -129,7 +132,7 @@
 		return
 	}
 	for _, e := range ends {
-		if w, ok := d.workers[e.Worker]; ok && e.Outcome != workload.OutcomeLost {
+		if w, ok := d.workers[e.Worker]; ok && e.Outcome != workload.OutcomeLost && e.Outcome != workload.OutcomeAbandoned {
 			w.ended = append(w.ended, e)
 		}
 	}
@@ -143,6 +146,9 @@
 		w.recorded = max(w.recorded, number)
 	}
 	for _, e := range ends {
+		if e.Outcome == workload.OutcomeAbandoned {
+			continue
+		}
 		d.meters.ends.Inc(1)
 		d.logEnd(e)
 		if e.Outcome == workload.OutcomeFailed {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,9 @@
 	// it was not told of go to others. Workers report at least every 0.9 s while
 	// their heartbeats are answered.
 	staleMS = 1300
+	// newLeaderGraceMS is the time in which workers find a new leader: they try the
+	// stores in turn, up to a second each.
+	newLeaderGraceMS = 1500
 	// answerWithin is the longest time to an answer; a worker drops one that takes
 	// over a second.
 	answerWithin = 700 * time.Millisecond
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// logAbandoned writes a line for each run that a copy may now overtake. It must not
+// be called within a read of the log.
+func (d *Dispatcher) logAbandoned(ends []workload.End) {
+	for _, e := range ends {
+		d.logger.Info().Str("task", e.Task.String()).Int("run", e.Run).Str("worker", e.Worker.ID).
+			Msg("worker of a speculative run is silent, a copy may start")
+	}
+}
+
 // logFinished writes one line for each job that the ends have made final.
 func (d *Dispatcher) logFinished(s *workload.State, ends []workload.End, since int64) {
 	seen := map[string]bool{}
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -93,7 +93,7 @@
 func (f *fit) bestIn(ref workload.TaskRef, rack string) *room {
 	var best, avoided *room
 	for _, r := range f.p.rooms[f.c.pool] {
-		if (rack != "" && r.Rack != rack) || !f.allows(r) {
+		if (rack != "" && r.Rack != rack) || !f.allows(r) || f.holds(r, ref) {
 			continue
 		}
 		target := &best
@@ -110,6 +110,12 @@
 	return best
 }
 
+// holds tells whether an abandoned run of the task may still go on on the worker.
+func (f *fit) holds(r *room, ref workload.TaskRef) bool {
+	_, ok := f.p.in.State.Occupied(r.Life)[ref]
+	return ok
+}
+
 func (f *fit) allows(r *room) bool {
 	step := f.c.step
 	if r.budget == 0 || !step.Occupies().Fits(r.free) {
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -68,7 +68,8 @@
 type Outcome uint8
 
 // Outcomes. OutcomeLost is a run whose worker's lease has run out or whose
-// worker's life is over.
+// worker's life is over. OutcomeAbandoned is no end: the worker of a speculative
+// task is silent, and the task may start elsewhere beside it.
 const (
 	OutcomeDone Outcome = iota + 1
 	OutcomeFailed
@@ -78,11 +79,12 @@
 	OutcomeAlone
 	OutcomeRefused
 	OutcomeLost
+	OutcomeAbandoned
 )
 
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
-	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost"}
+	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost", "abandoned"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -1,5 +1,7 @@
 package workload
 
+import "slices"
+
 func (s *State) applyProgress(p *Progress) {
 	for i := range p.Ends {
 		s.applyEnd(&p.Ends[i])
@@ -40,7 +42,7 @@
 		return
 	}
 	o := j.Occurrences[c.Task.Occurrence]
-	if !o.Ready(j, c.Task.Step) {
+	if _, held := s.occupied[c.Worker][c.Task]; held || !o.Ready(j, c.Task.Step) {
 		return
 	}
 	o.Steps[c.Task.Step].set(t, Placed)
@@ -51,28 +53,36 @@
 	if j.State == JobQueued {
 		j.State = JobRunning
 	}
-	s.occupy(j, c.Task, t)
+	s.occupy(j, c.Task, t.present(), false)
 }
 
-// applyEnd ends the present run of a task. Ends of earlier runs change nothing.
+// applyEnd ends the present run of a task or one that was abandoned. Ends of other
+// runs change nothing.
 func (s *State) applyEnd(c *End) {
 	j, t, ok := s.Task(c.Task)
-	if !ok || t.Run != c.Run || t.Worker != c.Worker || (t.Phase != Placed && t.Phase != Stopping) {
+	if !ok || s.endAbandoned(j, t, c) {
+		return
+	}
+	if t.Run != c.Run || t.Worker != c.Worker || (t.Phase != Placed && t.Phase != Stopping) {
 		return
 	}
 	progress := &j.Occurrences[c.Task.Occurrence].Steps[c.Task.Step]
 	step := &j.Steps[c.Task.Step]
+	if c.Outcome == OutcomeAbandoned {
+		s.abandon(c.Task, t, step, progress)
+		return
+	}
 	s.release(j, c.Task, t.Worker)
 	t.EndedAt = s.now
 	next := Waiting
-	if c.Outcome == OutcomeDone && !step.LongRunning {
+	if t.DoneByCopy || c.Outcome == OutcomeDone && !step.LongRunning {
 		next = Done
 	}
 	progress.set(t, next)
 	if c.Checkpoint != "" {
 		t.Checkpoint = c.Checkpoint
 	}
-	if c.Outcome == OutcomeFailed {
+	if c.Outcome == OutcomeFailed && !t.DoneByCopy {
 		t.Failures++
 	}
 	if step.Gang {
@@ -81,6 +91,48 @@
 	s.settle(j, c.Task, step, progress)
 }
 
+// abandon lets the task start elsewhere beside its present run.
+func (s *State) abandon(ref TaskRef, t *Task, step *Step, p *StepProgress) {
+	if !step.Speculative || step.Gang || step.LongRunning {
+		return
+	}
+	s.stop(ref, t)
+	t.Abandoned = slices.Concat(t.Abandoned, []AbandonedRun{t.present()})
+	p.set(t, Waiting)
+}
+
+// endAbandoned ends an abandoned run, and reports false when the end is of another
+// one. A run that is done ends its task; a later run stops first.
+func (s *State) endAbandoned(j *Job, t *Task, c *End) bool {
+	i := slices.IndexFunc(t.Abandoned, func(a AbandonedRun) bool { return a.Run == c.Run && a.Worker == c.Worker })
+	if i < 0 {
+		return false
+	}
+	if c.Outcome == OutcomeAbandoned {
+		return true
+	}
+	t.Abandoned = slices.Concat(t.Abandoned[:i], t.Abandoned[i+1:])
+	s.release(j, c.Task, c.Worker)
+	progress := &j.Occurrences[c.Task.Occurrence].Steps[c.Task.Step]
+	switch {
+	case t.Phase == Done:
+		if j.State.Final() {
+			s.slim(j)
+		}
+		return true
+	case c.Outcome == OutcomeDone && t.Phase == Waiting:
+		progress.set(t, Done)
+		t.EndedAt = s.now
+	case c.Outcome == OutcomeDone:
+		s.stop(c.Task, t)
+		t.DoneByCopy = true
+	case c.Outcome == OutcomeFailed && !t.DoneByCopy:
+		t.Failures++
+	}
+	s.settle(j, c.Task, &j.Steps[c.Task.Step], progress)
+	return true
+}
+
 // endGang extends the end of one member to its gang: a member that is done stands
 // for all, and any other end stops the rest.
 func (s *State) endGang(j *Job, c *End, p *StepProgress) {
@@ -146,7 +198,7 @@
 func (s *State) slim(j *Job) {
 	for _, o := range j.Occurrences {
 		for i := range o.Steps {
-			if o.Steps[i].placed > 0 {
+			if o.Steps[i].placed > 0 || o.Steps[i].abandoned() {
 				return
 			}
 		}
@@ -156,6 +208,11 @@
 	j.Occurrences = nil
 }
 
+// abandoned tells whether abandoned runs of the step may still go on.
+func (p *StepProgress) abandoned() bool {
+	return slices.ContainsFunc(p.Tasks, func(t Task) bool { return len(t.Abandoned) > 0 })
+}
+
 // prune removes the records of jobs that ended before the given cluster time.
 func (s *State) prune(before int64) {
 	for id, j := range s.Jobs {
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -69,8 +69,12 @@
 	for i := range p.Tasks {
 		t := &p.Tasks[i]
 		p.count(t.Phase, 1)
+		ref := TaskRef{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
+		for _, a := range t.Abandoned {
+			s.occupy(j, ref, a, true)
+		}
 		if t.Phase == Placed || t.Phase == Stopping {
-			s.occupy(j, TaskRef{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}, t)
+			s.occupy(j, ref, t.present(), t.Phase == Stopping)
 		}
 	}
 }
@@ -93,16 +97,21 @@
 	p.count(phase, 1)
 }
 
-func (s *State) occupy(j *Job, ref TaskRef, t *Task) {
+// present returns the task's present run.
+func (t *Task) present() AbandonedRun {
+	return AbandonedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt}
+}
+
+func (s *State) occupy(j *Job, ref TaskRef, run AbandonedRun, stopping bool) {
 	step := &j.Steps[ref.Step]
-	runs := s.occupied[t.Worker]
+	runs := s.occupied[run.Worker]
 	if runs == nil {
 		runs = map[TaskRef]*Placement{}
-		s.occupied[t.Worker] = runs
+		s.occupied[run.Worker] = runs
 	}
 	runs[ref] = &Placement{
-		Run: t.Run, Occupies: step.Occupies(), Team: j.Team, Quota: step.Size,
-		Stopping: t.Phase == Stopping, PlacedAt: t.PlacedAt, LongRunning: step.LongRunning,
+		Run: run.Run, Occupies: step.Occupies(), Team: j.Team, Quota: step.Size,
+		Stopping: stopping, PlacedAt: run.PlacedAt, LongRunning: step.LongRunning,
 	}
 	s.teamUse[j.Team] = s.teamUse[j.Team].Plus(step.Size)
 }
