End silent workers that the platform lists as gone

Change: while a worker with tasks is silent the leader reads the list each second; a reading that was asked for after 1.3 s of silence and shows the machine not up, with another worker, or missing twice, ends the life. A run records its machine, so that a new leader can judge lives that it never heard.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -115,6 +115,9 @@
 func (d *Dispatcher) lost(life workload.WorkerLife, now int64) bool {
 	w, ok := d.workers[life]
 	if !ok {
+		if d.gone[life] {
+			return true
+		}
 		if current, known := d.byID[life.ID]; known && current.Born > life.Born {
 			return true
 		}
@@ -268,7 +271,7 @@
 			continue
 		}
 		out = append(out, taskplan.Worker{
-			Life: life, Pool: w.Pool, Rack: w.Rack, DataCentre: w.DataCentre, Labels: w.Labels,
+			Life: life, Machine: w.Machine, Pool: w.Pool, Rack: w.Rack, DataCentre: w.DataCentre, Labels: w.Labels,
 			Capacity: w.Capacity, Budget: w.budget(now, len(s.Occupied(life))),
 		})
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -77,6 +77,10 @@
 	inContact int
 	byID      map[string]workload.WorkerLife
 	byMachine map[string]workload.WorkerLife
+	// gone holds lives that the platform's list shows to have ended before this leader
+	// heard them, and absent the readings in which a silent life's machine was missing.
+	gone   map[workload.WorkerLife]bool
+	absent map[workload.WorkerLife]int
 	// failedOn holds the workers on which runs of a task failed.
 	failedOn  map[workload.TaskRef]map[string]bool
 	busy      map[string]bool
@@ -114,6 +118,8 @@
 	d.workers = map[workload.WorkerLife]*worker{}
 	d.byID = map[string]workload.WorkerLife{}
 	d.byMachine = map[string]workload.WorkerLife{}
+	d.gone = map[workload.WorkerLife]bool{}
+	d.absent = map[workload.WorkerLife]int{}
 	d.failedOn = map[workload.TaskRef]map[string]bool{}
 	d.busy = map[string]bool{}
 	d.upkeep = newUpkeep(now)
--- /dev/null
+++ b/internal/dispatch/gone.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+// absentReads is the number of readings of the list in which a machine is missing
+// until it counts as gone: a list of several pages may change between them.
+const absentReads = 2
+
+// suspects tells whether a worker with tasks is silent, so that the platform's list
+// can tell a crash from a cut.
+func (d *Dispatcher) suspects() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := int64(d.log.Now())
+	found := false
+	d.log.Read(func(s *fleet.State) {
+		for life := range s.Workload.OccupiedLives() {
+			found = found || now-d.silentSince(life) > staleMS && !d.lost(life, now)
+		}
+	})
+	return found
+}
+
+// silentSince is when the life was last heard; the begin of the leadership for a
+// life that was not heard under it.
+func (d *Dispatcher) silentSince(life workload.WorkerLife) int64 {
+	if w, ok := d.workers[life]; ok {
+		return w.heardAt
+	}
+	return d.since
+}
+
+// endGone ends the silent lives that a list, asked for after their silence began,
+// shows to be gone. The caller holds mu.
+//
+// Load pattern: a part of a pool crashes without a sign, at times together with the
+// leader; what ran there would wait for the end of the leases, 10 s.
+func (d *Dispatcher) endGone(s *workload.State, listed map[string]MachineInfo, asked int64) {
+	for life, w := range d.workers {
+		if !w.over && d.isGone(life, w.Machine, listed, asked) {
+			w.finish()
+			d.Wake()
+		}
+	}
+	for life, runs := range s.OccupiedLives() {
+		if _, known := d.workers[life]; !known && !d.gone[life] && d.isGone(life, machineOf(runs), listed, asked) {
+			d.gone[life] = true
+			d.Wake()
+		}
+	}
+}
+
+func machineOf(runs map[workload.TaskRef]*workload.Placement) string {
+	for _, p := range runs {
+		return p.Machine
+	}
+	return ""
+}
+
+// isGone judges one life by the list. A machine that is up with the life's own
+// worker may be cut off, and a worker that restarted under its identifier reports
+// by itself.
+func (d *Dispatcher) isGone(life workload.WorkerLife, machine string, listed map[string]MachineInfo, asked int64) bool {
+	silentMS := asked - d.silentSince(life)
+	if machine == "" || silentMS <= staleMS {
+		delete(d.absent, life)
+		return false
+	}
+	info, found := listed[machine]
+	reason := ""
+	switch {
+	case !found:
+		d.absent[life]++
+		if d.absent[life] < absentReads {
+			return false
+		}
+		reason = "its machine is not listed"
+	case !info.Up:
+		reason = "its machine is not up"
+	case info.Worker != "" && info.Worker != life.ID:
+		reason = "its machine has another worker"
+	default:
+		delete(d.absent, life)
+		return false
+	}
+	d.logger.Info().Str("worker", life.ID).Int64("born", life.Born).Str("machine", machine).Str("reason", reason).
+		Int64("silent_ms", silentMS).Int64("listed_at", asked).Msg("worker life is over by the platform's list")
+	return true
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -19,6 +20,10 @@
 	listEvery   = 5 * time.Second
 	listTimeout = 4 * time.Second
 	listRetry   = 500 * time.Millisecond
+	listCheck   = 250 * time.Millisecond
+	// suspectEvery is the time between readings while a worker with tasks is silent: a
+	// tenth of the longest lease, and 6 calls for 500 machines.
+	suspectEvery = time.Second
 	// moveTimeoutMS is the time after which a machine that was moved and is not
 	// heard of no longer counts as on its way.
 	moveTimeoutMS = 6000
@@ -40,8 +45,10 @@
 	Rack       string
 	DataCentre string
 	Capacity   workload.Resources
-	// Up machines can be moved and maintained.
+	// Up machines can be moved and maintained. Nothing runs on any other machine.
 	Up bool
+	// Worker is the identifier of the machine's present worker, empty for none.
+	Worker string
 }
 
 // Machines is the platform's control of machines. Errors are the Err values of
@@ -66,12 +73,16 @@
 
 // follow reads the list of machines until ctx ends.
 func (d *Dispatcher) follow(ctx context.Context) {
-	pause := listRetry
-	for wait.For(ctx, pause) {
-		pause = listRetry
+	due := time.Now()
+	for wait.For(ctx, listCheck) {
 		if !d.log.Leadership().Leading {
 			continue
 		}
+		suspected := d.suspects() && time.Until(due) < listEvery-suspectEvery
+		if !suspected && time.Now().Before(due) {
+			continue
+		}
+		due = time.Now().Add(listRetry)
 		asked := int64(d.log.Now())
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := d.machines.List(call)
@@ -81,7 +92,7 @@
 			continue
 		}
 		d.takeList(list, asked)
-		pause = listEvery
+		due = time.Now().Add(listEvery)
 	}
 }
 
@@ -90,7 +101,9 @@
 func (d *Dispatcher) takeList(list []MachineInfo, asked int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	listed := make(map[string]MachineInfo, len(list))
 	for _, info := range list {
+		listed[info.Name] = info
 		m, ok := d.fleet[info.Name]
 		if !ok {
 			d.fleet[info.Name] = &machine{MachineInfo: info, changedAt: asked}
@@ -101,6 +114,7 @@
 		}
 	}
 	d.listed = true
+	d.log.Read(func(s *fleet.State) { d.endGone(s.Workload, listed, asked) })
 }
 
 // locate records that a worker life reports from a machine.
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -16,6 +16,7 @@
 // Worker is a worker life that may take tasks.
 type Worker struct {
 	Life       workload.WorkerLife
+	Machine    string
 	Pool       string
 	Rack       string
 	DataCentre string
@@ -243,7 +244,7 @@
 	}
 	f.took(r)
 	p.teams[c.job.Team] = p.teams[c.job.Team].Plus(c.step.Size)
-	p.plan.Starts = append(p.plan.Starts, workload.Start{Task: ref, Run: run, Worker: r.Life, Ticket: f.tickets[r.Life]})
+	p.plan.Starts = append(p.plan.Starts, workload.Start{Task: ref, Run: run, Worker: r.Life, Ticket: f.tickets[r.Life], Machine: r.Machine})
 }
 
 // withinLimit tells whether the team may run one more task of the step. A task
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -55,6 +55,8 @@
 	Worker WorkerLife `cbor:"3,keyasint"`
 	// Ticket shows the worker that the queue's advice approved it.
 	Ticket string `cbor:"4,keyasint,omitempty"`
+	// Machine is the machine of the worker.
+	Machine string `cbor:"5,keyasint,omitempty"`
 }
 
 // Due begins an occurrence of a repeated job.
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -49,6 +49,7 @@
 	t.Run = c.Run
 	t.Worker = c.Worker
 	t.Ticket = c.Ticket
+	t.Machine = c.Machine
 	t.PlacedAt = s.now
 	if j.State == JobQueued {
 		j.State = JobRunning
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -9,6 +9,8 @@
 	Quota    Resources
 	Stopping bool
 	PlacedAt int64
+	// Machine is the worker's machine.
+	Machine string
 	// LongRunning runs end only when they are stopped.
 	LongRunning bool
 }
@@ -99,7 +101,7 @@
 
 // present returns the task's present run.
 func (t *Task) present() AbandonedRun {
-	return AbandonedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt}
+	return AbandonedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, Machine: t.Machine}
 }
 
 func (s *State) occupy(j *Job, ref TaskRef, run AbandonedRun, stopping bool) {
@@ -111,7 +113,7 @@
 	}
 	runs[ref] = &Placement{
 		Run: run.Run, Occupies: step.Occupies(), Team: j.Team, Quota: step.Size,
-		Stopping: stopping, PlacedAt: run.PlacedAt, LongRunning: step.LongRunning,
+		Stopping: stopping, PlacedAt: run.PlacedAt, LongRunning: step.LongRunning, Machine: run.Machine,
 	}
 	s.teamUse[j.Team] = s.teamUse[j.Team].Plus(step.Size)
 }
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -185,6 +185,9 @@
 	// DoneByCopy is set when an abandoned run was done while a later one was placed:
 	// the task is done when the later one has stopped.
 	DoneByCopy bool `cbor:"10,keyasint,omitempty"`
+	// Machine is the machine of Worker, by which a new leader recognises workers that
+	// are gone before it has heard them.
+	Machine string `cbor:"11,keyasint,omitempty"`
 }
 
 // AbandonedRun is a run whose worker is silent. It occupies the worker until its
@@ -193,6 +196,7 @@
 	Run      int        `cbor:"1,keyasint"`
 	Worker   WorkerLife `cbor:"2,keyasint"`
 	PlacedAt int64      `cbor:"3,keyasint,omitempty"`
+	Machine  string     `cbor:"4,keyasint,omitempty"`
 }
 
 // JobState is what callers see of a job.
