Ask for the machines that waiting long-running tasks need, not one for each

Change: the plan tells how many workers these tasks need beside each other and the room that they take together; the larger of both is asked for. Tests: TestLongRunningTasksShareMachines, TestDemandOfLongRunningTasks.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -64,8 +64,10 @@
 	WorkMilliMS int64
 	// Waiting is the room that the waiting tasks take together.
 	Waiting workload.Resources
-	// Spread is the number of long-running tasks that find no machine.
-	Spread int
+	// Spread is the number of machines that waiting long-running tasks need beside each
+	// other, and LongRunning the room that these take together.
+	Spread      int
+	LongRunning workload.Resources
 	// RateMilli is the work that arrives, in thousandths of a core.
 	RateMilli int64
 	// UsedMilli is what its other tasks use, in thousandths of a core.
@@ -138,7 +140,7 @@
 func (d *decider) wanted(pool string) int {
 	demand := d.in.Demand[pool]
 	have := d.sizes[pool] + d.in.Incoming[pool]
-	spread := demand.Spread - d.in.Incoming[pool]
+	spread := max(demand.Spread, machinesFor(demand.LongRunning, d.in.Size)) - d.in.Incoming[pool]
 	if d.backlog(pool) <= backlogMS {
 		return spread
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -101,3 +101,15 @@
 	in.Demand["docks"] = Demand{RateMilli: 400_000, WorkMilliMS: 200_000_000, Waiting: burst.Waiting}
 	require.Empty(t, Decide(in), "both are busy, and neither is far behind")
 }
+
+// Replays the start of long-running jobs in pools of the least size: machines come
+// for the room and the spread of the tasks, not one for each task.
+func TestLongRunningTasksShareMachines(t *testing.T) {
+	in := Input{Machines: pools(-1), Spare: "spare", Size: size}
+	need := size
+	need.CPUMilli = 2 * size.CPUMilli
+	in.Demand = map[string]Demand{"docks": {Spread: 1, LongRunning: need}}
+	require.Len(t, Decide(in), 2, "the room of two machines")
+	in.Demand = map[string]Demand{"docks": {Spread: 3, LongRunning: need}}
+	require.Len(t, Decide(in), 3, "three tasks that keep away from each other")
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -317,6 +317,7 @@
 		at.WorkMilliMS = d.estimates.scale(pool, u.WorkMilliMS)
 		at.Waiting = u.Size
 		at.Spread = u.Spread
+		at.LongRunning = u.LongRunning
 		demand[pool] = at
 	}
 	d.demand, d.busy = demand, busy
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -62,8 +62,10 @@
 	Size workload.Resources
 	// WorkMilliMS is the declared work in thousandths of a core times milliseconds.
 	WorkMilliMS int64
-	// Spread counts long-running tasks.
-	Spread int
+	// Spread is the number of workers that the long-running tasks need beside each
+	// other, and LongRunning the room that they take together.
+	Spread      int
+	LongRunning workload.Resources
 }
 
 // candidate is a step with waiting tasks whose dependencies are done.
@@ -226,7 +228,14 @@
 		u.Size = u.Size.Plus(c.step.Occupies())
 	}
 	if c.step.LongRunning {
-		u.Spread += tasks
+		perWorker := c.step.MaxPerWorker
+		if perWorker == 0 {
+			perWorker = tasks
+		}
+		u.Spread = max(u.Spread, (tasks+perWorker-1)/perWorker)
+		for range tasks {
+			u.LongRunning = u.LongRunning.Plus(c.step.Occupies())
+		}
 	} else {
 		u.WorkMilliMS += int64(tasks) * c.step.Size.CPUMilli * c.step.EstimatedMS
 	}
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -213,3 +213,14 @@
 	}
 	require.Len(t, centres, 3)
 }
+
+// Guards against a machine for each long-running task that waits, where several fit.
+func TestDemandOfLongRunningTasks(t *testing.T) {
+	f := newFixture(0, workload.Team{})
+	watch := workload.Step{Count: 6, Size: workload.Resources{CPUMilli: 1000}, LongRunning: true, MaxPerWorker: 2}
+	f.submit("a", "batch", "", now, watch)
+	f.submit("b", "batch", "", now, watch)
+	u := Make(Input{State: f.state, NowMS: now, Workers: f.workers}).Unplaced["pool"]
+	require.Equal(t, 3, u.Spread)
+	require.Equal(t, int64(12000), u.LongRunning.CPUMilli)
+}
