Take jobs of steps over the product's own interface

Cause: jobs of steps, their placement, copies, leases and ends were reached by the platform's adapter only; callers, operators and workers of the product itself had no way to them. Change: samphirectl steps submit|get|cancel, /v1/queues/QUEUE/step-jobs and /v1/step-workers/ID on the entries, the dispatcher and the intake as parts of samphire-store, and a simulated worker of step jobs. Queues, pools and teams come from the declared configuration; there is no second one. A leader's refusal of content under a known identifier is 'not run', whatever became of earlier attempts. Tests: TestStepJobs (real processes, the leader is killed; bad input), TestCheckNamesTheField, FuzzSubmit, TestReportsAndOrdersOfTheOwnInterface, TestInvalidReportsAreRefusedByField. Not done: a team's declared limit counts jobs and calls, and does not bound step tasks.

--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
@@ -19,11 +20,21 @@
 	"github.com/samphirefork/samphirefork/internal/control"
 	"github.com/samphirefork/samphirefork/internal/controller"
 	"github.com/samphirefork/samphirefork/internal/disk"
+	"github.com/samphirefork/samphirefork/internal/dispatch"
+	"github.com/samphirefork/samphirefork/internal/intake"
 	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/store"
 )
 
+const (
+	// stepLease is how long a worker of step jobs goes on without an answer. It covers
+	// a core that is away for nine seconds.
+	stepLease = 10 * time.Second
+	// stepRecordTime is how long the record of a step job that ended is kept.
+	stepRecordTime = 10 * time.Minute
+)
+
 // Exit codes.
 const (
 	exitFailed   = 1
@@ -133,6 +144,10 @@
 		Logger:   log,
 		JobUnits: leader.JobUnits,
 	})
+	steps := dispatch.New(node, dispatch.Settings{
+		Lease: stepLease, ForgetAfter: stepRecordTime, Holder: cfg.Instance,
+	}, nil, nil, registry, log)
+	calls := intake.NewServer(node, steps.Wake, registry, log)
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
-	return store.NewServer(node, registry, log, requests, controllers, leader).Run(ctx, listener)
+	return store.NewServer(node, registry, log, requests, controllers, leader, dispatch.Part{Dispatcher: steps}, calls).Run(ctx, listener)
 }
--- a/cmd/samphire-worker/main.go
+++ b/cmd/samphire-worker/main.go
@@ -53,6 +53,10 @@
 func serve(cfg simworker.Config, record *history.Writer, log zerolog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	if cfg.Steps != nil {
+		simworker.NewStepWorker(cfg, log).Run(ctx)
+		return nil
+	}
 	worker := simworker.New(cfg, record, log)
 	srv := &http.Server{Addr: cfg.Listen, Handler: worker.Handler()}
 	ended := make(chan error, 1)
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -84,6 +84,7 @@
 			a.maintenanceCommand(),
 			a.keyCommand(),
 			a.jobCommand(),
+			a.stepsCommand(),
 			a.memberCommand(),
 			a.lostCommand(),
 			a.snapshotCommand(),
--- /dev/null
+++ b/internal/entry/steps.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/leader"
+	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+const (
+	// maxStepReportBytes bounds a worker's report: 500 runs and ends of 200 bytes each,
+	// doubled.
+	maxStepReportBytes = 200 << 10
+	// stepReportTimeout is above the time for which the leader holds an answer, and at
+	// the time after which workers drop it.
+	stepReportTimeout = time.Second
+)
+
+// handleSubmitSteps serves POST /v1/queues/:queue/step-jobs.
+func (e *Entry) handleSubmitSteps(c echo.Context) error {
+	from, refusal := e.identify(c)
+	if refusal != nil {
+		return e.refuseJob(c, from, refusal)
+	}
+	var content workload.Submit
+	if refusal = decodeJSON(c, maxRequestBytes, &content); refusal != nil {
+		return e.refuseJob(c, from, refusal)
+	}
+	if err := content.Check(); err != nil {
+		return e.refuseJob(c, from, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, err.Error()))
+	}
+	return e.stepCall(c, from, wire.JobCall{Op: wire.JobSubmit, Job: from.id, Content: &content})
+}
+
+// handleGetSteps serves GET /v1/queues/:queue/step-jobs/:id.
+func (e *Entry) handleGetSteps(c echo.Context) error {
+	from := caller{id: c.Param("id"), first: true}
+	return e.stepCall(c, from, wire.JobCall{Op: wire.JobStatus, Job: from.id})
+}
+
+// handleCancelSteps serves DELETE /v1/queues/:queue/step-jobs/:id.
+func (e *Entry) handleCancelSteps(c echo.Context) error {
+	from := caller{id: c.Param("id"), first: true}
+	return e.stepCall(c, from, wire.JobCall{Op: wire.JobCancel, Job: from.id})
+}
+
+// stepCall checks the caller's key and forwards the call to the leader. It carries
+// on when the caller is gone, since the call may already be on its way.
+func (e *Entry) stepCall(c echo.Context, from caller, call wire.JobCall) error {
+	call.Queue = c.Param("queue")
+	var refusal *api.Refusal
+	if call.Team, refusal = e.stepTeam(c, call.Queue); refusal != nil {
+		return e.refuseJob(c, from, refusal)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), proposeTimeout)
+	defer cancel()
+	var reply wire.JobCallReply
+	if err := e.leader.Call(ctx, wire.TypeJobCall, call, &reply, 0); err != nil {
+		return e.refuseJob(c, from, proposeRefusal(err))
+	}
+	if refusal := stepRefusal(reply); refusal != nil && judged(reply.Verdict) {
+		return e.respond(c, from.id, asAnswer(refusal))
+	} else if refusal != nil {
+		return e.refuseJob(c, from, refusal)
+	}
+	c.Response().Header().Set(api.HeaderRequestID, from.id)
+	c.Response().Header().Set(api.HeaderVerdict, string(api.Done))
+	status := http.StatusOK
+	if call.Op == wire.JobSubmit {
+		status = http.StatusAccepted
+	}
+	return c.JSON(status, api.StepJob{ID: from.id, Queue: call.Queue, State: reply.State, Steps: reply.Steps})
+}
+
+// stepTeam returns the team of the caller's key; none for an open queue.
+func (e *Entry) stepTeam(c echo.Context, queue string) (string, *api.Refusal) {
+	config, _ := e.lease.view(e.clock())
+	if config == nil {
+		return "", api.ComeBack(api.CodeNoLease, "this entry has no configuration yet", leaseRetry())
+	}
+	q, ok := config.Queues[queue]
+	if !ok {
+		return "", api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such queue")
+	}
+	if q.Open {
+		return "", nil
+	}
+	team, _, refusal := e.authorize(c.Request().Header.Get(api.HeaderKey))
+	return team, refusal
+}
+
+// judged tells whether the leader refused this content under this identifier by its
+// state, so that it has not run, whatever became of earlier attempts.
+func judged(v wire.JobVerdict) bool {
+	return v == wire.VerdictConflict || v == wire.VerdictOverloaded || v == wire.VerdictInvalid
+}
+
+func stepRefusal(reply wire.JobCallReply) *api.Refusal {
+	switch reply.Verdict {
+	case wire.VerdictOK:
+		return nil
+	case wire.VerdictNoQueue:
+		return api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such queue")
+	case wire.VerdictNoJob:
+		return api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such job")
+	case wire.VerdictConflict:
+		return api.Refuse(http.StatusConflict, api.CodeConflict, reply.Detail)
+	case wire.VerdictOverloaded:
+		return api.ComeBack(api.CodeOverloaded, reply.Detail, time.Duration(reply.RetryAfterMS)*time.Millisecond)
+	default:
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, reply.Detail)
+	}
+}
+
+// handleStepReport serves PUT /v1/step-workers/:id: the report of a worker of step
+// jobs, which the leader answers with orders.
+func (e *Entry) handleStepReport(c echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxStepReportBytes+1))
+	if err != nil || len(body) > maxStepReportBytes {
+		return e.respond(c, "", asAnswer(api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the report is cut off or too large")))
+	}
+	var orders wire.StepOrders
+	err = e.askLeader(c, wire.TypeStepReport, wire.StepReport{Worker: c.Param("id"), Body: body}, &orders)
+	if err != nil {
+		return e.respond(c, "", asAnswer(reportRefusal(err)))
+	}
+	return c.JSONBlob(http.StatusOK, orders.Body)
+}
+
+// handleStepLeave serves DELETE /v1/step-workers/:id.
+func (e *Entry) handleStepLeave(c echo.Context) error {
+	var orders wire.StepOrders
+	if err := e.askLeader(c, wire.TypeStepLeave, wire.StepReport{Worker: c.Param("id")}, &orders); err != nil {
+		return e.respond(c, "", asAnswer(reportRefusal(err)))
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Entry) askLeader(c echo.Context, t wire.Type, req, resp any) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), stepReportTimeout)
+	defer cancel()
+	return e.leader.Call(ctx, t, req, resp, stepReportTimeout)
+}
+
+func reportRefusal(err error) *api.Refusal {
+	var body *wire.ErrorBody
+	var unavailable *leader.ErrUnavailable
+	switch {
+	case errors.As(err, &unavailable):
+		return api.ComeBack(api.CodeNoQuorum, "no leading store answered", defaultRetryAfter)
+	case errors.As(err, &body) && body.Code == wire.CodeBadMessage:
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, body.Message)
+	default:
+		return api.ComeBack(api.CodeNoQuorum, err.Error(), defaultRetryAfter)
+	}
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -103,6 +103,7 @@
 	from := s.Config.Revision
 	tx.cfg.Revision = from + 1
 	s.Config = *tx.cfg
+	s.Workload.Config = stepConfig(tx.cfg)
 	s.Status = tx.status
 	s.Plans = tx.plans
 	for _, name := range tx.lost {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -79,6 +79,9 @@
 }
 
 func (s *Server) answer(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
+	if call.Queue != "" {
+		return s.answerOwn(ctx, call)
+	}
 	r := s.present()
 	if r == nil {
 		return wire.JobCallReply{Verdict: wire.VerdictNoConfig, RetryAfterMS: electionRetryMS}, nil
@@ -110,6 +113,30 @@
 	}
 }
 
+// answerOwn answers a call whose queue, team and job an entry has told apart.
+func (s *Server) answerOwn(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
+	var q workload.Queue
+	found := false
+	s.log.Read(func(st *fleet.State) { q, found = st.Workload.Config.Queues[call.Queue] })
+	if !found {
+		return wire.JobCallReply{Verdict: wire.VerdictNoQueue}, nil
+	}
+	switch call.Op {
+	case wire.JobSubmit:
+		return s.submit(ctx, q, call.Team, call.Job, call)
+	case wire.JobCancel:
+		return s.cancel(ctx, q, call.Team, call.Job)
+	default:
+		reply := s.status(q, call.Team, call.Job)
+		s.log.Read(func(st *fleet.State) {
+			if j, ok := st.Workload.Jobs[call.Job]; ok && reply.Verdict == wire.VerdictOK {
+				reply.Steps = stepCounts(j)
+			}
+		})
+		return reply, nil
+	}
+}
+
 func validID(id string) bool {
 	if len(id) != idDigits {
 		return false
@@ -138,6 +165,20 @@
 	return reply
 }
 
+func stepCounts(j *workload.Job) []wire.StepCount {
+	counts := make([]wire.StepCount, len(j.Steps))
+	for _, o := range j.Occurrences {
+		for i := range o.Steps {
+			p := &o.Steps[i]
+			counts[i].Tasks += len(p.Tasks)
+			counts[i].Waiting += p.Waiting()
+			counts[i].Running += p.Occupying()
+			counts[i].Done += len(p.Tasks) - p.Waiting() - p.Occupying()
+		}
+	}
+	return counts
+}
+
 func (s *Server) submit(ctx context.Context, q workload.Queue, team, id string, call wire.JobCall) (wire.JobCallReply, error) {
 	if call.Invalid != "" || call.Content == nil {
 		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: call.Invalid}, nil
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -46,6 +46,8 @@
 	RebootTime settings.Duration `json:"reboot_time,omitempty"`
 	// UsageLag is how long after its start a task's usage is first reported.
 	UsageLag settings.Duration `json:"usage_lag,omitempty"`
+	// Steps makes it a worker of step jobs, which runs nothing else.
+	Steps *StepSettings `json:"steps,omitempty"`
 }
 
 // Worker is a simulated worker. All fields below mu are guarded by it.
--- a/internal/wire/jobcall.go
+++ b/internal/wire/jobcall.go
@@ -23,6 +23,11 @@
 	Content *workload.Submit `cbor:"5,keyasint,omitempty"`
 	// Invalid says why the content could not be read.
 	Invalid string `cbor:"6,keyasint,omitempty"`
+	// Queue, Team and Job are set instead of Host, Path and Key by an entry that has
+	// checked the caller's key itself.
+	Queue string `cbor:"7,keyasint,omitempty"`
+	Team  string `cbor:"8,keyasint,omitempty"`
+	Job   string `cbor:"9,keyasint,omitempty"`
 }
 
 // JobVerdict is the answer to a JobCall.
@@ -48,6 +53,28 @@
 	// RetryAfterMS is when a later attempt may be taken.
 	RetryAfterMS int64  `cbor:"4,keyasint,omitempty"`
 	Detail       string `cbor:"5,keyasint,omitempty"`
+	// Steps is the progress of the steps of a job that is under way.
+	Steps []StepCount `cbor:"6,keyasint,omitempty"`
+}
+
+// StepCount counts the tasks of one step, over all occurrences that have begun.
+type StepCount struct {
+	Tasks   int `cbor:"1,keyasint" json:"tasks"`
+	Waiting int `cbor:"2,keyasint,omitempty" json:"waiting"`
+	Running int `cbor:"3,keyasint,omitempty" json:"running"`
+	Done    int `cbor:"4,keyasint,omitempty" json:"done"`
+}
+
+// StepReport carries the report of a worker of step jobs, in the JSON of the
+// product's own interface, which only the leader reads.
+type StepReport struct {
+	Worker string `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// StepOrders answers a StepReport with the orders in the same JSON.
+type StepOrders struct {
+	Body []byte `cbor:"1,keyasint"`
 }
 
 // JoinRequest asks the leader to take a store into the log, or whether it belongs to it.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -27,6 +27,8 @@
 	TypeJobCall
 	TypeJoin
 	TypeLeader
+	TypeStepReport
+	TypeStepLeave
 )
 
 // RenewRequest renews the configuration lease and the limit grants of an entry.
--- /dev/null
+++ b/internal/workload/check.go
@@ -0,0 +1,67 @@
+package workload
+
+import "fmt"
+
+const (
+	// MaxSpecificationBytes bounds what a job hands to its tasks.
+	MaxSpecificationBytes = 4000
+	// MaxSteps and MaxTasks keep one job from taking the memory of a store.
+	MaxSteps = 200
+	MaxTasks = 20000
+)
+
+// InvalidError names a field that is not valid.
+type InvalidError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "workload: " + e.Field + " " + e.Reason }
+
+func invalid(field, format string, args ...any) error {
+	return &InvalidError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Check returns an *InvalidError for a job that can't be taken.
+func (c *Submit) Check() error {
+	if len(c.Specification) > MaxSpecificationBytes {
+		return invalid("specification", "has more than %d bytes", MaxSpecificationBytes)
+	}
+	if len(c.Steps) == 0 || len(c.Steps) > MaxSteps {
+		return invalid("steps", "has %d entries, not 1 to %d", len(c.Steps), MaxSteps)
+	}
+	tasks := 0
+	for i := range c.Steps {
+		if err := c.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += c.Steps[i].Count
+	}
+	if tasks > MaxTasks {
+		return invalid("steps", "has %d tasks, more than %d", tasks, MaxTasks)
+	}
+	if c.Repetitions < 0 || (c.Repetitions > 1 && c.IntervalMS <= 0) {
+		return invalid("repetitions", "is negative or has no interval_ms")
+	}
+	return nil
+}
+
+func (s *Step) check(i int) error {
+	field := fmt.Sprintf("steps[%d]", i)
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return invalid(field+".count", "is not 1 to %d", MaxTasks)
+	}
+	if s.Size.CPUMilli < 0 || s.Size.MemoryMiB < 0 || s.Size.Accelerators < 0 {
+		return invalid(field+".size", "has a negative amount")
+	}
+	if s.EstimatedMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+		return invalid(field, "has a negative number")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= i {
+			return invalid(field+".after", "names %d, which is not an earlier step", before)
+		}
+	}
+	return nil
+}
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -1,5 +1,7 @@
 package workload
 
+import "strconv"
+
 // Command is one change of the state; exactly one field is set.
 type Command struct {
 	Configure *Config   `cbor:"1,keyasint,omitempty"`
@@ -11,14 +13,14 @@
 
 // Submit accepts a job. A repetition with equal content is accepted again.
 type Submit struct {
-	ID            string `cbor:"1,keyasint"`
-	Queue         string `cbor:"2,keyasint"`
-	Team          string `cbor:"3,keyasint,omitempty"`
-	Specification string `cbor:"4,keyasint,omitempty"`
-	Steps         []Step `cbor:"5,keyasint"`
-	Repetitions   int    `cbor:"6,keyasint,omitempty"`
-	FirstRunMS    int64  `cbor:"7,keyasint,omitempty"`
-	IntervalMS    int64  `cbor:"8,keyasint,omitempty"`
+	ID            string `cbor:"1,keyasint" json:"-"`
+	Queue         string `cbor:"2,keyasint" json:"-"`
+	Team          string `cbor:"3,keyasint,omitempty" json:"-"`
+	Specification string `cbor:"4,keyasint,omitempty" json:"specification,omitempty"`
+	Steps         []Step `cbor:"5,keyasint" json:"steps"`
+	Repetitions   int    `cbor:"6,keyasint,omitempty" json:"repetitions,omitempty"`
+	FirstRunMS    int64  `cbor:"7,keyasint,omitempty" json:"first_run_ms,omitempty"`
+	IntervalMS    int64  `cbor:"8,keyasint,omitempty" json:"interval_ms,omitempty"`
 }
 
 // Cancel ends a job.
@@ -44,8 +46,8 @@
 
 // Run names one run of a task.
 type Run struct {
-	Task TaskRef `cbor:"1,keyasint"`
-	Run  int     `cbor:"2,keyasint"`
+	Task TaskRef `cbor:"1,keyasint" json:"task"`
+	Run  int     `cbor:"2,keyasint" json:"run"`
 }
 
 // Start begins a run. The members of a gang start in one batch with one number.
@@ -93,6 +95,20 @@
 	return "unknown"
 }
 
+// MarshalText writes the outcome by its name.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText reads the name of an outcome.
+func (o *Outcome) UnmarshalText(text []byte) error {
+	for known := OutcomeDone; known <= OutcomeRefused; known++ {
+		if known.String() == string(text) {
+			*o = known
+			return nil
+		}
+	}
+	return &InvalidError{Field: "outcome", Reason: strconv.Quote(string(text)) + " is not known"}
+}
+
 // End is the end of a run.
 type End struct {
 	Task       TaskRef    `cbor:"1,keyasint"`
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -14,9 +14,9 @@
 
 // Resources is an amount of each resource kind.
 type Resources struct {
-	CPUMilli     int64 `cbor:"1,keyasint,omitempty"`
-	MemoryMiB    int64 `cbor:"2,keyasint,omitempty"`
-	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+	CPUMilli     int64 `cbor:"1,keyasint,omitempty" json:"cpu_milli,omitempty"`
+	MemoryMiB    int64 `cbor:"2,keyasint,omitempty" json:"memory_mib,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty"`
 }
 
 // Plus returns the sum of both amounts.
@@ -101,29 +101,29 @@
 
 // Step is a set of equal tasks of a job.
 type Step struct {
-	Count       int       `cbor:"1,keyasint"`
-	Size        Resources `cbor:"2,keyasint"`
-	EstimatedMS int64     `cbor:"3,keyasint,omitempty"`
+	Count       int       `cbor:"1,keyasint" json:"count"`
+	Size        Resources `cbor:"2,keyasint" json:"size"`
+	EstimatedMS int64     `cbor:"3,keyasint,omitempty" json:"estimated_ms,omitempty"`
 	// After lists earlier steps, counted from 0, whose tasks must all be done first.
-	After        []int  `cbor:"4,keyasint,omitempty"`
-	Checkpoints  bool   `cbor:"5,keyasint,omitempty"`
-	Gang         bool   `cbor:"6,keyasint,omitempty"`
-	SameRack     bool   `cbor:"7,keyasint,omitempty"`
-	Label        string `cbor:"8,keyasint,omitempty"`
-	DataRack     string `cbor:"9,keyasint,omitempty"`
-	MaxPerWorker int    `cbor:"10,keyasint,omitempty"`
-	Speculative  bool   `cbor:"11,keyasint,omitempty"`
+	After        []int  `cbor:"4,keyasint,omitempty" json:"after,omitempty"`
+	Checkpoints  bool   `cbor:"5,keyasint,omitempty" json:"checkpoints,omitempty"`
+	Gang         bool   `cbor:"6,keyasint,omitempty" json:"gang,omitempty"`
+	SameRack     bool   `cbor:"7,keyasint,omitempty" json:"same_rack,omitempty"`
+	Label        string `cbor:"8,keyasint,omitempty" json:"label,omitempty"`
+	DataRack     string `cbor:"9,keyasint,omitempty" json:"data_rack,omitempty"`
+	MaxPerWorker int    `cbor:"10,keyasint,omitempty" json:"max_per_worker,omitempty"`
+	Speculative  bool   `cbor:"11,keyasint,omitempty" json:"speculative,omitempty"`
 	// LongRunning tasks run until their job is cancelled.
-	LongRunning bool   `cbor:"12,keyasint,omitempty"`
-	Image       string `cbor:"13,keyasint,omitempty"`
+	LongRunning bool   `cbor:"12,keyasint,omitempty" json:"long_running,omitempty"`
+	Image       string `cbor:"13,keyasint,omitempty" json:"image,omitempty"`
 	// TargetTailMS is the bound on the tail of a serving task's response times.
-	TargetTailMS int64 `cbor:"14,keyasint,omitempty"`
+	TargetTailMS int64 `cbor:"14,keyasint,omitempty" json:"target_tail_ms,omitempty"`
 	// FillsIdle tasks use what the others leave; their processor request does not
 	// count against a worker's capacity.
-	FillsIdle bool `cbor:"15,keyasint,omitempty"`
+	FillsIdle bool `cbor:"15,keyasint,omitempty" json:"fills_idle,omitempty"`
 	// MaxUnavailable bounds the tasks of a long-running step that the system may
 	// keep from work at once.
-	MaxUnavailable int `cbor:"16,keyasint,omitempty"`
+	MaxUnavailable int `cbor:"16,keyasint,omitempty" json:"max_unavailable,omitempty"`
 }
 
 // Occupies is what one task of the step takes of a worker's capacity.
@@ -137,10 +137,10 @@
 
 // TaskRef names one task of one occurrence of a job.
 type TaskRef struct {
-	Job        string `cbor:"1,keyasint"`
-	Occurrence int    `cbor:"2,keyasint,omitempty"`
-	Step       int    `cbor:"3,keyasint,omitempty"`
-	Index      int    `cbor:"4,keyasint,omitempty"`
+	Job        string `cbor:"1,keyasint" json:"job"`
+	Occurrence int    `cbor:"2,keyasint,omitempty" json:"occurrence"`
+	Step       int    `cbor:"3,keyasint,omitempty" json:"step"`
+	Index      int    `cbor:"4,keyasint,omitempty" json:"index"`
 }
 
 // String returns the name of the task in logs.
@@ -151,8 +151,8 @@
 // WorkerLife is one run of a worker's process. A restarted worker may keep its
 // identifier; Born tells its lives apart.
 type WorkerLife struct {
-	ID   string `cbor:"1,keyasint"`
-	Born int64  `cbor:"2,keyasint,omitempty"`
+	ID   string `cbor:"1,keyasint" json:"id"`
+	Born int64  `cbor:"2,keyasint,omitempty" json:"born"`
 }
 
 // Phase is the state of a task.
