Name the package that links entries and workers for what it does

Cause: internal/platform and the adapter platform/ were easily confused. Change: internal/platform is internal/workerlink; nothing else changes.

--- a/cmd/samphire-entry/main.go
+++ b/cmd/samphire-entry/main.go
@@ -16,8 +16,8 @@
 
 	"github.com/samphirefork/samphirefork/internal/entry"
 	"github.com/samphirefork/samphirefork/internal/operator"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/settings"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 func main() {
@@ -42,7 +42,7 @@
 	seed := uint64(time.Now().UnixNano())
 	log := set.NewLogger()
 	e := entry.New(set, entry.Options{Log: log, Seed: seed})
-	workers := platform.NewManager(set.Instance, e.Leader(), platform.HTTPDriver{Client: &http.Client{}}, log)
+	workers := workerlink.NewManager(set.Instance, e.Leader(), workerlink.HTTPDriver{Client: &http.Client{}}, log)
 	workers.Mount(e.Echo())
 	e.OnBackend(workers.AnnounceBackend)
 	path, handler := operator.NewHandler(e.Leader(), operator.Options{Token: set.OperatorToken, KeySecret: []byte(set.SharedSecret)})
@@ -52,7 +52,7 @@
 
 // serve runs the workers' sessions as long as the entry serves, also while it
 // finishes its requests in flight.
-func serve(ctx context.Context, e *entry.Entry, workers *platform.Manager) error {
+func serve(ctx context.Context, e *entry.Entry, workers *workerlink.Manager) error {
 	sessions, end := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { workers.Run(sessions) })
--- a/internal/simworker/http.go
+++ b/internal/simworker/http.go
@@ -7,29 +7,29 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/samphirefork/samphirefork/internal/history"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 // Handler returns the interface of the platform for this worker: tasks, drain and reboot.
 func (w *Worker) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
-	e.PUT("/tasks/:id", w.order(func(id string, o platform.TaskOrder) { w.startTask(id, o, time.Now()) }))
+	e.PUT("/tasks/:id", w.order(func(id string, o workerlink.TaskOrder) { w.startTask(id, o, time.Now()) }))
 	for _, kind := range []wire.OrderKind{wire.OrderStop, wire.OrderThrottle, wire.OrderUnthrottle, wire.OrderCheckpoint, wire.OrderAck} {
-		e.POST("/tasks/:id/"+string(kind), w.order(func(id string, o platform.TaskOrder) { w.control(id, o, kind) }))
+		e.POST("/tasks/:id/"+string(kind), w.order(func(id string, o workerlink.TaskOrder) { w.control(id, o, kind) }))
 	}
-	e.POST("/drain", w.order(func(string, platform.TaskOrder) { w.drain() }))
-	e.POST("/undrain", w.order(func(string, platform.TaskOrder) { w.undrain() }))
-	e.POST("/reboot", w.order(func(string, platform.TaskOrder) { w.reboot(time.Now()) }))
+	e.POST("/drain", w.order(func(string, workerlink.TaskOrder) { w.drain() }))
+	e.POST("/undrain", w.order(func(string, workerlink.TaskOrder) { w.undrain() }))
+	e.POST("/reboot", w.order(func(string, workerlink.TaskOrder) { w.reboot(time.Now()) }))
 	return e
 }
 
 // order decodes a request and runs f under the lock, unless the order is for
 // another incarnation or the worker is rebooting.
-func (w *Worker) order(f func(id string, o platform.TaskOrder)) echo.HandlerFunc {
+func (w *Worker) order(f func(id string, o workerlink.TaskOrder)) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		var o platform.TaskOrder
+		var o workerlink.TaskOrder
 		if err := c.Bind(&o); err != nil {
 			return err
 		}
@@ -43,7 +43,7 @@
 	}
 }
 
-func (w *Worker) control(id string, o platform.TaskOrder, kind wire.OrderKind) {
+func (w *Worker) control(id string, o workerlink.TaskOrder, kind wire.OrderKind) {
 	t := w.tasks[id]
 	if t == nil || t.key.Attempt != o.Attempt {
 		w.controlUnknown(id, o, kind)
@@ -70,7 +70,7 @@
 
 // controlUnknown answers a stop of an attempt that never began here. The
 // attempt is marked as seen, so that a start order that arrives later is refused.
-func (w *Worker) controlUnknown(id string, o platform.TaskOrder, kind wire.OrderKind) {
+func (w *Worker) controlUnknown(id string, o workerlink.TaskOrder, kind wire.OrderKind) {
 	if kind != wire.OrderStop || o.Attempt <= w.attempts[id] {
 		return
 	}
--- a/internal/simworker/tasks.go
+++ b/internal/simworker/tasks.go
@@ -11,8 +11,8 @@
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 // throttleFactor is how much longer throttled work takes.
@@ -64,7 +64,7 @@
 
 // startTask begins an attempt. A repeated order has no further effect; an
 // attempt that can't begin is reported as not started. The caller holds the lock.
-func (w *Worker) startTask(id string, o platform.TaskOrder, now time.Time) {
+func (w *Worker) startTask(id string, o workerlink.TaskOrder, now time.Time) {
 	if o.Attempt <= w.attempts[id] {
 		return
 	}
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -14,9 +14,9 @@
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/history"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 const (
@@ -194,11 +194,11 @@
 	return true
 }
 
-func (w *Worker) announcement(now time.Time) (platform.Announcement, string, bool) {
+func (w *Worker) announcement(now time.Time) (workerlink.Announcement, string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.rebootUntil.IsZero() {
-		return platform.Announcement{}, "", false
+		return workerlink.Announcement{}, "", false
 	}
 	w.sequence++
 	w.sent[w.sequence] = now
@@ -214,7 +214,7 @@
 		Tasks:       w.reports(now),
 	}
 	entry := w.cfg.Entries[w.nextEntry%len(w.cfg.Entries)]
-	return platform.Announcement{WorkerState: state, Sequence: w.sequence}, entry, true
+	return workerlink.Announcement{WorkerState: state, Sequence: w.sequence}, entry, true
 }
 
 func (w *Worker) reports(now time.Time) []wire.TaskReport {
@@ -234,7 +234,7 @@
 
 // renew extends the leases from the moments at which the acknowledged
 // announcements were sent. The caller holds the lock.
-func (w *Worker) renew(sequence uint64, reply platform.AnnounceReply) {
+func (w *Worker) renew(sequence uint64, reply workerlink.AnnounceReply) {
 	lease := time.Duration(reply.LeaseMS) * time.Millisecond
 	if sent, ok := w.sent[sequence]; ok {
 		w.entryLease = later(w.entryLease, sent.Add(lease))
@@ -251,13 +251,13 @@
 	return b
 }
 
-func (w *Worker) post(ctx context.Context, entry string, a platform.Announcement) (platform.AnnounceReply, error) {
-	var reply platform.AnnounceReply
+func (w *Worker) post(ctx context.Context, entry string, a workerlink.Announcement) (workerlink.AnnounceReply, error) {
+	var reply workerlink.AnnounceReply
 	body, err := json.Marshal(a)
 	if err != nil {
 		return reply, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+platform.AnnouncePath, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+workerlink.AnnouncePath, bytes.NewReader(body))
 	if err != nil {
 		return reply, err
 	}
--- a/internal/simworker/worker_test.go
+++ b/internal/simworker/worker_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 func leased(now time.Time) *Worker {
@@ -19,9 +19,9 @@
 	return w
 }
 
-func order(attempt int, policy fleet.PartitionPolicy) platform.TaskOrder {
+func order(attempt int, policy fleet.PartitionPolicy) workerlink.TaskOrder {
 	spec := &fleet.JobSpec{RunTimeMS: time.Hour.Milliseconds()}
-	return platform.TaskOrder{Attempt: attempt, Spec: spec, OnPartition: policy}
+	return workerlink.TaskOrder{Attempt: attempt, Spec: spec, OnPartition: policy}
 }
 
 // Guards against a second run of an attempt whose start order was repeated, and
@@ -31,11 +31,11 @@
 	w := leased(now)
 	w.startTask("a", order(1, ""), now)
 	require.Equal(t, wire.TaskRunning, w.tasks["a"].state)
-	w.control("a", platform.TaskOrder{Attempt: 1}, wire.OrderStop)
+	w.control("a", workerlink.TaskOrder{Attempt: 1}, wire.OrderStop)
 	w.startTask("a", order(1, ""), now)
 	require.Equal(t, wire.TaskStopped, w.tasks["a"].state)
 
-	w.control("b", platform.TaskOrder{Attempt: 1}, wire.OrderStop)
+	w.control("b", workerlink.TaskOrder{Attempt: 1}, wire.OrderStop)
 	w.startTask("b", order(1, ""), now)
 	require.Equal(t, wire.TaskNotStarted, w.tasks["b"].state)
 }
--- a/internal/slopes/sizes.go
+++ b/internal/slopes/sizes.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
-	"github.com/samphirefork/samphirefork/internal/platform"
 	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workerlink"
 )
 
 // The design size of docs/design.md, and the assumptions that it leaves open.
@@ -122,7 +122,7 @@
 
 func dcName(i int) string { return fmt.Sprintf("dc%d", i%designDataCentres+1) }
 
-func designWorker(tasks int) platform.Announcement {
+func designWorker(tasks int) workerlink.Announcement {
 	state := wire.WorkerState{
 		Instance: "dc10-w1234", Incarnation: "dc10-w1234-1796351700000000000-1", Address: "10.10.12.34:8080",
 		DataCentre: "dc10", Rack: "dc10-r28",
@@ -132,7 +132,7 @@
 		usage := fleet.Resources{CPUMilli: jobCPUMilli, MemoryMiB: jobMemory}
 		state.Tasks = append(state.Tasks, wire.TaskReport{JobID: jobID, Attempt: 1, State: wire.TaskRunning, Usage: usage})
 	}
-	return platform.Announcement{WorkerState: state, Sequence: 100000}
+	return workerlink.Announcement{WorkerState: state, Sequence: 100000}
 }
 
 func repeated(s wire.WorkerState, n int) []wire.WorkerState {
--- a/internal/platform/fit.go
+++ b/internal/workerlink/fit.go
@@ -1,4 +1,4 @@
-package platform
+package workerlink
 
 import (
 	"github.com/samphirefork/samphirefork/internal/fleet"
--- a/internal/platform/http.go
+++ b/internal/workerlink/http.go
@@ -1,4 +1,4 @@
-package platform
+package workerlink
 
 import (
 	"bytes"
@@ -48,17 +48,17 @@
 		OnPartition: order.OnPartition,
 	})
 	if err != nil {
-		return errors.Wrap(err, "platform: encode order")
+		return errors.Wrap(err, "workerlink: encode order")
 	}
 	method, path := request(order)
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "platform: order")
+		return errors.Wrap(err, "workerlink: order")
 	}
 	req.Header.Set(api.HeaderContentType, echo.MIMEApplicationJSON)
 	resp, err := d.Client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "platform: order")
+		return errors.Wrap(err, "workerlink: order")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnnouncementBytes))
@@ -100,7 +100,7 @@
 }
 
 // ErrBadAnnouncement is returned for an announcement that lacks what the leader needs.
-var ErrBadAnnouncement = errors.New("platform: bad announcement")
+var ErrBadAnnouncement = errors.New("workerlink: bad announcement")
 
 func (a Announcement) validate() error {
 	if a.Instance == "" || a.Incarnation == "" || a.Sequence == 0 {
--- a/internal/platform/platform.go
+++ b/internal/workerlink/manager.go
@@ -1,11 +1,11 @@
-// Package platform connects an entry instance with the workers of its data
+// Package workerlink connects an entry instance with the workers of its data
 // centre: it takes their announcements, reports them to the leader, and carries
 // out the leader's orders through the port Driver.
 //
 // A Manager decides nothing about jobs. It renews task leases: those of queues
 // that stop on a partition only as far as the leader has acknowledged the
 // worker's announcements, the others by its own contact with the worker.
-package platform
+package workerlink
 
 import (
 	"context"
@@ -60,7 +60,7 @@
 }
 
 // ErrRefused is a worker's refusal of an order, such as one for an earlier incarnation.
-var ErrRefused = errors.New("platform: worker refused the order")
+var ErrRefused = errors.New("workerlink: worker refused the order")
 
 // Driver carries out one order at a worker's address.
 type Driver interface {
--- a/internal/platform/platform_test.go
+++ b/internal/workerlink/manager_test.go
@@ -1,4 +1,4 @@
-package platform
+package workerlink
 
 import (
 	"context"
