Forget what is known of tasks of ended jobs

Cause: the dispatcher kept the workers on which a task failed for as long as it led. Change: these records go with their job, and those of lives that occupy nothing, at each prune. Test: TestRecordsOfEndedJobsAreForgotten (fails without the pruning).

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
@@ -206,7 +207,14 @@
 		return nil
 	}
 	p := &workload.Progress{}
+	if now-d.prunedAt > pruneEveryMS {
+		d.prunedAt = now
+		p.Prune = now - d.settings.ForgetAfter.Milliseconds()
+	}
 	d.log.Read(func(s *fleet.State) {
+		if p.Prune != 0 {
+			d.forgetEnded(s.Workload)
+		}
 		p.Due = d.due(s.Workload, now)
 		p.Stops = d.stops(s.Workload, now)
 		d.noteContact(s.Workload, now)
@@ -221,16 +229,21 @@
 		d.noteDemand(s.Workload, plan, now)
 		d.seekAdvice(s.Workload, plan.NeedAdvice, workers, now)
 	})
-	if now-d.prunedAt > pruneEveryMS {
-		d.prunedAt = now
-		p.Prune = now - d.settings.ForgetAfter.Milliseconds()
-	}
 	if len(p.Due)+len(p.Stops)+len(p.Starts) == 0 && p.Prune <= 0 {
 		return nil
 	}
 	return p
 }
 
+// forgetEnded drops what is known of tasks whose job has ended and of lives that
+// occupy nothing any more.
+func (d *Dispatcher) forgetEnded(s *workload.State) {
+	maps.DeleteFunc(d.failedOn, func(ref workload.TaskRef, _ map[string]bool) bool { return s.Active()[ref.Job] == nil })
+	unused := func(life workload.WorkerLife) bool { return len(s.Occupied(life)) == 0 }
+	maps.DeleteFunc(d.gone, func(life workload.WorkerLife, _ bool) bool { return unused(life) })
+	maps.DeleteFunc(d.absent, func(life workload.WorkerLife, _ int) bool { return unused(life) })
+}
+
 // due returns the occurrences of repeated jobs whose time has come by the wall clock.
 func (d *Dispatcher) due(s *workload.State, now int64) []workload.Due {
 	var due []workload.Due
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -252,3 +252,21 @@
 	report("b", "m1", 50)
 	r.cycle()
 }
+
+// Guards against records of tasks and workers that grow for as long as a leader leads.
+func TestRecordsOfEndedJobsAreForgotten(t *testing.T) {
+	r := newRig(1)
+	a := r.addWorker("a", "r1")
+	a.failsAll = true
+	r.submit("job", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}})
+	require.True(t, r.settle())
+	d := r.dispatchers[0]
+	require.NotEmpty(t, d.failedOn)
+	d.gone[workload.WorkerLife{ID: "old"}] = true
+	d.absent[workload.WorkerLife{ID: "old"}] = 1
+	r.advance(pruneEveryMS + 1)
+	r.cycle()
+	require.Empty(t, d.failedOn)
+	require.Empty(t, d.gone)
+	require.Empty(t, d.absent)
+}
