--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -168,19 +168,29 @@
 }
 
 // checkDisk hands the leadership over while the disk does not finish a write:
-// nothing is applied here until it does.
+// nothing is applied here until it does. On any store a long write is logged once,
+// since a store that persists nothing still answers heartbeats.
 func (n *Node) checkDisk() {
-	if !n.persisting || n.clock()-n.persistSince < int64(n.minElection()) {
+	pending := time.Duration(n.clock() - n.persistSince)
+	if !n.persisting || pending < n.minElection() {
 		return
 	}
+	if !n.longWrite {
+		n.longWrite = true
+		n.log.Warn().Dur("pending", pending).Msg("disk does not finish a write")
+	}
 	if n.core.Status().Role == raft.Leader {
-		n.log.Warn().Dur("pending", time.Duration(n.clock()-n.persistSince)).Msg("disk does not finish a write, leadership is handed over")
+		n.log.Warn().Dur("pending", pending).Msg("disk does not finish a write, leadership is handed over")
 		n.core.Transfer()
 	}
 }
 
 func (n *Node) afterPersist(res jobResult) error {
 	n.persisting = false
+	if n.longWrite {
+		n.longWrite = false
+		n.log.Info().Dur("took", res.took).Msg("disk finished a long write")
+	}
 	if res.err != nil {
 		return errors.Wrap(res.err, "store: persist")
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -140,10 +140,12 @@
 	persisting bool
 	// persistSince is when the present write was handed to the disk.
 	persistSince int64
-	saving       bool
-	trimTo       uint64
-	applied      uint64
-	snapshotAt   uint64
+	// longWrite is true when the present write was logged as long.
+	longWrite  bool
+	saving     bool
+	trimTo     uint64
+	applied    uint64
+	snapshotAt uint64
 	// sinceBytes is the size of the commands applied since snapshotAt, and
 	// keepFrom the index of the snapshot before the one that is being saved.
 	sinceBytes  int
