Place the tasks of teams below their share first

Cause: a team's weight was read and not used; with a full pool the order was by deadlines alone, so one team's backlog went before the little work of others. Change: among work that can still be in time and of one priority, teams below their share of the pool come first; the share is the weight among the teams with work there. Test: TestTeamsGetTheirSharesWhenThePoolIsFull (fails with the order by deadlines).

--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -78,6 +78,8 @@
 	pool       string
 	class      int
 	dueAt      int64
+	// overShare is true when the team uses its share of the pool or more.
+	overShare bool
 }
 
 // Classes of work in the order in which they are placed.
@@ -94,6 +96,8 @@
 	plan  Plan
 	rooms map[string][]*room
 	teams map[string]workload.Resources
+	// used is the processor time of tasks that end by themselves.
+	used map[poolTeam]int64
 }
 
 // room is what a worker has left.
@@ -108,7 +112,7 @@
 
 // Make returns the starts for all waiting tasks that find room.
 func Make(in Input) Plan {
-	p := &planner{in: in, rooms: map[string][]*room{}, teams: map[string]workload.Resources{}}
+	p := &planner{in: in, rooms: map[string][]*room{}, teams: map[string]workload.Resources{}, used: map[poolTeam]int64{}}
 	p.plan.Unplaced = map[string]Unplaced{}
 	for _, w := range in.Workers {
 		p.rooms[w.Pool] = append(p.rooms[w.Pool], p.roomOf(w))
@@ -126,6 +130,8 @@
 		r.tasks++
 		if run.LongRunning {
 			r.longRunning++
+		} else {
+			p.used[poolTeam{w.Pool, run.Team}] += run.Occupies.CPUMilli
 		}
 	}
 	return r
@@ -142,6 +148,7 @@
 			}
 		}
 	}
+	p.markShares(out)
 	slices.SortFunc(out, compare)
 	return out
 }
@@ -168,6 +175,7 @@
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.job.Priority, b.job.Priority),
+		compareBool(a.overShare, b.overShare),
 		cmp.Compare(a.dueAt, b.dueAt),
 		cmp.Compare(a.ref.Job, b.ref.Job),
 		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -224,3 +224,34 @@
 	require.Equal(t, 3, u.Spread)
 	require.Equal(t, int64(12000), u.LongRunning.CPUMilli)
 }
+
+// Replays a team that hands in more than the pool holds, with the earlier deadlines:
+// while the pool is full, a team below its share comes first, by its weight.
+func TestTeamsGetTheirSharesWhenThePoolIsFull(t *testing.T) {
+	f := newFixture(2, workload.Team{Name: "large", Weight: 3})
+	f.submit("first", "batch", "large", 1, step(16, 1000))
+	f.run(f.plan())
+	f.submit("second", "batch", "large", 2, step(16, 1000))
+	f.submit("other", "batch", "small", 3, step(16, 1000))
+	ends := &workload.Progress{}
+	for i := range 4 {
+		ref := workload.TaskRef{Job: "first", Index: i}
+		_, task, _ := f.state.Task(ref)
+		ends.Ends = append(ends.Ends, workload.End{Task: ref, Run: 1, Worker: task.Worker, Outcome: workload.OutcomeDone})
+	}
+	f.state.Apply(&workload.Command{Progress: ends}, now)
+	for _, start := range f.plan().Starts {
+		require.Equal(t, "other", start.Task.Job, "the large team has 12 of 16 cores, its share")
+	}
+	ends.Ends = nil
+	for i := range 4 {
+		ref := workload.TaskRef{Job: "first", Index: 4 + i}
+		_, task, _ := f.state.Task(ref)
+		ends.Ends = append(ends.Ends, workload.End{Task: ref, Run: 1, Worker: task.Worker, Outcome: workload.OutcomeDone})
+	}
+	f.run(f.plan())
+	f.state.Apply(&workload.Command{Progress: ends}, now)
+	for _, start := range f.plan().Starts {
+		require.Equal(t, "second", start.Task.Job, "now the small team has its share")
+	}
+}
