Print the timeline of a request or job from the logs

Cause: on call, the way from an identifier to its cause was a search by hand over the logs of all processes, and lines on a job's workers don't name the job. Change: samphirectl explain reads logs of any number of processes, compressed or cut off or with a prefix, and prints the lines on the identifier, on its workers, and on leaders and stores at that time.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -88,6 +88,7 @@
 			a.memberCommand(),
 			a.lostCommand(),
 			a.snapshotCommand(),
+			a.explainCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,220 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const (
+	// maxLogLine bounds one line of a log; the longest hold a list of fields.
+	maxLogLine = 1 << 20
+	// aroundTime is how long before the first and after the last line of a job lines
+	// on leaders, stores and its workers are shown: an election, and the time after
+	// which a worker counts as silent.
+	aroundTime    = 3 * time.Second
+	timeColumn    = "15:04:05.000"
+	gzipMagic     = "\x1f\x8b"
+	standardInput = "-"
+)
+
+// logLine is one structured line of a process.
+type logLine struct {
+	at       time.Time
+	instance string
+	message  string
+	fields   map[string]any
+}
+
+func (a *app) explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "samphirectl explain ID FILE...",
+		ShortHelp:  "Prints the timeline of a request or job from the logs of any number of processes.",
+		LongHelp: `The logs may be compressed by gzip, cut off, or have text before the JSON of a line;
+a dash reads standard input. Lines on the workers of the job, and on leaders and
+stores at that time, are shown with it.
+
+EXAMPLES
+  samphirectl explain 5c0e7a21d94b36f8 /var/log/samphirefork/*.jsonl`,
+		FlagSet: a.flagSet("explain"),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return usage("explain needs an identifier and at least one file")
+			}
+			lines, unread, err := readLogs(args[1:])
+			if err != nil {
+				return refusedf("%v", err)
+			}
+			shown := timeline(lines, args[0])
+			if len(shown) == 0 {
+				return refusedf("%d lines, none of them on %s (%d could not be read)", len(lines), args[0], unread)
+			}
+			return a.printTimeline(shown, unread)
+		},
+	}
+}
+
+func readLogs(files []string) (lines []logLine, unread int, err error) {
+	for _, name := range files {
+		data, err := readLog(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		scanner := bufio.NewScanner(bytes.NewReader(data))
+		scanner.Buffer(nil, maxLogLine)
+		for scanner.Scan() {
+			if line, ok := parseLogLine(scanner.Bytes()); ok {
+				lines = append(lines, line)
+			} else if len(bytes.TrimSpace(scanner.Bytes())) > 0 {
+				unread++
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, 0, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int { return x.at.Compare(y.at) })
+	return lines, unread, nil
+}
+
+// readLog returns the content of a file. A compressed one that is cut off gives
+// what can be read of it.
+func readLog(name string) ([]byte, error) {
+	if name == standardInput {
+		return io.ReadAll(os.Stdin)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil || !bytes.HasPrefix(data, []byte(gzipMagic)) {
+		return data, err
+	}
+	unzip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	plain, err := io.ReadAll(unzip)
+	if err != nil && len(plain) == 0 {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return plain, nil
+}
+
+func parseLogLine(text []byte) (logLine, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	l := logLine{}
+	decoder := json.NewDecoder(bytes.NewReader(text[start:]))
+	decoder.UseNumber() // identifiers of members exceed the integers of a float
+	if decoder.Decode(&l.fields) != nil {
+		return logLine{}, false
+	}
+	l.message, _ = l.fields["message"].(string)
+	l.instance, _ = l.fields["instance"].(string)
+	at, _ := l.fields["time"].(string)
+	var err error
+	l.at, err = time.Parse(time.RFC3339Nano, at)
+	for _, shown := range []string{"message", "instance", "time", "level", "data_centre"} {
+		delete(l.fields, shown)
+	}
+	return l, err == nil
+}
+
+// timeline returns the lines on the identifier, those on the workers of its tasks,
+// and those on neither request nor task near them.
+func timeline(lines []logLine, id string) []logLine {
+	workers := map[string]bool{}
+	var first, last time.Time
+	for _, l := range lines {
+		if !l.mentions(id) {
+			continue
+		}
+		if first.IsZero() {
+			first = l.at
+		}
+		last = l.at
+		if worker, ok := l.fields["worker"].(string); ok {
+			workers[worker] = true
+		}
+	}
+	var out []logLine
+	for _, l := range lines {
+		near := !first.IsZero() && l.at.After(first.Add(-aroundTime)) && l.at.Before(last.Add(aroundTime))
+		if l.mentions(id) || near && l.concerns(workers) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// mentions tells whether a field is the identifier, or a path or task with it.
+func (l *logLine) mentions(id string) bool {
+	for _, v := range l.fields {
+		text, ok := v.(string)
+		if !ok {
+			continue
+		}
+		isPart := func(r rune) bool { return r == '/' || r == '.' }
+		if text == id || slices.Contains(strings.FieldsFunc(text, isPart), id) || strings.HasPrefix(text, id+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// concerns tells whether the line is about one of the workers, or about the system
+// and no single request, task or machine.
+func (l *logLine) concerns(workers map[string]bool) bool {
+	for _, field := range []string{"task", "job", "path", "machine", "host"} {
+		if _, ok := l.fields[field]; ok {
+			worker, _ := l.fields["worker"].(string)
+			return field == "machine" && workers[worker]
+		}
+	}
+	worker, ok := l.fields["worker"].(string)
+	return !ok || workers[worker]
+}
+
+func (a *app) printTimeline(lines []logLine, unread int) error {
+	if a.format == formatJSON {
+		return a.printJSON(timelineJSON(lines))
+	}
+	var rows [][]string
+	for _, l := range lines {
+		rows = append(rows, []string{l.at.UTC().Format(timeColumn), l.instance, l.message, l.details()})
+	}
+	a.table([]string{"TIME", "INSTANCE", "EVENT", "DETAILS"}, rows)
+	if unread > 0 {
+		_, err := fmt.Fprintf(a.env.Stderr, "%d lines could not be read\n", unread)
+		return err
+	}
+	return nil
+}
+
+func timelineJSON(lines []logLine) []map[string]any {
+	var out []map[string]any
+	for _, l := range lines {
+		out = append(out, map[string]any{"time": l.at, "instance": l.instance, "event": l.message, "details": l.fields})
+	}
+	return out
+}
+
+func (l *logLine) details() string {
+	var parts []string
+	for name, v := range l.fields {
+		parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
