Name placed runs for what they are, keep the decisions on silent workers together

Cause: read as a newcomer, a type named for abandoned runs also described present ones, and the decisions on silent workers were spread over two files.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -84,52 +84,6 @@
 	return ends
 }
 
-// abandon returns the speculative runs on a silent worker that may start elsewhere
-// as copies, as long as most other workers are heard: a leader that hears few is
-// cut off or has just begun itself.
-//
-// Load pattern: a data centre is cut off or workers crash without a sign; what runs
-// there would wait for the end of the leases.
-func (d *Dispatcher) abandon(s *workload.State, life workload.WorkerLife, now int64) []workload.End {
-	silentSince := d.since + newLeaderGraceMS
-	if w, ok := d.workers[life]; ok {
-		silentSince = w.heardAt
-	}
-	if now-silentSince <= staleMS || !d.hearsMost(s, now) {
-		return nil
-	}
-	var ends []workload.End
-	for ref, p := range s.Occupied(life) {
-		j, _, ok := s.Task(ref)
-		if ok && !p.Stopping && j.Steps[ref.Step].Speculative && !j.Steps[ref.Step].Gang {
-			d.noteFailure(ref, life.ID)
-			ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: life, Outcome: workload.OutcomeAbandoned})
-		}
-	}
-	return ends
-}
-
-// hearsMost tells whether more than half of the workers that are known or should
-// run something reported a short time ago.
-func (d *Dispatcher) hearsMost(s *workload.State, now int64) bool {
-	heard, known := 0, 0
-	for life := range s.OccupiedLives() {
-		if _, ok := d.workers[life]; !ok {
-			known++
-		}
-	}
-	for _, w := range d.workers {
-		if w.over {
-			continue
-		}
-		known++
-		if w.reports(now) {
-			heard++
-		}
-	}
-	return heard > known/2
-}
-
 // neverBegan returns the ends of stopping runs that the worker does not list
 // although an earlier answer told it to stop them. The worker refuses a later
 // start of a run that it was told to stop. Called before a report is answered.
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -66,9 +66,10 @@
 	if err := e.leader.Call(ctx, wire.TypeJobCall, call, &reply, 0); err != nil {
 		return e.refuseJob(c, from, proposeRefusal(err))
 	}
-	if refusal := stepRefusal(reply); refusal != nil && judged(reply.Verdict) {
-		return e.respond(c, from.id, asAnswer(refusal))
-	} else if refusal != nil {
+	if refusal := stepRefusal(reply); refusal != nil {
+		if judged(reply.Verdict) {
+			return e.respond(c, from.id, asAnswer(refusal))
+		}
 		return e.refuseJob(c, from, refusal)
 	}
 	c.Response().Header().Set(api.HeaderRequestID, from.id)
--- a/internal/simworker/steps.go
+++ b/internal/simworker/steps.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -85,7 +84,8 @@
 	defer stop()
 	reports := make(chan time.Duration, 1)
 	next := time.Now()
-	for !w.finished(ctx) {
+	for !w.finished() {
+		w.noteEnd(ctx)
 		w.work(time.Now())
 		select {
 		case pause := <-reports:
@@ -102,10 +102,16 @@
 	w.client.CloseIdleConnections()
 }
 
-func (w *StepWorker) finished(ctx context.Context) bool {
+// noteEnd begins to drain when ctx has ended.
+func (w *StepWorker) noteEnd(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = w.draining || ctx.Err() != nil
+}
+
+func (w *StepWorker) finished() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.draining = ctx.Err() != nil
 	return w.draining && len(w.running) == 0 && len(w.ended) == 0
 }
 
@@ -256,10 +262,3 @@
 	}
 	_ = resp.Body.Close() // the answer has no body
 }
-
-// Tasks returns the tasks that run, for tests.
-func (w *StepWorker) Tasks() []workload.TaskRef {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Collect(maps.Keys(w.running))
-}
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -98,14 +98,14 @@
 		return
 	}
 	s.stop(ref, t)
-	t.Abandoned = slices.Concat(t.Abandoned, []AbandonedRun{t.present()})
+	t.Abandoned = slices.Concat(t.Abandoned, []PlacedRun{t.present()})
 	p.set(t, Waiting)
 }
 
 // endAbandoned ends an abandoned run, and reports false when the end is of another
 // one. A run that is done ends its task; a later run stops first.
 func (s *State) endAbandoned(j *Job, t *Task, c *End) bool {
-	i := slices.IndexFunc(t.Abandoned, func(a AbandonedRun) bool { return a.Run == c.Run && a.Worker == c.Worker })
+	i := slices.IndexFunc(t.Abandoned, func(a PlacedRun) bool { return a.Run == c.Run && a.Worker == c.Worker })
 	if i < 0 {
 		return false
 	}
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -100,11 +100,11 @@
 }
 
 // present returns the task's present run.
-func (t *Task) present() AbandonedRun {
-	return AbandonedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, Machine: t.Machine}
+func (t *Task) present() PlacedRun {
+	return PlacedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, Machine: t.Machine}
 }
 
-func (s *State) occupy(j *Job, ref TaskRef, run AbandonedRun, stopping bool) {
+func (s *State) occupy(j *Job, ref TaskRef, run PlacedRun, stopping bool) {
 	step := &j.Steps[ref.Step]
 	runs := s.occupied[run.Worker]
 	if runs == nil {
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -179,9 +179,10 @@
 	PlacedAt int64  `cbor:"6,keyasint,omitempty"`
 	EndedAt  int64  `cbor:"7,keyasint,omitempty"`
 	Ticket   string `cbor:"8,keyasint,omitempty"`
-	// Abandoned are earlier runs of a speculative step that may still go on. The
-	// slice is replaced as a whole, since copies of the state share it.
-	Abandoned []AbandonedRun `cbor:"9,keyasint,omitempty"`
+	// Abandoned are earlier runs of a speculative step whose workers are silent. Each
+	// occupies its worker until its end is known, and ends the task if it is done first.
+	// The slice is replaced as a whole, since copies of the state share it.
+	Abandoned []PlacedRun `cbor:"9,keyasint,omitempty"`
 	// DoneByCopy is set when an abandoned run was done while a later one was placed:
 	// the task is done when the later one has stopped.
 	DoneByCopy bool `cbor:"10,keyasint,omitempty"`
@@ -190,9 +191,8 @@
 	Machine string `cbor:"11,keyasint,omitempty"`
 }
 
-// AbandonedRun is a run whose worker is silent. It occupies the worker until its
-// end is known, and it ends the task if it is done first.
-type AbandonedRun struct {
+// PlacedRun is a run and where it was placed.
+type PlacedRun struct {
 	Run      int        `cbor:"1,keyasint"`
 	Worker   WorkerLife `cbor:"2,keyasint"`
 	PlacedAt int64      `cbor:"3,keyasint,omitempty"`
