Bound the arrival of bodies on the product's own entries too

Cause: the entries of the product bounded headers only, as the platform's did. Change: one reader of bodies, internal/httpbody, with a size and a time, for both; 10 s on the entries.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -20,6 +20,8 @@
 
 const (
 	maxRequestBytes = 1 << 20
+	// bodyTimeout bounds the arrival of a body: 1 MiB within the longest time of a call.
+	bodyTimeout = 10 * time.Second
 	// maxAnswerBytes leaves room in a peer frame for the answer's other fields.
 	maxAnswerBytes  = wire.MaxFrameBytes - 64<<10
 	idleConnTimeout = 30 * time.Second
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -286,13 +285,9 @@
 
 // decodeJSON decodes a JSON body of bounded size.
 func decodeJSON(c echo.Context, limit int64, v any) *api.Refusal {
-	body := io.LimitReader(c.Request().Body, limit+1)
-	data, err := io.ReadAll(body)
-	if err != nil {
-		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body was cut off")
-	}
-	if int64(len(data)) > limit {
-		return api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body is too large")
+	data, refusal := readLimited(c, limit)
+	if refusal != nil {
+		return refusal
 	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not valid JSON: "+err.Error())
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"io"
 	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,9 +13,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/httpbody"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -221,13 +222,18 @@
 }
 
 func readBody(c echo.Context) ([]byte, *api.Refusal) {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRequestBytes+1))
-	if err != nil {
+	return readLimited(c, maxRequestBytes)
+}
+
+// readLimited returns a body of bounded size that arrives within bodyTimeout.
+func readLimited(c echo.Context, limit int64) ([]byte, *api.Refusal) {
+	body, err := httpbody.Read(c.Response(), c.Request(), limit, bodyTimeout)
+	switch {
+	case errors.Is(err, httpbody.ErrTooLarge):
+		return nil, api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body is too large")
+	case err != nil:
 		return nil, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body was cut off")
 	}
-	if len(body) > maxRequestBytes {
-		return nil, api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body exceeds 1 MiB")
-	}
 	return body, nil
 }
 
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -124,12 +123,12 @@
 // handleStepReport serves PUT /v1/step-workers/:id: the report of a worker of step
 // jobs, which the leader answers with orders.
 func (e *Entry) handleStepReport(c echo.Context) error {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxStepReportBytes+1))
-	if err != nil || len(body) > maxStepReportBytes {
-		return e.respond(c, "", asAnswer(api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the report is cut off or too large")))
+	body, refusal := readLimited(c, maxStepReportBytes)
+	if refusal != nil {
+		return e.respond(c, "", asAnswer(refusal))
 	}
 	var orders wire.StepOrders
-	err = e.askLeader(c, wire.TypeStepReport, wire.StepReport{Worker: c.Param("id"), Body: body}, &orders)
+	err := e.askLeader(c, wire.TypeStepReport, wire.StepReport{Worker: c.Param("id"), Body: body}, &orders)
 	if err != nil {
 		return e.respond(c, "", asAnswer(reportRefusal(err)))
 	}
