Take a machine for absent only by a list that names those of the workers that report

Cause: a list that is empty or in part would have ended every worker that is silent for 1.3 s, also one that is only cut off. Change: a list without the machine of a worker that reports, and did so for 2 s, is no evidence of absence.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -201,7 +201,7 @@
 			return nil
 		}
 		w = newWorker(rep)
-		w.idleSince = now
+		w.idleSince, w.joinedAt = now, now
 		d.adopt(w, now)
 		d.logger.Info().Str("worker", rep.Life.ID).Int64("born", rep.Life.Born).Str("machine", rep.Machine).
 			Str("pool", rep.Pool).Str("rack", rep.Rack).Int("running", len(rep.Running)).Msg("worker joins")
--- a/internal/dispatch/gone.go
+++ b/internal/dispatch/gone.go
@@ -6,8 +6,13 @@
 )
 
 // absentReads is the number of readings of the list in which a machine is missing
-// until it counts as gone: a list of several pages may change between them.
-const absentReads = 2
+// until it counts as gone: a list of several pages may change between them. Lists
+// that lack the machine of a worker that reports, and did so well before the list was
+// asked for, are no evidence of absence.
+const (
+	absentReads = 2
+	longKnownMS = 2000
+)
 
 // suspects tells whether a worker with tasks is silent, so that the platform's list
 // can tell a crash from a cut.
@@ -39,20 +44,34 @@
 // Load pattern: a part of a pool crashes without a sign, at times together with the
 // leader; what ran there would wait for the end of the leases, 10 s.
 func (d *Dispatcher) endGone(s *workload.State, listed map[string]MachineInfo, asked int64) {
+	complete := d.isComplete(listed, asked)
 	for life, w := range d.workers {
-		if !w.over && d.isGone(life, w.Machine, listed, asked) {
+		if !w.over && d.isGone(life, w.Machine, listed, complete, asked) {
 			w.finish()
 			d.Wake()
 		}
 	}
 	for life, runs := range s.OccupiedLives() {
-		if _, known := d.workers[life]; !known && !d.gone[life] && d.isGone(life, machineOf(runs), listed, asked) {
+		if _, known := d.workers[life]; !known && !d.gone[life] && d.isGone(life, machineOf(runs), listed, complete, asked) {
 			d.gone[life] = true
 			d.Wake()
 		}
 	}
 }
 
+// isComplete tells whether the list names the machines of all workers that report.
+func (d *Dispatcher) isComplete(listed map[string]MachineInfo, asked int64) bool {
+	for _, w := range d.workers {
+		if w.Machine == "" || !w.reports(asked) || asked-w.joinedAt < longKnownMS {
+			continue
+		}
+		if _, ok := listed[w.Machine]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 func machineOf(runs map[workload.TaskRef]*workload.Placement) string {
 	for _, p := range runs {
 		return p.Machine
@@ -63,7 +82,7 @@
 // isGone judges one life by the list. A machine that is up with the life's own
 // worker may be cut off, and a worker that restarted under its identifier reports
 // by itself.
-func (d *Dispatcher) isGone(life workload.WorkerLife, machine string, listed map[string]MachineInfo, asked int64) bool {
+func (d *Dispatcher) isGone(life workload.WorkerLife, machine string, listed map[string]MachineInfo, complete bool, asked int64) bool {
 	silentMS := asked - d.silentSince(life)
 	if machine == "" || silentMS <= staleMS {
 		delete(d.absent, life)
@@ -72,6 +91,8 @@
 	info, found := listed[machine]
 	reason := ""
 	switch {
+	case !found && !complete:
+		return false
 	case !found:
 		d.absent[life]++
 		if d.absent[life] < absentReads {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -9,6 +9,8 @@
 type worker struct {
 	Report
 	heardAt int64
+	// joinedAt is when this leader first heard the life.
+	joinedAt int64
 	// leaseUntil is when the worker has certainly stopped everything, if it hears
 	// nothing more.
 	leaseUntil int64
