Read the list at the pace of its setting; need a witness for absence

Change: one pause between readings; a list is complete only if it names the machine of at least one worker that has reported for a while. One type holds a reading. Test: TestListEndsWorkersThatANewLeaderNeverHeard, with an empty list (fails before).

--- a/internal/dispatch/gone.go
+++ b/internal/dispatch/gone.go
@@ -5,15 +5,25 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
-// absentReads is the number of readings of the list in which a machine is missing
-// until it counts as gone: a list of several pages may change between them. Lists
-// that lack the machine of a worker that reports, and did so well before the list was
-// asked for, are no evidence of absence.
 const (
+	// absentReads is the number of readings of the list in which a machine is missing
+	// until it counts as gone: a list of several pages may change between them.
 	absentReads = 2
+	// longKnownMS is how long a worker must have reported for its machine to be on a
+	// list that is complete: a machine may be new.
 	longKnownMS = 2000
 )
 
+// reading is one reading of the platform's list of machines.
+type reading struct {
+	machines map[string]MachineInfo
+	// asked is the cluster time at which it was asked for: what it shows is not older.
+	asked int64
+	// complete is true when it names the machines of the workers that report. Only
+	// then a machine that is missing may be gone.
+	complete bool
+}
+
 // suspects tells whether a worker with tasks is silent, so that the platform's list
 // can tell a crash from a cut.
 func (d *Dispatcher) suspects() bool {
@@ -43,33 +53,36 @@
 //
 // Load pattern: a part of a pool crashes without a sign, at times together with the
 // leader; what ran there would wait for the end of the leases, 10 s.
-func (d *Dispatcher) endGone(s *workload.State, listed map[string]MachineInfo, asked int64) {
-	complete := d.isComplete(listed, asked)
+func (d *Dispatcher) endGone(s *workload.State, r reading) {
+	r.complete = d.isComplete(r)
 	for life, w := range d.workers {
-		if !w.over && d.isGone(life, w.Machine, listed, complete, asked) {
+		if !w.over && d.isGone(life, w.Machine, r) {
 			w.finish()
 			d.Wake()
 		}
 	}
 	for life, runs := range s.OccupiedLives() {
-		if _, known := d.workers[life]; !known && !d.gone[life] && d.isGone(life, machineOf(runs), listed, complete, asked) {
+		if _, known := d.workers[life]; !known && !d.gone[life] && d.isGone(life, machineOf(runs), r) {
 			d.gone[life] = true
 			d.Wake()
 		}
 	}
 }
 
-// isComplete tells whether the list names the machines of all workers that report.
-func (d *Dispatcher) isComplete(listed map[string]MachineInfo, asked int64) bool {
+// isComplete tells whether the list names the machines of all workers that report,
+// of which there must be one.
+func (d *Dispatcher) isComplete(r reading) bool {
+	checked := 0
 	for _, w := range d.workers {
-		if w.Machine == "" || !w.reports(asked) || asked-w.joinedAt < longKnownMS {
+		if w.Machine == "" || !w.reports(r.asked) || r.asked-w.joinedAt < longKnownMS {
 			continue
 		}
-		if _, ok := listed[w.Machine]; !ok {
+		checked++
+		if _, ok := r.machines[w.Machine]; !ok {
 			return false
 		}
 	}
-	return true
+	return checked > 0
 }
 
 func machineOf(runs map[workload.TaskRef]*workload.Placement) string {
@@ -82,16 +95,16 @@
 // isGone judges one life by the list. A machine that is up with the life's own
 // worker may be cut off, and a worker that restarted under its identifier reports
 // by itself.
-func (d *Dispatcher) isGone(life workload.WorkerLife, machine string, listed map[string]MachineInfo, complete bool, asked int64) bool {
-	silentMS := asked - d.silentSince(life)
+func (d *Dispatcher) isGone(life workload.WorkerLife, machine string, r reading) bool {
+	silentMS := r.asked - d.silentSince(life)
 	if machine == "" || silentMS <= staleMS {
 		delete(d.absent, life)
 		return false
 	}
-	info, found := listed[machine]
+	info, found := r.machines[machine]
 	reason := ""
 	switch {
-	case !found && !complete:
+	case !found && !r.complete:
 		return false
 	case !found:
 		d.absent[life]++
@@ -108,7 +121,7 @@
 		return false
 	}
 	d.logger.Info().Str("worker", life.ID).Int64("born", life.Born).Str("machine", machine).Str("reason", reason).
-		Int64("silent_ms", silentMS).Int64("listed_at", asked).Msg("worker life is over by the platform's list")
+		Int64("silent_ms", silentMS).Int64("listed_at", r.asked).Msg("worker life is over by the platform's list")
 	return true
 }
 
--- a/internal/dispatch/gone_test.go
+++ b/internal/dispatch/gone_test.go
@@ -91,6 +91,10 @@
 	r, b, ref := crashed(t)
 	r.elect(1)
 	require.False(t, r.starts(b, ref))
+	for range 3 {
+		r.dispatchers[1].takeList(nil, r.now+staleMS+1)
+	}
+	require.False(t, r.starts(b, ref), "no worker tells whether the list is complete")
 	require.False(t, r.dispatchers[1].suspects())
 	r.advance(staleMS + 100)
 	require.True(t, r.dispatchers[1].suspects())
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -73,16 +73,21 @@
 
 // follow reads the list of machines until ctx ends.
 func (d *Dispatcher) follow(ctx context.Context) {
-	due := time.Now()
+	var last time.Time
+	pause := listRetry
 	for wait.For(ctx, listCheck) {
 		if !d.log.Leadership().Leading {
 			continue
 		}
-		suspected := d.suspects() && time.Until(due) < listEvery-suspectEvery
-		if !suspected && time.Now().Before(due) {
+		due := pause
+		if pause == listEvery && d.suspects() {
+			due = suspectEvery
+		}
+		if time.Since(last) < due {
 			continue
 		}
-		due = time.Now().Add(listRetry)
+		last = time.Now()
+		pause = listRetry
 		asked := int64(d.log.Now())
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := d.machines.List(call)
@@ -92,7 +97,7 @@
 			continue
 		}
 		d.takeList(list, asked)
-		due = time.Now().Add(listEvery)
+		pause = listEvery
 	}
 }
 
@@ -114,7 +119,7 @@
 		}
 	}
 	d.listed = true
-	d.log.Read(func(s *fleet.State) { d.endGone(s.Workload, listed, asked) })
+	d.log.Read(func(s *fleet.State) { d.endGone(s.Workload, reading{machines: listed, asked: asked}) })
 }
 
 // locate records that a worker life reports from a machine.
