Move machines of the kind that waiting steps require

Cause: moves of machines knew no labels. Ruled out: the planner; it found no worker with the label in the pool (printed per cycle). Change: the plan tells what finds no room by label, machines keep their labels on the way, and a pool gets machines with the label for the work that requires it; machines that such work waits for neither leave nor are lent. Tests: TestMachinesOfTheRequiredKindCome, TestMachinesOfTheRequiredKindStay, TestNeedIsToldByLabel.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -48,6 +48,8 @@
 	Name string
 	Pool string
 	Rack string
+	// Labels are what steps may require of their workers.
+	Labels []string
 	// Off machines are in the spare pool and run nothing.
 	Off bool
 	// IdleMS is the time for which the machine has run nothing; -1 while it runs
@@ -58,8 +60,22 @@
 	Tasks int
 }
 
-// Demand is what waits in a pool for room.
+// Demand is what a pool is asked for.
 type Demand struct {
+	// Need is what waits for room on any machine, and Labels what waits for one with a
+	// label.
+	Need
+	Labels map[string]Need
+	// RateMilli is the work that arrives, in thousandths of a core.
+	RateMilli int64
+	// UsedMilli is what its other tasks use, in thousandths of a core.
+	UsedMilli int64
+	// HeldMilli is what long-running tasks use, in thousandths of a core.
+	HeldMilli int64
+}
+
+// Need is what waits for room.
+type Need struct {
 	// WorkMilliMS is the waiting work in thousandths of a core times milliseconds.
 	WorkMilliMS int64
 	// Waiting is the room that the waiting tasks take together.
@@ -68,12 +84,6 @@
 	// other, and LongRunning the room that these take together.
 	Spread      int
 	LongRunning workload.Resources
-	// RateMilli is the work that arrives, in thousandths of a core.
-	RateMilli int64
-	// UsedMilli is what its other tasks use, in thousandths of a core.
-	UsedMilli int64
-	// HeldMilli is what long-running tasks use, in thousandths of a core.
-	HeldMilli int64
 }
 
 // Input is what a decision is made from.
@@ -82,6 +92,8 @@
 	Demand   map[string]Demand
 	// Incoming counts the machines on their way into each pool.
 	Incoming map[string]int
+	// IncomingLabels counts them by pool and label.
+	IncomingLabels map[string]map[string]int
 	// Spare is the pool whose machines are off; empty when there is none.
 	Spare string
 	// Size is the capacity of one machine.
@@ -98,10 +110,11 @@
 
 // Decide returns the moves to make now.
 func Decide(in Input) []Move {
-	d := decider{in: in, sizes: map[string]int{}, taken: map[string]bool{}}
+	d := decider{in: in, sizes: map[string]int{}, taken: map[string]bool{}, added: map[string]int{}}
 	for _, m := range in.Machines {
 		d.sizes[m.Pool]++
 	}
+	d.supplyLabels()
 	for _, pool := range d.pressed() {
 		d.supply(pool, d.wanted(pool))
 	}
@@ -113,6 +126,8 @@
 	in    Input
 	sizes map[string]int
 	taken map[string]bool
+	// added counts the machines that this decision sends to each pool.
+	added map[string]int
 	moves []Move
 }
 
@@ -139,7 +154,7 @@
 // wanted is the number of machines to add.
 func (d *decider) wanted(pool string) int {
 	demand := d.in.Demand[pool]
-	have := d.sizes[pool] + d.in.Incoming[pool]
+	have := d.sizes[pool] + d.in.Incoming[pool] + d.added[pool]
 	spread := max(demand.Spread, machinesFor(demand.LongRunning, d.in.Size)) - d.in.Incoming[pool]
 	if d.backlog(pool) <= backlogMS {
 		return spread
@@ -192,7 +207,7 @@
 // so that none is idle, while another pool falls behind.
 func (d *decider) lender(pool string) (Machine, bool) {
 	may := func(m Machine) bool {
-		return m.Tasks > 0 && m.Pool != pool && d.sizes[m.Pool] > keepMachines && d.lends(m.Pool, pool)
+		return m.Tasks > 0 && m.Pool != pool && d.sizes[m.Pool] > keepMachines && !d.bound(m) && d.lends(m.Pool, pool)
 	}
 	return d.best(may, func(a, b Machine) bool { return a.Tasks < b.Tasks })
 }
@@ -211,13 +226,15 @@
 }
 
 func (d *decider) lends(pool, to string) bool {
+	return d.surplus(pool) || d.backlog(to) > lendFactor*d.backlog(pool)+lendBacklogMS
+}
+
+// surplus tells whether the pool does without one of its machines.
+func (d *decider) surplus(pool string) bool {
 	demand := d.in.Demand[pool]
 	rest := int64(d.sizes[pool]-1) * d.in.Size.CPUMilli
 	busy := demand.HeldMilli + demand.UsedMilli + demand.Waiting.CPUMilli
-	if demand.Spread == 0 && busy*100 < rest*lendShare && d.needed(pool) < d.sizes[pool] {
-		return true
-	}
-	return d.backlog(to) > lendFactor*d.backlog(pool)+lendBacklogMS
+	return demand.Spread == 0 && busy*100 < rest*lendShare && d.needed(pool) < d.sizes[pool]
 }
 
 func (d *decider) source(pool string) (Machine, bool) {
@@ -245,7 +262,7 @@
 
 // available tells whether another pool may have the machine at once.
 func (d *decider) available(m Machine) bool {
-	return m.Off || (m.IdleMS >= borrowIdleMS && d.gives(m.Pool))
+	return m.Off || (m.IdleMS >= borrowIdleMS && d.gives(m.Pool) && !d.bound(m))
 }
 
 // gives tells whether the pool can give an idle machine away.
@@ -278,7 +295,7 @@
 		if m.Off || m.Pool == d.in.Spare || d.taken[m.Name] || m.IdleMS < releaseIdleMS {
 			continue
 		}
-		if d.gives(m.Pool) {
+		if d.gives(m.Pool) && !d.bound(m) {
 			d.take(m, Move{Machine: m.Name, Pool: d.in.Spare})
 		}
 	}
@@ -287,5 +304,6 @@
 func (d *decider) take(m Machine, move Move) {
 	d.taken[m.Name] = true
 	d.sizes[m.Pool]--
+	d.added[move.Pool]++
 	d.moves = append(d.moves, move)
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -26,10 +26,9 @@
 }
 
 // burst is a queue that asks for 500 cores with a backlog of a second.
-var burst = Demand{
-	RateMilli: 500_000, WorkMilliMS: 500_000_000,
-	Waiting: workload.Resources{CPUMilli: 600_000, MemoryMiB: 900_000},
-}
+var burst = Demand{RateMilli: 500_000, Need: Need{
+	WorkMilliMS: 500_000_000, Waiting: workload.Resources{CPUMilli: 600_000, MemoryMiB: 900_000},
+}}
 
 // Replays a queue's turn: its pool gets the machines that serve it, first those
 // that are off, then idle ones of the other pool.
@@ -56,7 +55,7 @@
 
 // Guards against moves for a single wide job: it is served before a machine comes.
 func TestSmallBacklogMovesNothing(t *testing.T) {
-	demand := Demand{RateMilli: 80_000, WorkMilliMS: 60_000_000, Waiting: workload.Resources{CPUMilli: 60_000}}
+	demand := Demand{RateMilli: 80_000, Need: Need{WorkMilliMS: 60_000_000, Waiting: workload.Resources{CPUMilli: 60_000}}}
 	require.Empty(t, Decide(Input{Machines: pools(0), Demand: map[string]Demand{"docks": demand}, Spare: "spare", Size: size}))
 }
 
@@ -77,7 +76,7 @@
 // Guards against long-running tasks that wait for a machine of their own because
 // the pool was released.
 func TestLongRunningTasksGetMachines(t *testing.T) {
-	in := Input{Machines: pools(-1), Demand: map[string]Demand{"docks": {Spread: 2}}, Spare: "spare", Size: size}
+	in := Input{Machines: pools(-1), Demand: map[string]Demand{"docks": {Need: Need{Spread: 2}}}, Spare: "spare", Size: size}
 	require.Len(t, Decide(in), 2)
 	in.Incoming = map[string]int{"docks": 2}
 	require.Empty(t, Decide(in))
@@ -98,7 +97,7 @@
 		require.Equal(t, "docks", m.Pool)
 	}
 	in.Demand["tours"] = Demand{UsedMilli: 260_000}
-	in.Demand["docks"] = Demand{RateMilli: 400_000, WorkMilliMS: 200_000_000, Waiting: burst.Waiting}
+	in.Demand["docks"] = Demand{RateMilli: 400_000, Need: Need{WorkMilliMS: 200_000_000, Waiting: burst.Waiting}}
 	require.Empty(t, Decide(in), "both are busy, and neither is far behind")
 }
 
@@ -108,8 +107,56 @@
 	in := Input{Machines: pools(-1), Spare: "spare", Size: size}
 	need := size
 	need.CPUMilli = 2 * size.CPUMilli
-	in.Demand = map[string]Demand{"docks": {Spread: 1, LongRunning: need}}
+	in.Demand = map[string]Demand{"docks": {Need: Need{Spread: 1, LongRunning: need}}}
 	require.Len(t, Decide(in), 2, "the room of two machines")
-	in.Demand = map[string]Demand{"docks": {Spread: 3, LongRunning: need}}
+	in.Demand = map[string]Demand{"docks": {Need: Need{Spread: 3, LongRunning: need}}}
 	require.Len(t, Decide(in), 3, "three tasks that keep away from each other")
 }
+
+// kinds gives the machines of a pool one label and all others another.
+func kinds(machines []Machine, pool, label, other string) []Machine {
+	for i := range machines {
+		machines[i].Labels = []string{other}
+		if machines[i].Pool == pool {
+			machines[i].Labels = []string{label}
+		}
+	}
+	return machines
+}
+
+// Replays a pool in its turn that holds no machine of the kind that a step requires:
+// machines of that kind come, however many idle ones of another kind it has.
+func TestMachinesOfTheRequiredKindCome(t *testing.T) {
+	in := Input{Machines: kinds(pools(5000), "docks", "plain", "gpu"), Spare: "spare", Size: size}
+	in.Demand = map[string]Demand{"docks": {Labels: map[string]Need{"gpu": {WorkMilliMS: 400_000_000, Waiting: size}}}}
+	var came []string
+	for _, m := range Decide(in) {
+		if m.Pool == "docks" {
+			came = append(came, m.Machine)
+		}
+	}
+	require.Equal(t, []string{"spare-0"}, came, "as many as the waiting tasks fill")
+	in.Demand = map[string]Demand{"docks": {Labels: map[string]Need{"gpu": {Spread: 3}}}}
+	came = nil
+	for _, m := range Decide(in) {
+		if m.Pool == "docks" {
+			came = append(came, m.Machine)
+		}
+	}
+	require.Len(t, came, 3)
+	in.Arrives("docks", []string{"gpu"})
+	in.Arrives("docks", []string{"gpu"})
+	in.Arrives("docks", []string{"gpu"})
+	for _, m := range Decide(in) {
+		require.NotEqual(t, "docks", m.Pool, "they are on their way")
+	}
+}
+
+// Guards against idle machines that leave although waiting work requires their kind.
+func TestMachinesOfTheRequiredKindStay(t *testing.T) {
+	in := Input{Machines: kinds(pools(5000), "docks", "gpu", "plain"), Spare: "spare", Size: size}
+	in.Demand = map[string]Demand{"docks": {Labels: map[string]Need{"gpu": {Spread: 2}}}}
+	for _, m := range Decide(in) {
+		require.NotContains(t, m.Machine, "docks")
+	}
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -44,7 +44,9 @@
 	Pool       string
 	Rack       string
 	DataCentre string
-	Capacity   workload.Resources
+	// Labels stay with the machine when it moves.
+	Labels   []string
+	Capacity workload.Resources
 	// Up machines can be moved and maintained. Nothing runs on any other machine.
 	Up bool
 	// Worker is the identifier of the machine's present worker, empty for none.
@@ -129,7 +131,7 @@
 		m = &machine{MachineInfo: MachineInfo{Name: w.Machine}}
 		d.fleet[w.Machine] = m
 	}
-	m.Pool, m.Rack, m.DataCentre, m.Capacity, m.Up = w.Pool, w.Rack, w.DataCentre, w.Capacity, true
+	m.Pool, m.Rack, m.DataCentre, m.Labels, m.Capacity, m.Up = w.Pool, w.Rack, w.DataCentre, w.Labels, w.Capacity, true
 	m.changedAt = now
 	m.incoming = 0
 }
@@ -140,13 +142,13 @@
 	if d.machines == nil || d.upkeep.fenced || !d.listed {
 		return
 	}
-	in := capacity.Input{Demand: d.demand, Incoming: map[string]int{}, Spare: sparePool(s)}
-	d.passOn(s, in.Incoming, now)
+	in := capacity.Input{Demand: d.demand, Spare: sparePool(s)}
+	d.passOn(s, &in, now)
 	total, machines := workload.Resources{}, int64(0)
 	for name, m := range d.fleet {
 		total, machines = total.Plus(m.Capacity), machines+1
 		if d.arriving(m, in.Spare, now) {
-			in.Incoming[m.Pool]++
+			in.Arrives(m.Pool, m.Labels)
 			continue
 		}
 		in.Machines = append(in.Machines, d.candidate(s, m, name, in.Spare, now))
@@ -175,18 +177,18 @@
 
 // passOn moves the lent machines that have run out of work, and counts the others
 // as incoming.
-func (d *Dispatcher) passOn(s *workload.State, incoming map[string]int, now int64) {
+func (d *Dispatcher) passOn(s *workload.State, in *capacity.Input, now int64) {
 	for name, l := range d.lending {
 		w, known := d.workerOn(name)
 		switch {
 		case !known || w.over || now-l.since > lendTimeoutMS:
 			delete(d.lending, name)
 		case w.busy(s):
-			incoming[l.pool]++
+			in.Arrives(l.pool, w.Labels)
 		default:
 			delete(d.lending, name)
 			d.beginMove(capacity.Move{Machine: name, Pool: l.pool}, now)
-			incoming[l.pool]++
+			in.Arrives(l.pool, w.Labels)
 		}
 	}
 }
@@ -224,7 +226,7 @@
 }
 
 func (d *Dispatcher) candidate(s *workload.State, m *machine, name, spare string, now int64) capacity.Machine {
-	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, IdleMS: -1}
+	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, Labels: m.Labels, IdleMS: -1}
 	_, lent := d.lending[name]
 	if lent || d.upkeep.reserved(name, now) || now < d.upkeep.retryAt[name] {
 		return c
@@ -319,15 +321,23 @@
 	for pool, u := range plan.Unplaced {
 		busy[pool] = true
 		at := demand[pool]
-		at.WorkMilliMS = d.estimates.scale(pool, u.WorkMilliMS)
-		at.Waiting = u.Size
-		at.Spread = u.Spread
-		at.LongRunning = u.LongRunning
+		at.Need = d.need(pool, u.Need)
+		at.Labels = map[string]capacity.Need{}
+		for label, need := range u.Labels {
+			at.Labels[label] = d.need(pool, need)
+		}
 		demand[pool] = at
 	}
 	d.demand, d.busy = demand, busy
 }
 
+// need translates what a plan found no room for, with the work as it is known to take.
+func (d *Dispatcher) need(pool string, n taskplan.Need) capacity.Need {
+	return capacity.Need{
+		WorkMilliMS: d.estimates.scale(pool, n.WorkMilliMS), Waiting: n.Size, Spread: n.Spread, LongRunning: n.LongRunning,
+	}
+}
+
 func longRunning(j *workload.Job) bool {
 	return slices.ContainsFunc(j.Steps, func(step workload.Step) bool { return step.LongRunning })
 }
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -59,6 +59,14 @@
 
 // Unplaced is the work of a pool that finds no room.
 type Unplaced struct {
+	Need
+	// Labels is the work that only workers with a label may do; it is not part of the
+	// other.
+	Labels map[string]Need
+}
+
+// Need is what tasks that find no room would take.
+type Need struct {
 	Size workload.Resources
 	// WorkMilliMS is the declared work in thousandths of a core times milliseconds.
 	WorkMilliMS int64
@@ -231,7 +239,11 @@
 	if tasks == 0 || c.step.FillsIdle {
 		return
 	}
-	u := p.plan.Unplaced[c.pool]
+	all := p.plan.Unplaced[c.pool]
+	u := all.Need
+	if c.step.Label != "" {
+		u = all.Labels[c.step.Label]
+	}
 	for range tasks {
 		u.Size = u.Size.Plus(c.step.Occupies())
 	}
@@ -247,7 +259,15 @@
 	} else {
 		u.WorkMilliMS += int64(tasks) * c.step.Size.CPUMilli * c.step.EstimatedMS
 	}
-	p.plan.Unplaced[c.pool] = u
+	if c.step.Label == "" {
+		all.Need = u
+	} else {
+		if all.Labels == nil {
+			all.Labels = map[string]Need{}
+		}
+		all.Labels[c.step.Label] = u
+	}
+	p.plan.Unplaced[c.pool] = all
 }
 
 func (p *planner) start(c candidate, f *fit, r *room, ref workload.TaskRef, run int) {
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -255,3 +255,15 @@
 		require.Equal(t, "second", start.Task.Job, "now the small team has its share")
 	}
 }
+
+// Guards against a need for a kind of worker that is lost among the need for any.
+func TestNeedIsToldByLabel(t *testing.T) {
+	f := newFixture(1, workload.Team{})
+	bound := step(2, 1000)
+	bound.Label = "gpu"
+	f.submit("bound", "batch", "", 1, bound)
+	f.submit("free", "batch", "", 2, step(10, 1000))
+	u := f.plan().Unplaced["pool"]
+	require.Equal(t, int64(2000), u.Size.CPUMilli, "8 of 10 cores fit")
+	require.Equal(t, int64(2000), u.Labels["gpu"].Size.CPUMilli)
+}
