Count the workers that are heard once a cycle

Found reading the change: for each silent worker the dispatcher counted all workers and lives anew, in each cycle and under the lock of the state; a cut data centre silences a fifth of them. The count does not depend on the worker, so it is taken once. The time of silence comes from silentSince, which already told it. No decision changes.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -95,12 +95,15 @@
 	}
 	var abandoned []workload.End
 	d.log.Read(func(s *fleet.State) {
+		hearsMost := d.hearsMost(s.Workload, now)
 		for life, runs := range s.Workload.OccupiedLives() {
 			if !d.lost(life, now) {
 				if w, ok := d.workers[life]; ok && now-w.heardAt > staleMS {
 					ends = append(ends, w.revoke(s.Workload, d.since)...)
 				}
-				abandoned = append(abandoned, d.abandon(s.Workload, life, now)...)
+				if hearsMost {
+					abandoned = append(abandoned, d.abandon(s.Workload, life, now)...)
+				}
 				continue
 			}
 			for ref, p := range runs {
--- a/internal/dispatch/gone.go
+++ b/internal/dispatch/gone.go
@@ -126,17 +126,17 @@
 }
 
 // abandon returns the speculative runs on a silent worker that may start elsewhere
-// as copies, as long as most other workers are heard: a leader that hears few is
-// cut off or has just begun itself.
+// as copies. It is asked only while most workers are heard: a leader that hears few
+// is cut off or has just begun itself.
 //
 // Load pattern: a data centre is cut off or workers crash without a sign; what runs
 // there would wait for the end of the leases.
 func (d *Dispatcher) abandon(s *workload.State, life workload.WorkerLife, now int64) []workload.End {
-	silentSince := d.since + newLeaderGraceMS
-	if w, ok := d.workers[life]; ok {
-		silentSince = w.heardAt
+	silentSince := d.silentSince(life)
+	if _, heard := d.workers[life]; !heard {
+		silentSince += newLeaderGraceMS
 	}
-	if now-silentSince <= staleMS || !d.hearsMost(s, now) {
+	if now-silentSince <= staleMS {
 		return nil
 	}
 	var ends []workload.End
