Check jobs in one place, and use one type for what finds no room

Found reading the change: the adapter repeated the bounds of a job that workload checks too, and taskplan.Need was capacity.Need under other names. Check, of the product's own interface, adds the numbers that may not be negative, as before; its message has a colon after the field now. Tests: names of fields and constants only.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -81,7 +82,7 @@
 			}
 		}
 		if err := scanner.Err(); err != nil {
-			return nil, 0, fmt.Errorf("%s: %w", name, err)
+			return nil, 0, errors.Wrap(err, name)
 		}
 	}
 	slices.SortStableFunc(lines, func(x, y logLine) int { return x.at.Compare(y.at) })
@@ -100,11 +101,11 @@
 	}
 	unzip, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, errors.Wrap(err, name)
 	}
 	plain, err := io.ReadAll(unzip)
 	if err != nil && len(plain) == 0 {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, errors.Wrap(err, name)
 	}
 	return plain, nil
 }
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -331,11 +331,11 @@
 	d.demand, d.busy = demand, busy
 }
 
-// need translates what a plan found no room for, with the work as it is known to take.
-func (d *Dispatcher) need(pool string, n taskplan.Need) capacity.Need {
-	return capacity.Need{
-		WorkMilliMS: d.estimates.scale(pool, n.WorkMilliMS), Waiting: n.Size, Spread: n.Spread, LongRunning: n.LongRunning,
-	}
+// need scales the work that a plan found no room for to the time that it is known to
+// take.
+func (d *Dispatcher) need(pool string, n capacity.Need) capacity.Need {
+	n.WorkMilliMS = d.estimates.scale(pool, n.WorkMilliMS)
+	return n
 }
 
 func longRunning(j *workload.Job) bool {
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/samphirefork/samphirefork/internal/capacity"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -59,21 +60,10 @@
 
 // Unplaced is the work of a pool that finds no room.
 type Unplaced struct {
-	Need
+	capacity.Need
 	// Labels is the work that only workers with a label may do; it is not part of the
 	// other.
-	Labels map[string]Need
-}
-
-// Need is what tasks that find no room would take.
-type Need struct {
-	Size workload.Resources
-	// WorkMilliMS is the declared work in thousandths of a core times milliseconds.
-	WorkMilliMS int64
-	// Spread is the number of workers that the long-running tasks need beside each
-	// other, and LongRunning the room that they take together.
-	Spread      int
-	LongRunning workload.Resources
+	Labels map[string]capacity.Need
 }
 
 // candidate is a step with waiting tasks whose dependencies are done.
@@ -245,7 +235,7 @@
 		u = all.Labels[c.step.Label]
 	}
 	for range tasks {
-		u.Size = u.Size.Plus(c.step.Occupies())
+		u.Waiting = u.Waiting.Plus(c.step.Occupies())
 	}
 	if c.step.LongRunning {
 		perWorker := c.step.MaxPerWorker
@@ -263,7 +253,7 @@
 		all.Need = u
 	} else {
 		if all.Labels == nil {
-			all.Labels = map[string]Need{}
+			all.Labels = map[string]capacity.Need{}
 		}
 		all.Labels[c.step.Label] = u
 	}
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -70,7 +70,7 @@
 	require.Len(t, p.Starts, 2)
 	require.Equal(t, "older", p.Starts[0].Task.Job)
 	require.Equal(t, "fresh", p.Starts[1].Task.Job)
-	require.EqualValues(t, 8000, p.Unplaced["pool"].Size.CPUMilli)
+	require.EqualValues(t, 8000, p.Unplaced["pool"].Waiting.CPUMilli)
 	require.EqualValues(t, 2*4000*1000, p.Unplaced["pool"].WorkMilliMS)
 }
 
@@ -264,6 +264,6 @@
 	f.submit("bound", "batch", "", 1, bound)
 	f.submit("free", "batch", "", 2, step(10, 1000))
 	u := f.plan().Unplaced["pool"]
-	require.Equal(t, int64(2000), u.Size.CPUMilli, "8 of 10 cores fit")
-	require.Equal(t, int64(2000), u.Labels["gpu"].Size.CPUMilli)
+	require.Equal(t, int64(2000), u.Waiting.CPUMilli, "8 of 10 cores fit")
+	require.Equal(t, int64(2000), u.Labels["gpu"].Waiting.CPUMilli)
 }
--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -17,7 +17,7 @@
 }
 
 // Error implements error.
-func (e *InvalidError) Error() string { return "workload: " + e.Field + " " + e.Reason }
+func (e *InvalidError) Error() string { return "workload: " + e.Field + ": " + e.Reason }
 
 func invalid(field, format string, args ...any) error {
 	return &InvalidError{Field: field, Reason: fmt.Sprintf(format, args...)}
@@ -25,11 +25,25 @@
 
 // Check returns an *InvalidError for a job that can't be taken.
 func (c *Submit) Check() error {
+	if err := c.CheckBounds(); err != nil {
+		return err
+	}
+	for i, s := range c.Steps {
+		if s.EstimatedMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+			return invalid(fmt.Sprintf("steps[%d]", i), "has a negative number")
+		}
+	}
+	return nil
+}
+
+// CheckBounds returns an *InvalidError for a job that is too large, or whose steps
+// ask for less than nothing or wait for steps that don't come before them.
+func (c *Submit) CheckBounds() error {
 	if len(c.Specification) > MaxSpecificationBytes {
 		return invalid("specification", "has more than %d bytes", MaxSpecificationBytes)
 	}
 	if len(c.Steps) == 0 || len(c.Steps) > MaxSteps {
-		return invalid("steps", "has %d entries, not 1 to %d", len(c.Steps), MaxSteps)
+		return invalid("steps", "there are %d, not 1 to %d", len(c.Steps), MaxSteps)
 	}
 	tasks := 0
 	for i := range c.Steps {
@@ -39,10 +53,10 @@
 		tasks += c.Steps[i].Count
 	}
 	if tasks > MaxTasks {
-		return invalid("steps", "has %d tasks, more than %d", tasks, MaxTasks)
+		return invalid("steps", "have %d tasks, more than %d", tasks, MaxTasks)
 	}
 	if c.Repetitions < 0 || (c.Repetitions > 1 && c.IntervalMS <= 0) {
-		return invalid("repetitions", "is negative or has no interval_ms")
+		return invalid("repetitions", "are negative or have no interval")
 	}
 	return nil
 }
@@ -53,14 +67,11 @@
 		return invalid(field+".count", "is not 1 to %d", MaxTasks)
 	}
 	if s.Size.CPUMilli < 0 || s.Size.MemoryMiB < 0 || s.Size.Accelerators < 0 {
-		return invalid(field+".size", "has a negative amount")
-	}
-	if s.EstimatedMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
-		return invalid(field, "has a negative number")
+		return invalid(field+".size", "asks for a negative amount")
 	}
 	for _, before := range s.After {
 		if before < 0 || before >= i {
-			return invalid(field+".after", "names %d, which is not an earlier step", before)
+			return invalid(field+".after", "%d is not an earlier step", before)
 		}
 	}
 	return nil
