Bound what is on its way to a lagging member of the log

Cause: a member that was cut off for seconds lacks megabytes of the log. The leader sent them in appends of 1 MiB, up to 32 at once, and everything again each 200 ms while no answer came. Ruled out: processor time of the followers (their inboxes were empty), disks and clocks.

Change: appends of 128 KiB, at most 256 KiB unacknowledged; the resend delay doubles up to 1.6 s until the member shows that it received something; messages that waited 0.5 s to be sent are dropped. A leader logs when a member begins or ceases to answer late.

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -8,6 +8,10 @@
 	// resendTicks is the number of ticks without progress after which messages in
 	// flight to a member are considered lost and are sent again.
 	resendTicks = 4
+	// maxResendDoublings bounds the resend delay, which doubles while a member shows no
+	// sign of having received anything, to 32 ticks. On a congested path, resending at a
+	// fixed rate adds to the queue faster than it drains.
+	maxResendDoublings = 3
 	// quorumLossFactor is the number of minimum election timeouts without contact
 	// with a majority after which a leader steps down.
 	quorumLossFactor = 2
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -13,13 +13,16 @@
 type progress struct {
 	match uint64
 	next  uint64
-	// inflight holds the last index of each unacknowledged append. While probing is
-	// set, the index up to which the logs agree is unknown and only one append may be
-	// in flight.
-	inflight []uint64
+	// inflight holds the unacknowledged appends. While probing is set, the index up to
+	// which the logs agree is unknown and only one append may be in flight.
+	inflight []inflightAppend
 	probing  bool
-	// stalledTicks is the number of ticks without progress while a message is in flight.
+	// stalledTicks is the number of ticks without progress while a message is in flight,
+	// and resends the number of times that messages were sent again since the member last
+	// showed that it had received one. sentAt is when the last of them was sent.
 	stalledTicks int
+	resends      int
+	sentAt       int64
 	// contact is the send time of the newest message that the member has answered.
 	contact int64
 
@@ -30,6 +33,12 @@
 	chunkInFlight bool
 }
 
+// inflightAppend is an unacknowledged append: its last index, and the size of its entries.
+type inflightAppend struct {
+	last  uint64
+	bytes int
+}
+
 func (c *Core) tickLeader() {
 	if c.now-max(c.QuorumContact(), c.electedAt) >= quorumLossFactor*c.cfg.MinElectionTimeout {
 		c.becomeFollower(c.term, 0)
@@ -55,14 +64,23 @@
 		return
 	}
 	p.stalledTicks++
-	if p.stalledTicks < resendTicks {
+	if p.stalledTicks < resendTicks<<min(p.resends, maxResendDoublings) {
 		return
 	}
 	p.stalledTicks = 0
+	p.resends++
 	p.chunkInFlight = false
 	p.probe(p.match + 1)
 }
 
+// recordReceipt ends the growth of the resend delay when a reply shows that the member
+// has received the messages up to the last append or chunk. Messages arrive in order.
+func (p *progress) recordReceipt(m Message) {
+	if m.Kind != MsgHeartbeatReply || m.Sent > p.sentAt {
+		p.resends = 0
+	}
+}
+
 func (p *progress) probe(next uint64) {
 	p.next = next
 	p.inflight = nil
@@ -89,7 +107,7 @@
 // flight, or a chunk of a snapshot if the log no longer holds them.
 func (c *Core) sendAppends(to uint64) {
 	p := c.peers[to]
-	for p.next <= c.log.last() && p.hasRoom(c.cfg.MaxInflight) {
+	for p.next <= c.log.last() && p.hasRoom(c.cfg) {
 		prevTerm, ok := c.log.term(p.next - 1)
 		if !ok || p.snap != nil {
 			c.sendSnapshotChunk(to, p)
@@ -101,7 +119,8 @@
 			Entries: entries, Commit: c.log.committed, Sent: c.now,
 		})
 		last := entries[len(entries)-1].Index
-		p.inflight = append(p.inflight, last)
+		p.inflight = append(p.inflight, inflightAppend{last: last, bytes: sizeOf(entries)})
+		p.sentAt = c.now
 		if p.probing {
 			return
 		}
@@ -109,11 +128,26 @@
 	}
 }
 
-func (p *progress) hasRoom(window int) bool {
-	if p.probing {
+// hasRoom reports whether another append may be sent. The window is also bounded in bytes:
+// a member that was cut off lacks megabytes, and while it receives them in one burst, its
+// heartbeats wait behind and every resend adds to the burst.
+func (p *progress) hasRoom(cfg Config) bool {
+	if p.probing || len(p.inflight) == 0 {
 		return len(p.inflight) == 0
 	}
-	return len(p.inflight) < window
+	bytes := 0
+	for _, a := range p.inflight {
+		bytes += a.bytes
+	}
+	return len(p.inflight) < cfg.MaxInflight && bytes < cfg.MaxInflightBytes
+}
+
+func sizeOf(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data) + entryOverheadBytes
+	}
+	return size
 }
 
 func (c *Core) handleAppend(m Message) {
@@ -149,6 +183,7 @@
 		return
 	}
 	p.contact = max(p.contact, m.Sent)
+	p.recordReceipt(m)
 	switch m.Kind {
 	case MsgAppendReply:
 		c.handleAppendReply(p, m)
@@ -170,7 +205,7 @@
 		p.probe(max(p.match, min(hint, m.Index-1)) + 1)
 		return
 	}
-	p.inflight = slices.DeleteFunc(p.inflight, func(last uint64) bool { return last <= m.Index })
+	p.inflight = slices.DeleteFunc(p.inflight, func(a inflightAppend) bool { return a.last <= m.Index })
 	if m.Index <= p.match && !p.probing {
 		return
 	}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -107,7 +107,7 @@
 func simConfig(id uint64, now int64, rng *rand.Rand) Config {
 	return Config{
 		ID: id, ElectionTicks: 10, MinElectionTimeout: 10, Now: now, Rand: rng,
-		MaxAppendBytes: 400, MaxInflight: 4, SnapshotChunkBytes: 3,
+		MaxAppendBytes: 400, MaxInflight: 4, MaxInflightBytes: 1600, SnapshotChunkBytes: 3,
 	}
 }
 
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -15,6 +15,7 @@
 	data := p.snap.Data
 	end := min(p.snapOffset+uint64(c.cfg.SnapshotChunkBytes), uint64(len(data)))
 	p.chunkInFlight = true
+	p.sentAt = c.now
 	c.send(Message{
 		Kind: MsgSnapshot, To: to, Index: p.snap.Index, LogTerm: p.snap.Term, Members: p.snap.Members,
 		Offset: p.snapOffset, Total: uint64(len(data)), Chunk: data[p.snapOffset:end], Sent: c.now,
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -163,10 +163,12 @@
 	Now                int64
 	Rand               *rand.Rand
 	// MaxAppendBytes limits the size of the entries in one append message, which has
-	// at least one entry. MaxInflight limits the unacknowledged appends per member,
-	// and SnapshotChunkBytes the snapshot data in one message.
+	// at least one entry. MaxInflight limits the unacknowledged appends per member, and
+	// MaxInflightBytes the size of their entries: no append is sent once it is reached.
+	// SnapshotChunkBytes limits the snapshot data in one message.
 	MaxAppendBytes     int
 	MaxInflight        int
+	MaxInflightBytes   int
 	SnapshotChunkBytes int
 }
 
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -60,6 +60,7 @@
 		case <-ticker.C:
 			n.core.Tick(n.clock())
 			n.checkSlowWrite()
+			n.logLateMembers()
 		case e := <-n.inbox:
 			n.stepAll(e)
 		case p := <-n.proposalsBelowLimit():
@@ -191,6 +192,26 @@
 	}
 }
 
+// logLateMembers logs on the leader when a member begins or ceases to answer later than the
+// minimum election timeout. Such a member does not count for the leader's lease.
+func (n *Node) logLateMembers() {
+	st := n.core.Status()
+	if st.Role != raft.Leader {
+		clear(n.lateMembers)
+		return
+	}
+	for _, m := range st.Members {
+		silentMS := n.silenceMS(st, m.ID)
+		late := silentMS >= n.minElection().Milliseconds()
+		if late == n.lateMembers[m.ID] {
+			continue
+		}
+		n.lateMembers[m.ID] = late
+		n.receiveLog.Info().Uint64("member", m.ID).Str("address", m.Address).Bool("late", late).Int64("silent_ms", silentMS).
+			Uint64("match", n.core.Match(m.ID)).Uint64("last", n.core.Match(n.cfg.ID)).Msg("lateness of a member of the log changed")
+	}
+}
+
 func (n *Node) afterPersist(res persistResult) error {
 	n.persisting = false
 	if n.slowWriteLogged {
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -7,6 +7,7 @@
 	applied      metrics.Counter
 	elections    metrics.Counter
 	dropped      metrics.Counter
+	expired      metrics.Counter
 	refused      metrics.Counter
 	syncs        metrics.Timer
 	term         metrics.Gauge
@@ -19,6 +20,7 @@
 		applied:      metrics.GetOrRegisterCounter("store_applied_entries_total", r),
 		elections:    metrics.GetOrRegisterCounter("store_leaderships_total", r),
 		dropped:      metrics.GetOrRegisterCounter("store_dropped_messages_total", r),
+		expired:      metrics.GetOrRegisterCounter("store_expired_messages_total", r),
 		refused:      metrics.GetOrRegisterCounter("store_refused_messages_total", r),
 		syncs:        metrics.GetOrRegisterTimer("store_sync_seconds", r),
 		term:         metrics.GetOrRegisterGauge("store_term", r),
--- a/internal/store/network.go
+++ b/internal/store/network.go
@@ -17,6 +17,10 @@
 const (
 	peerQueueMessages = 1024
 	dialTimeout       = 500 * time.Millisecond
+	// maxQueueTime is the time in the queue after which a message is dropped instead of
+	// sent: the shortest election timeout. By then the core has sent newer ones, and old
+	// heartbeats would make the receiver support a leader that no longer leads.
+	maxQueueTime = 500 * time.Millisecond
 )
 
 // envelope carries a message of the consensus core. Address is the sender's, so that a
@@ -31,7 +35,8 @@
 }
 
 // network sends messages in order through one queue per peer. Messages to a full queue
-// are dropped: the core sends again what is still needed.
+// and those that have waited for too long are dropped: the core sends again what is still
+// needed.
 type network struct {
 	advertised  string
 	incarnation uint64
@@ -48,14 +53,20 @@
 	// the settings, which differ between stores if their connections are proxied.
 	configuredAddresses map[uint64]string
 	addresses           map[uint64]string
-	queues              map[string]chan raft.Message
+	queues              map[string]chan queuedMessage
+}
+
+// queuedMessage is a message that waits to be sent since queuedAt.
+type queuedMessage struct {
+	raft.Message
+	queuedAt time.Time
 }
 
 func newNetwork(cfg settings.Store, incarnation uint64, pool *wire.Pool, m nodeMetrics, log zerolog.Logger) *network {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &network{
 		advertised: cfg.Advertise, incarnation: incarnation, pool: pool, metrics: m, log: log, ctx: ctx, cancel: cancel,
-		configuredAddresses: map[uint64]string{}, addresses: map[uint64]string{}, queues: map[string]chan raft.Message{},
+		configuredAddresses: map[uint64]string{}, addresses: map[uint64]string{}, queues: map[string]chan queuedMessage{},
 	}
 	for _, member := range cfg.Members {
 		w.configuredAddresses[member.ID] = member.Address
@@ -86,17 +97,17 @@
 			continue
 		}
 		select {
-		case w.queue(address) <- m:
+		case w.queue(address) <- queuedMessage{m, time.Now()}:
 		default:
 			w.metrics.dropped.Inc(1)
 		}
 	}
 }
 
-func (w *network) queue(address string) chan raft.Message {
+func (w *network) queue(address string) chan queuedMessage {
 	q, ok := w.queues[address]
 	if !ok {
-		q = make(chan raft.Message, peerQueueMessages)
+		q = make(chan queuedMessage, peerQueueMessages)
 		w.queues[address] = q
 		w.wg.Add(1)
 		go w.deliver(address, q)
@@ -104,7 +115,7 @@
 	return q
 }
 
-func (w *network) deliver(address string, q <-chan raft.Message) {
+func (w *network) deliver(address string, q <-chan queuedMessage) {
 	defer w.wg.Done()
 	reachable := true
 	for {
@@ -112,7 +123,11 @@
 		case <-w.ctx.Done():
 			return
 		case m := <-q:
-			err := w.sendOne(address, m)
+			if time.Since(m.queuedAt) > maxQueueTime {
+				w.metrics.expired.Inc(1)
+				continue
+			}
+			err := w.sendOne(address, m.Message)
 			if reachable != (err == nil) {
 				reachable = err == nil
 				w.log.Info().Err(err).Str("peer", address).Bool("reached", reachable).Msg("reachability of a peer store changed")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -33,10 +33,13 @@
 	defaultSnapshotEntries = 10_000
 	// snapshotBytes bounds the commands between two snapshots, which the log also holds in
 	// memory: 10,000 payloads of 64 KiB would take 640 MB.
-	snapshotBytes      = 8 << 20
-	maxAppendBytes     = 1 << 20
+	snapshotBytes = 8 << 20
+	// maxInflightBytes bounds the entries on their way to one member, and so the delay of
+	// the heartbeats behind them: 256 KiB take about 10 ms on a link of 200 Mbit/s.
+	maxInflightBytes   = 256 << 10
+	maxAppendBytes     = 128 << 10
 	maxInflightAppends = 32
-	snapshotChunkBytes = 1 << 20
+	snapshotChunkBytes = 256 << 10
 	maxCommandBytes    = 3 << 20
 	inboxMessages      = 4096
 	maxPending         = 4096
@@ -151,10 +154,12 @@
 	persistStarted int64
 	// slowWriteLogged is true if the current write was logged as slow.
 	slowWriteLogged bool
-	savingSnapshot  bool
-	trimTo          uint64
-	applied         uint64
-	snapshotIndex   uint64
+	// lateMembers holds the members whose answers to this leader are late.
+	lateMembers    map[uint64]bool
+	savingSnapshot bool
+	trimTo         uint64
+	applied        uint64
+	snapshotIndex  uint64
 	// bytesSinceSnapshot is the size of the commands applied since snapshotIndex, and
 	// retainFrom is the index of the snapshot before the one that is being written.
 	bytesSinceSnapshot int
@@ -228,6 +233,7 @@
 		stopped:         make(chan struct{}),
 		pending:         map[uint64]*proposal{},
 		replacedLogged:  map[uint64]bool{},
+		lateMembers:     map[uint64]bool{},
 		machine:         opts.Machine,
 		changed:         make(chan struct{}),
 	}
@@ -257,6 +263,7 @@
 		Rand:               rand.New(rand.NewPCG(seed, n.cfg.ID)),
 		MaxAppendBytes:     maxAppendBytes,
 		MaxInflight:        maxInflightAppends,
+		MaxInflightBytes:   maxInflightBytes,
 		SnapshotChunkBytes: snapshotChunkBytes,
 	}
 }
