Tell the truth after lost answers and pauses; bound what one message can do

Found while looking for the faults that operators of similar systems had:

- A repeated request that a store refused was reported as not run although the store of an earlier attempt had received it and its answer was lost. leader.Client now reports an unknown outcome then, and after a handler that failed halfway (CodeInternal).
- A store that was suspended after it had checked its leadership answered status calls from an old state, and judged keys by an old configuration. intake checks the leadership again before it gives such an answer.
- Under overload, a repeated submission was answered "not accepted" while its first attempt was still in the log and could be committed.
- A handler that panicked ended its process; it now costs one request, whose outcome is unknown.
- A job repeated 10^9 times, one with a size or time near 2^63, or content that an entry had not checked ended or choked every store that applied it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,7 @@
 	e.mesh = newMesh(e)
 	e.mux[wire.TypeRegistration] = e.mesh.handleRegistration
 	e.mux[wire.TypeForward] = e.handleForward
+	e.mux.RecoverPanics(opts.Log)
 	e.echo = e.newEcho()
 	return e
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -161,7 +161,7 @@
 	if !errors.As(err, &body) {
 		return false, false
 	}
-	final = body.Code != wire.CodeUncertain && body.Code != wire.CodeBusy
+	final = body.Code != wire.CodeUncertain && body.Code != wire.CodeBusy && body.Code != wire.CodeInternal
 	return final, body.Code == ledger.CodeNotHeld
 }
 
--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -3,9 +3,10 @@
 import "github.com/samphirefork/samphirefork/internal/workload"
 
 const (
-	// maxActiveJobs bounds the jobs that have not ended, and so the memory of a store: a
-	// job of 10 tasks takes about 3 KiB.
-	maxActiveJobs = 20000
+	// maxActiveJobs and maxActiveTasks bound the jobs that have not ended, and so the memory
+	// of a store: a task takes about 0.3 KiB, and twice that while a snapshot is written.
+	maxActiveJobs  = 20_000
+	maxActiveTasks = 200_000
 	// overloadRetryMS is the time after which a caller may retry when there are too many
 	// jobs. At 25 jobs a second, 50 jobs end in this time.
 	overloadRetryMS = 2000
@@ -26,8 +27,12 @@
 // Admit decides whether to accept a new job. A job that is already stored needs no
 // decision.
 func Admit(s *workload.State) Admission {
-	if len(s.Active()) >= maxActiveJobs {
+	switch {
+	case len(s.Active()) >= maxActiveJobs:
 		return Admission{RetryAfterMS: overloadRetryMS, Reason: "too many jobs are under way"}
+	case s.ActiveTasks() >= maxActiveTasks:
+		return Admission{RetryAfterMS: overloadRetryMS, Reason: "too many tasks are under way"}
+	default:
+		return Admission{}
 	}
-	return Admission{}
 }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -23,12 +24,17 @@
 	logger  zerolog.Logger
 	routes  atomic.Pointer[Routes]
 	calls   metrics.Timer
+	// unresolved holds the submissions whose outcome is not known.
+	unresolved *recentIDs
 }
 
 // NewServer returns a server. It calls changed after each submission or cancellation that
 // the log has applied.
 func NewServer(log fleet.Log, changed func(), registry metrics.Registry, logger zerolog.Logger) *Server {
-	return &Server{log: log, changed: changed, logger: logger, calls: metrics.GetOrRegisterTimer("intake_call_seconds", registry)}
+	return &Server{
+		log: log, changed: changed, logger: logger, unresolved: newRecentIDs(unresolvedRetention),
+		calls: metrics.GetOrRegisterTimer("intake_call_seconds", registry),
+	}
 }
 
 // Register implements store.Component.
@@ -42,13 +48,9 @@
 	if err := req.Decode(&call); err != nil {
 		return nil, err
 	}
-	l := s.log.Leadership()
-	if !l.Leading {
-		return nil, &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: l.Leader}
-	}
 	var reply wire.JobCallReply
 	var err error
-	s.calls.Time(func() { reply, err = s.answer(ctx, call) })
+	s.calls.Time(func() { reply, err = s.answerAsLeader(ctx, call) })
 	if err != nil {
 		return nil, s.asWireError(err)
 	}
@@ -57,6 +59,25 @@
 	return reply, nil
 }
 
+// answerAsLeader answers a call while this store leads. An answer that rests on the state
+// alone is given only if the store still leads after it has read the state: a process that
+// was suspended in between would show an old state, or judge by a key that was withdrawn
+// meanwhile. A committed change needs no such check.
+func (s *Server) answerAsLeader(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
+	if !s.log.Leadership().Leading {
+		return wire.JobCallReply{}, fleet.ErrNotLeader
+	}
+	reply, err := s.answer(ctx, call)
+	if err != nil {
+		return wire.JobCallReply{}, err
+	}
+	committed := reply.Verdict == wire.VerdictOK && (call.Op == wire.JobSubmit || call.Op == wire.JobCancel)
+	if !committed && !s.log.Leadership().Leading {
+		return wire.JobCallReply{}, fleet.ErrNotLeader
+	}
+	return reply, nil
+}
+
 // asWireError converts an error of the log to one for the wire. Any error but a lost
 // leadership leaves the outcome uncertain.
 func (s *Server) asWireError(err error) error {
@@ -188,9 +209,25 @@
 	return counts
 }
 
+// invalidContent returns the reason why the content of a submission is not valid, or "".
+// The bounds are checked again here although entries check them: a command that exceeds
+// them would fail on every store that applies it.
+func invalidContent(call wire.JobCall) string {
+	switch {
+	case call.Invalid != "":
+		return call.Invalid
+	case call.Content == nil:
+		return "the submission has no content"
+	}
+	if err := call.Content.CheckBounds(); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
 func (s *Server) submit(ctx context.Context, q workload.Queue, team, id string, call wire.JobCall) (wire.JobCallReply, error) {
-	if call.Invalid != "" || call.Content == nil {
-		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: call.Invalid}, nil
+	if reason := invalidContent(call); reason != "" {
+		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: reason}, nil
 	}
 	known := false
 	var admission Admission
@@ -199,15 +236,20 @@
 		admission = Admit(st.Workload)
 	})
 	if !known && admission.RetryAfterMS > 0 {
+		if s.unresolved.contains(id, time.Now()) {
+			return wire.JobCallReply{}, errors.Wrap(fleet.ErrUncertain, "intake: an earlier attempt may still be committed")
+		}
 		s.logger.Info().Str("job", id).Str("queue", q.Name).Str("reason", admission.Reason).Msg("job refused, not run")
 		return wire.JobCallReply{Verdict: wire.VerdictOverloaded, RetryAfterMS: admission.RetryAfterMS, Detail: admission.Reason}, nil
 	}
 	cmd := *call.Content
 	cmd.ID, cmd.Queue, cmd.Team = id, q.Name, team
+	s.unresolved.add(id, time.Now())
 	result, err := fleet.ProposeWorkload(ctx, s.log, &workload.Command{Submit: &cmd})
 	if err != nil {
 		return wire.JobCallReply{}, err
 	}
+	s.unresolved.remove(id)
 	s.changed()
 	s.logger.Info().Str("job", id).Str("queue", q.Name).Str("team", team).Int("steps", len(cmd.Steps)).
 		Bool("known", result.Known).Str("refusal", string(result.Refusal)).Msg("job submitted")
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,6 +19,10 @@
 type fakeLog struct {
 	state *fleet.State
 	fail  error
+	// suspendedByRead makes the store lose its leadership at the next read, as a process
+	// that is suspended there for some seconds.
+	suspendedByRead bool
+	deposed         bool
 }
 
 func (l *fakeLog) Propose(_ context.Context, cmd fleet.Command) (fleet.Result, error) {
@@ -27,8 +32,11 @@
 	return l.state.Apply(l.state.Applied+1, cmd), nil
 }
 
-func (l *fakeLog) Read(f func(*fleet.State))    { f(l.state) }
-func (l *fakeLog) Leadership() fleet.Leadership { return fleet.Leadership{Leading: true} }
+func (l *fakeLog) Read(f func(*fleet.State)) {
+	f(l.state)
+	l.deposed = l.deposed || l.suspendedByRead
+}
+func (l *fakeLog) Leadership() fleet.Leadership { return fleet.Leadership{Leading: !l.deposed} }
 func (l *fakeLog) Changed() <-chan struct{}     { return nil }
 func (l *fakeLog) Now() fleet.Time              { return 0 }
 
@@ -123,3 +131,59 @@
 	require.Equal(t, wire.CodeUncertain, body.Code)
 	require.False(t, notRun(&wire.ErrorBody{Code: wire.CodeUncertain}))
 }
+
+// Guards against a store that is suspended after it has checked that it leads: when it
+// resumes, another one has accepted, cancelled and ended jobs and withdrawn keys, and its own
+// state is old.
+func TestSuspendedStoreGivesNoAnswerFromItsState(t *testing.T) {
+	for _, op := range []wire.JobOp{wire.JobStatus, wire.JobWaiting, wire.JobCancel, wire.JobSubmit} {
+		s, log := newServer()
+		applyConfig(log, 1, queue)
+		log.suspendedByRead = true
+		c := wire.JobCall{Op: op, Host: "h", Path: "/q/" + jobID, Key: "ka"}
+		if op == wire.JobWaiting {
+			c.Path = "/q/"
+		}
+		if op == wire.JobSubmit {
+			c.Key = "unknown"
+		}
+		_, err := s.answerAsLeader(context.Background(), c)
+		require.ErrorIs(t, err, fleet.ErrNotLeader, op)
+	}
+}
+
+// Guards against the answer "not accepted" to a repeated submission whose first attempt
+// timed out and is still in the log, so that it may be committed afterwards.
+func TestOverloadDoesNotRefuseAnUnresolvedSubmission(t *testing.T) {
+	s, log := newServer()
+	applyConfig(log, 1, queue)
+	submit := wire.JobCall{Op: wire.JobSubmit, Host: "h", Path: "/q/" + jobID, Key: "ka", Content: &workload.Submit{Steps: []workload.Step{{Count: 1}}}}
+	log.fail = fleet.ErrUncertain
+	_, err := s.answerAsLeader(context.Background(), submit)
+	require.ErrorIs(t, err, fleet.ErrUncertain)
+	log.fail = nil
+	for i := range maxActiveTasks / workload.MaxTasks {
+		job := workload.Submit{ID: fmt.Sprint(i), Queue: "q", Team: "a", Steps: []workload.Step{{Count: workload.MaxTasks}}}
+		log.state.Workload.Apply(&workload.Command{Submit: &job}, 1)
+	}
+	_, err = s.answerAsLeader(context.Background(), submit)
+	require.ErrorIs(t, err, fleet.ErrUncertain)
+	submit.Path = "/q/" + jobID[1:] + "0"
+	reply, err := s.answerAsLeader(context.Background(), submit)
+	require.NoError(t, err)
+	require.Equal(t, wire.VerdictOverloaded, reply.Verdict, "the tasks under way are bounded")
+	require.Positive(t, reply.RetryAfterMS)
+}
+
+// Guards against a submission of an entry that did not check it: applied, it would end the
+// process of every store.
+func TestContentIsCheckedBeforeItIsProposed(t *testing.T) {
+	s, log := newServer()
+	applyConfig(log, 1, queue)
+	for _, step := range []workload.Step{{Count: -1}, {Count: 1, After: []int{0}}, {Count: 1, Size: workload.Resources{CPUMilli: -1}}} {
+		reply, err := s.answerAsLeader(context.Background(), wire.JobCall{Op: wire.JobSubmit, Host: "h", Path: "/q/" + jobID, Key: "ka", Content: &workload.Submit{Steps: []workload.Step{step}}})
+		require.NoError(t, err)
+		require.Equal(t, wire.VerdictInvalid, reply.Verdict)
+	}
+	require.Empty(t, log.state.Workload.Jobs)
+}
--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -28,9 +28,10 @@
 	minAttemptTime = 50 * time.Millisecond
 )
 
-// ErrUnavailable is returned if no leader answered before the context ended. If Unsent
-// is true, no store can have carried out the request; otherwise one may have. Cause is
-// the error of the last attempt.
+// ErrUnavailable is returned if no leader answered before the context ended, or if a
+// store refused a repetition of a request whose earlier attempt may have been carried
+// out. If Unsent is true, no store can have carried out the request; otherwise one may
+// have. Cause is the error of the last attempt.
 type ErrUnavailable struct {
 	Unsent bool
 	Cause  error
@@ -65,9 +66,11 @@
 //
 // The error is an *ErrUnavailable if the time left in ctx is not enough for a further
 // attempt. An error that a repetition can't resolve is returned at once: a
-// *wire.ErrorBody with another code than CodeNotLeader, CodeUncertain or CodeBusy, or
-// wire.ErrTooLarge. After such an error the store that answered has not carried out
-// the request, but the store of an earlier attempt may have.
+// *wire.ErrorBody with another code than CodeNotLeader, CodeUncertain, CodeBusy or
+// CodeInternal, or wire.ErrTooLarge. After such an error no store has carried out the
+// request. If a store may have, because the outcome of an earlier attempt is unknown or
+// its handler failed, the error is an *ErrUnavailable instead, with Unsent false and
+// that error as its Cause.
 func (c *Client) Call(ctx context.Context, t wire.Type, req, resp any, hold time.Duration) error {
 	unsent := true
 	var last error
@@ -81,11 +84,12 @@
 		}
 		last = err
 		refused, final := c.handleError(addr, err)
-		if final {
+		unsent = unsent && refused
+		if final && unsent {
 			return err
 		}
-		if !refused {
-			unsent = false
+		if final {
+			return &ErrUnavailable{Unsent: false, Cause: err}
 		}
 		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return &ErrUnavailable{Unsent: unsent, Cause: last}
@@ -94,7 +98,8 @@
 }
 
 // handleError chooses the store for the next attempt. refused is true if the store
-// certainly did not carry out the request, and final if a repetition is pointless.
+// certainly did not carry out the request in this attempt, and final if a repetition is
+// pointless.
 func (c *Client) handleError(addr string, err error) (refused, final bool) {
 	var body *wire.ErrorBody
 	if errors.As(err, &body) {
@@ -107,6 +112,8 @@
 			return false, false
 		case wire.CodeBusy:
 			return true, false
+		case wire.CodeInternal:
+			return false, true
 		default:
 			return true, true
 		}
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/wire"
@@ -99,3 +101,28 @@
 	require.ErrorAs(t, err, &body)
 	require.Equal(t, wire.CodeBadMessage, body.Code)
 }
+
+// Guards against reporting that a request was not carried out because its repetition was
+// refused, although the store of an earlier attempt received it and did not answer, or the
+// handler of the store failed halfway.
+func TestRefusalAfterAnUnknownOutcomeIsNotUnsent(t *testing.T) {
+	var calls atomic.Int64
+	silentThenRefuses := func(ctx context.Context, _ wire.Request) (any, error) {
+		if calls.Add(1) == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage}
+	}
+	fails := func(context.Context, wire.Request) (any, error) { return nil, errors.New("failed halfway") }
+	for name, handler := range map[string]wire.Handler{"lost answer": silentThenRefuses, "failed handler": fails} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, err := callJobWait(ctx, newClient(t, startStore(t, handler)))
+			var unavailable *ErrUnavailable
+			require.ErrorAs(t, err, &unavailable)
+			require.False(t, unavailable.Unsent)
+		})
+	}
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -185,9 +185,10 @@
 
 // Call sends a request and decodes its reply into resp, unless resp is nil.
 //
-// After ErrNotSent, ErrTooLarge and an *ErrorBody without CodeUncertain, the request
-// was not carried out. After ErrClosed, an error of ctx, an *ErrorBody with
-// CodeUncertain and an error of decoding the reply, it may have been.
+// After ErrNotSent, ErrTooLarge and an *ErrorBody with another code than CodeUncertain
+// and CodeInternal, the request was not carried out. After ErrClosed, an error of ctx,
+// an *ErrorBody with one of these codes and an error of decoding the reply, it may have
+// been.
 func (c *Conn) Call(ctx context.Context, t Type, req, resp any) error {
 	id := c.nextID.Add(1)
 	replies := make(chan Frame, 1)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -390,8 +390,8 @@
 // ErrorCode is the machine-readable reason in an ErrorBody.
 type ErrorCode string
 
-// Error codes. After CodeUncertain the request may have been carried out; after
-// every other code it was not.
+// Error codes. After CodeUncertain and CodeInternal the request may have been carried
+// out; after every other code it was not.
 const (
 	CodeNotLeader       ErrorCode = "not_leader"
 	CodeUncertain       ErrorCode = "uncertain"
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -72,7 +72,7 @@
 		Priority: q.Priority, ObjectiveMS: objectiveMS(q, c.Steps), Occurrences: map[int]*Occurrence{},
 	}
 	s.Jobs[j.ID] = j
-	s.active[j.ID] = j
+	s.addActive(j)
 	if j.Repetitions == 0 {
 		s.beginOccurrence(j, 0, s.now)
 	}
@@ -138,7 +138,7 @@
 func (s *State) endJob(j *Job, state JobState) {
 	j.State = state
 	j.EndedAt = s.now
-	delete(s.active, j.ID)
+	s.removeActive(j)
 	for k, o := range j.Occurrences {
 		for step := range o.Steps {
 			for i := range o.Steps[step].Tasks {
--- a/internal/workload/check_test.go
+++ b/internal/workload/check_test.go
@@ -23,6 +23,12 @@
 		"no interval":          {`{"steps":[{"count":1}],"repetitions":2}`, "repetitions"},
 		"specification":        {`{"specification":"` + strings.Repeat("x", MaxSpecificationBytes+1) + `","steps":[{"count":1}]}`, "specification"},
 		"negative repetitions": {`{"steps":[{"count":1}],"repetitions":-1}`, "repetitions"},
+		"endless repetitions":  {`{"steps":[{"count":1}],"repetitions":1000000000,"interval_ms":1}`, "repetitions"},
+		"repeated large steps": {`{"steps":[{"count":10000}],"repetitions":3,"interval_ms":1}`, "repetitions"},
+		"time overflows":       {`{"steps":[{"count":1}],"repetitions":3,"interval_ms":9000000000000000000}`, "interval_ms"},
+		"negative time":        {`{"steps":[{"count":1}],"repetitions":3,"interval_ms":1,"first_run_ms":-1}`, "first_run_ms"},
+		"size overflows":       {`{"steps":[{"count":2,"size":{"cpu_milli":9000000000000000000}}]}`, "steps[0].size"},
+		"run time overflows":   {`{"steps":[{"count":2,"estimated_ms":9000000000000000000}]}`, "steps[0].estimated_ms"},
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -34,6 +34,8 @@
 	active  map[string]*Job
 	runs    map[WorkerIncarnation]map[TaskRef]*Placement
 	teamUse map[string]Resources
+	// activeTasks is the number of tasks of the active jobs, in all of their occurrences.
+	activeTasks int
 }
 
 // NewState returns an empty state.
@@ -60,11 +62,12 @@
 		}
 	}
 	s.active = map[string]*Job{}
+	s.activeTasks = 0
 	s.runs = map[WorkerIncarnation]map[TaskRef]*Placement{}
 	s.teamUse = map[string]Resources{}
-	for id, j := range s.Jobs {
+	for _, j := range s.Jobs {
 		if !j.State.Final() {
-			s.active[id] = j
+			s.addActive(j)
 		}
 		for k, o := range j.Occurrences {
 			for step := range o.Steps {
@@ -142,6 +145,29 @@
 	s.teamUse[j.Team] = s.teamUse[j.Team].Minus(p.TeamUsage)
 }
 
+func (s *State) addActive(j *Job) {
+	s.active[j.ID] = j
+	s.activeTasks += j.totalTasks()
+}
+
+func (s *State) removeActive(j *Job) {
+	delete(s.active, j.ID)
+	s.activeTasks -= j.totalTasks()
+}
+
+// totalTasks returns the number of tasks of the job in all of its occurrences.
+func (j *Job) totalTasks() int {
+	tasks := 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+	}
+	return tasks * max(j.Repetitions, 1)
+}
+
+// ActiveTasks returns the number of tasks of the active jobs, in all of their occurrences,
+// whatever their phase.
+func (s *State) ActiveTasks() int { return s.activeTasks }
+
 // Active returns the jobs that have not ended, by identifier. The map must not be changed.
 func (s *State) Active() map[string]*Job { return s.active }
 
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -294,6 +294,7 @@
 		fresh := s.Clone()
 		fresh.Rebuild()
 		require.Equal(rt, fresh.runs, s.runs)
+		require.Equal(rt, fresh.activeTasks, s.activeTasks)
 		for team, use := range s.teamUse {
 			require.Equal(rt, fresh.teamUse[team], use)
 		}
