Send machine orders only while leading; bound cycles, commands and first moves

Causes and changes:

- An order to move or maintain a machine was sent without a look at the leadership after the last wait.
A leader that was suspended in between sent it beside its successor; some platforms do not check the token.
- A leave message names no incarnation.
One that arrived after the worker had been started again under its identifier shortened the new lease, and its tasks started a second time elsewhere while they ran.
- A report of another writer could move a worker to another pool or machine.
- A panic in a cycle ended the process, on each later leader too, and one in a report kept the lock for good.
- All ends and starts of a cycle were one command: after the loss of a data centre or a change of leader it could exceed the largest command and fail for good.
Commands have at most 2,000 ends and about 1,000 starts.
- All past occurrences of a repeated job began in one cycle.
- A new leader that had heard a tenth of a pool moved machines for all of its work.
It now waits for nine tenths of the pool, or 2.5 s.
- Each machine of a wave cost two commits of its own, and each was counted by a walk over the wave; orders and begins of a cycle now share a commit.
- One absurd declared run time decided the estimates of a whole pool.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"runtime/debug"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
@@ -21,6 +22,14 @@
 	// outcome.
 	proposeTimeout  = 2 * time.Second
 	pruneIntervalMS = 5000
+	// maxDuePerCycle bounds the occurrences of repeated jobs that begin in one cycle. A job
+	// whose first occurrence is long past has all of them due at once.
+	maxDuePerCycle = 500
+	// maxStartsPerCycle and maxEndsPerCommand bound the size of a command. After a change
+	// of leader or the loss of a data centre thousands of runs start or end at once; in one
+	// command, they would keep the log from its heartbeats, or exceed its largest command.
+	maxStartsPerCycle = 1000
+	maxEndsPerCommand = 2000
 )
 
 // Run plans and dispatches in cycles until ctx ends, and returns nil then. Cycles do
@@ -38,31 +47,43 @@
 		case <-d.wakeup:
 		case <-ticker.C:
 		}
-		d.cycle(ctx)
+		d.runCycle(ctx)
 		if !wait.For(ctx, batchDelay) {
 			return nil
 		}
 	}
 }
 
+// runCycle runs one cycle. A panic in it costs what this leadership knows of the workers,
+// which they report again, and not the process: each later leader would meet the same job or
+// report. Leases of workers count as extended until now, as after a change of leader.
+func (d *Dispatcher) runCycle(ctx context.Context) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		d.meters.panics.Inc(1)
+		d.logger.Error().Interface("panic", value).Bytes("stack", debug.Stack()).Msg("dispatch cycle panicked; workers register again")
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.reset(d.term, int64(d.log.Now()))
+	}()
+	d.cycle(ctx)
+}
+
 // cycle records the runs that have ended, plans on the resulting state, and releases the
 // heartbeats that wait for the result.
 func (d *Dispatcher) cycle(ctx context.Context) {
 	start := time.Now()
-	d.mu.Lock()
-	now, err := d.checkLeadership()
+	now, term, ends, upTo, err := d.beginCycle()
 	if err != nil {
-		d.mu.Unlock()
 		return
 	}
-	term := d.term
-	ends, upTo := d.collectEnds(now)
-	d.mu.Unlock()
-	if len(ends) > 0 && !d.propose(ctx, &workload.Progress{Ends: ends}) {
-		d.requeueEnds(term, ends)
+	if !d.recordEnds(ctx, term, ends, now) {
 		return
 	}
-	d.markRecorded(ends, upTo, now)
+	d.markRecorded(upTo)
 	progress := d.plan(now)
 	if progress != nil && d.propose(ctx, progress) {
 		d.logPlacement(progress, now)
@@ -71,6 +92,19 @@
 	d.meters.cycles.UpdateSince(start)
 }
 
+// beginCycle returns the cluster time, the term, and the result of collectEnds, or a
+// NotLeaderError.
+func (d *Dispatcher) beginCycle() (int64, uint64, []workload.End, map[*worker]int64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, err := d.checkLeadership()
+	if err != nil {
+		return 0, 0, nil, nil, err
+	}
+	ends, upTo := d.collectEnds(now)
+	return now, d.term, ends, upTo, nil
+}
+
 // propose commits a batch to the fleet log. It returns false unless the batch is known to
 // be committed.
 func (d *Dispatcher) propose(ctx context.Context, p *workload.Progress) bool {
@@ -150,14 +184,35 @@
 	}
 }
 
-// markRecorded updates workers, metrics and estimates after ends were committed, and logs
-// them.
-func (d *Dispatcher) markRecorded(ends []workload.End, upTo map[*worker]int64, now int64) {
+// recordEnds commits the ends in commands of bounded size. It returns false, and keeps
+// those that may not be committed for the next cycle, unless all are known to be committed.
+func (d *Dispatcher) recordEnds(ctx context.Context, term uint64, ends []workload.End, now int64) bool {
+	for len(ends) > 0 {
+		batch := ends[:min(len(ends), maxEndsPerCommand)]
+		if !d.propose(ctx, &workload.Progress{Ends: batch}) {
+			d.requeueEnds(term, ends)
+			return false
+		}
+		d.noteEnds(batch, now)
+		ends = ends[len(batch):]
+	}
+	return true
+}
+
+// markRecorded updates up to which number the ends of each worker are recorded.
+func (d *Dispatcher) markRecorded(upTo map[*worker]int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for w, number := range upTo {
 		w.recordedEnd = max(w.recordedEnd, number)
 	}
+}
+
+// noteEnds updates metrics, estimates and the health of workers after ends were committed,
+// and logs them.
+func (d *Dispatcher) noteEnds(ends []workload.End, now int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, e := range ends {
 		if e.Outcome == workload.OutcomeAbandoned {
 			continue
@@ -234,9 +289,12 @@
 		workers := d.availableWorkers(s.Workload, now)
 		plan := taskplan.Compute(taskplan.Input{
 			State: s.Workload, NowMS: now, Workers: workers,
-			Approvals: d.approvals.validTickets(now), Avoid: d.avoids,
+			Approvals: d.approvals.validTickets(now), Avoid: d.avoids, MaxStarts: maxStartsPerCycle,
 		})
 		p.Starts = plan.Starts
+		if plan.Truncated {
+			d.Wake()
+		}
 		d.updateDemand(s.Workload, plan, now)
 		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
 	})
@@ -256,7 +314,8 @@
 }
 
 // dueOccurrences returns the occurrences of repeated jobs that are due by the wall clock
-// and have not begun. DueAt is cluster time.
+// and have not begun, at most maxDuePerCycle of them. Those of one job begin in order.
+// DueAt is cluster time.
 func (d *Dispatcher) dueOccurrences(s *workload.State, now int64) []workload.DueOccurrence {
 	var due []workload.DueOccurrence
 	wall := time.Now().UnixMilli()
@@ -266,9 +325,13 @@
 			if at > wall {
 				break
 			}
-			if _, begun := j.Occurrences[k]; !begun {
-				due = append(due, workload.DueOccurrence{Job: id, Occurrence: k, DueAt: now + at - wall})
+			if _, begun := j.Occurrences[k]; begun {
+				continue
+			}
+			if len(due) == maxDuePerCycle {
+				return due
 			}
+			due = append(due, workload.DueOccurrence{Job: id, Occurrence: k, DueAt: now + at - wall})
 		}
 	}
 	return due
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -180,39 +180,65 @@
 func (d *Dispatcher) HandleReport(ctx context.Context, rep Report) (Orders, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
-	d.mu.Lock()
-	now, err := d.checkLeadership()
+	taken, err := d.takeReport(rep)
 	if err != nil {
-		d.mu.Unlock()
 		return Orders{}, err
 	}
-	term := d.term
-	w := d.acceptReport(rep, now)
-	if w == nil {
-		d.mu.Unlock()
+	if taken.worker == nil {
 		d.meters.stale.Inc(1)
-		return Orders{Term: term}, nil
+		return Orders{Term: taken.term}, nil
 	}
 	d.meters.heartbeats.Inc(1)
+	d.holdResponse(ctx, taken.worker, taken.hasEnds)
+	return d.composeOrders(taken.worker, taken.term, taken.at)
+}
+
+// takenReport is a report that was processed but not answered yet.
+type takenReport struct {
+	// worker is nil if the report is out of date.
+	worker *worker
+	// term and at are the term and the cluster time at the receipt of the report.
+	term    uint64
+	at      int64
+	hasEnds bool
+}
+
+// takeReport processes a report. It unlocks mu also when a malformed report makes it panic.
+func (d *Dispatcher) takeReport(rep Report) (takenReport, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, err := d.checkLeadership()
+	if err != nil {
+		return takenReport{}, err
+	}
+	taken := takenReport{worker: d.acceptReport(rep, now), term: d.term, at: now}
+	w := taken.worker
+	if w == nil {
+		return taken, nil
+	}
 	d.log.Read(func(s *fleet.State) { w.pendingEnds = append(w.pendingEnds, w.neverStarted(s.Workload)...) })
-	hasEnds := len(w.pendingEnds) > 0
-	needsCycle := hasEnds || w.Draining
-	d.mu.Unlock()
-	if needsCycle {
+	taken.hasEnds = len(w.pendingEnds) > 0
+	if taken.hasEnds || w.Draining {
 		d.Wake()
 	}
-	d.holdResponse(ctx, w, hasEnds)
-	return d.composeOrders(w, term, now)
+	return taken, nil
 }
 
 // acceptReport registers or updates the worker of a report. It returns nil for a report
 // that is out of date: its incarnation is terminated or has sent a later report, or a later
-// incarnation is known. The caller holds mu.
+// incarnation is known. It also returns nil if the report names another pool or machine
+// than the earlier ones of its incarnation, which only another writer can send. The caller
+// holds mu.
 func (d *Dispatcher) acceptReport(rep Report, now int64) *worker {
 	w, ok := d.workers[rep.Incarnation]
 	if ok && (w.terminated || rep.Sequence <= w.Sequence) {
 		return nil
 	}
+	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine) {
+		d.logger.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
+			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Msg("report ignored: it names another pool or machine than its worker")
+		return nil
+	}
 	if !ok {
 		if d.isSuperseded(rep, now) {
 			return nil
@@ -285,8 +311,10 @@
 }
 
 // HandleLeave processes the leave message of a worker, whose process exits within 0.5 s:
-// the worker counts as draining and its lease is shortened. An unknown id is ignored. It
-// returns a NotLeaderError when this store does not lead.
+// its lease is shortened. The message names no incarnation and may arrive seconds late,
+// when a new incarnation uses the identifier. A worker drains before it leaves, so one that
+// does not drain only counts as silent until it reports again. An unknown worker is
+// ignored. HandleLeave returns a NotLeaderError when this store does not lead.
 func (d *Dispatcher) HandleLeave(id string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -299,9 +327,12 @@
 		return nil
 	}
 	w := d.workers[incarnation]
-	w.Draining = true
-	w.leaseExpiresAt = min(w.leaseExpiresAt, now+leaveGraceMS)
-	d.logger.Info().Str("worker", id).Msg("worker leaves")
+	if w.Draining {
+		w.leaseExpiresAt = min(w.leaseExpiresAt, now+leaveGraceMS)
+	} else {
+		w.lastReportAt = min(w.lastReportAt, now-heartbeatTimeoutMS-1)
+	}
+	d.logger.Info().Str("worker", id).Int64("born", incarnation.Born).Bool("draining", w.Draining).Msg("worker leaves")
 	d.Wake()
 	return nil
 }
--- a/internal/dispatch/estimates.go
+++ b/internal/dispatch/estimates.go
@@ -9,6 +9,9 @@
 	// minDeclaredMS is the declared time of completed runs from which a ratio is used.
 	minDeclaredMS = 10_000
 	percent       = 100
+	// maxEstimateFactor bounds the ratio of the declared and the actual run time of one
+	// run. Otherwise a single absurd declaration would decide the ratio of its pool.
+	maxEstimateFactor = 10
 )
 
 // estimates tracks, for each pool, the ratio of actual to declared run times.
@@ -23,6 +26,7 @@
 
 // record adds the declared and actual run time of a completed task.
 func (e *estimates) record(pool string, declaredMS, actualMS int64) {
+	declaredMS = min(max(declaredMS, actualMS/maxEstimateFactor), actualMS*maxEstimateFactor)
 	r := e.pools[pool]
 	r.declared += declaredMS
 	r.actual += actualMS
@@ -43,7 +47,7 @@
 	if r.declared < minDeclaredMS {
 		return declared
 	}
-	return declared * (r.actual * percent / r.declared) / percent
+	return int64(float64(declared) * float64(r.actual) / float64(r.declared))
 }
 
 // total returns the sums over all pools.
@@ -62,7 +66,7 @@
 	sum := int64(0)
 	for i := range j.Steps {
 		if step := &j.Steps[i]; !step.LongRunning && !step.FillsIdle {
-			sum += int64(step.Count) * step.Size.CPUMilli * step.EstimatedMS
+			sum += int64(step.Count) * step.WorkMilliMS()
 		}
 	}
 	return e.scale(j.Pool, sum)
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -37,6 +37,11 @@
 	// arrivalWindowMS is the time over which arriving work is counted: a burst shows within
 	// it, and a single large job doesn't look like one.
 	arrivalWindowMS = 1000
+	// heardPoolPercent is the part of a pool's machines that must have reported to a new
+	// leader before it moves machines into or out of the pool, and hearingTimeoutMS the
+	// time after which it does so in any case: machines may be lost.
+	heardPoolPercent = 90
+	hearingTimeoutMS = 2500
 )
 
 // MachineInfo describes a machine as the platform lists it.
@@ -55,19 +60,42 @@
 }
 
 // MachineProvider is the platform's interface for machines. Errors are the Err values of
-// this package; after any other error the operation may have been carried out. holder names
-// the calling instance. token is the leader's term, by which the platform rejects calls of
-// an earlier leader with ErrFenced.
+// this package; after any other error the operation may have been carried out.
 type MachineProvider interface {
 	// Maintain starts the maintenance of a machine that belongs to the wave. Everything on
 	// it ends.
-	Maintain(ctx context.Context, machine string, wave int64, holder string, token uint64) error
+	Maintain(ctx context.Context, machine string, wave int64, order MachineOrder) error
 	// Move moves a machine to a pool. Everything on it ends.
-	Move(ctx context.Context, machine, pool, holder string, token uint64) error
+	Move(ctx context.Context, machine, pool string, order MachineOrder) error
 	// List returns all machines.
 	List(ctx context.Context) ([]MachineInfo, error)
 }
 
+// MachineOrder is the authority under which a machine is moved or maintained.
+type MachineOrder struct {
+	// Holder names the calling instance.
+	Holder string
+	// Token is the leader's term. Platforms that check it reject the calls of an earlier
+	// leader with ErrFenced.
+	Token uint64
+	// Permitted reports whether the holder still leads. It must be called after the last
+	// wait before the order is sent, and the order must not be sent if it returns false:
+	// the process may have been suspended, and not every platform checks the token.
+	Permitted func() bool
+}
+
+// machineOrder returns the authority of the present leadership. The caller holds mu.
+func (d *Dispatcher) machineOrder() MachineOrder {
+	term := d.term
+	return MachineOrder{Holder: d.settings.Holder, Token: term, Permitted: func() bool { return d.leadsIn(term) }}
+}
+
+// leadsIn reports whether this store leads in the given term.
+func (d *Dispatcher) leadsIn(term uint64) bool {
+	l := d.log.Leadership()
+	return l.Leading && l.Term == term
+}
+
 // machine is what the leader knows of a machine. Guarded by Dispatcher.mu.
 type machine struct {
 	MachineInfo
@@ -150,7 +178,8 @@
 	if d.provider == nil || d.maintenance.fenced || !d.machinesListed {
 		return
 	}
-	in := capacity.Input{Demand: d.demand, Spare: sparePool(s)}
+	heard := d.heardPools(s, now)
+	in := capacity.Input{Demand: onlyPools(d.demand, heard), Spare: sparePool(s)}
 	d.completeTransfers(s, &in, now)
 	total, machines := workload.Resources{}, int64(0)
 	for name, m := range d.machinesByName {
@@ -159,7 +188,11 @@
 			in.AddIncoming(m.Pool, m.Labels)
 			continue
 		}
-		in.Machines = append(in.Machines, d.moveCandidate(s, m, name, in.Spare, now))
+		candidate := d.moveCandidate(s, m, name, in.Spare, now)
+		if !heard[m.Pool] {
+			candidate.IdleMS, candidate.Tasks = -1, 0
+		}
+		in.Machines = append(in.Machines, candidate)
 	}
 	if machines == 0 {
 		return
@@ -177,6 +210,53 @@
 	}
 }
 
+// heardPools returns the pools of the configuration whose demand is known: most of their
+// machines that are up have reported to this leader, or the leadership has lasted for
+// hearingTimeoutMS. The machines of the spare pool report nothing.
+//
+// Load pattern: the leader is lost during a burst. Its successor first hears a few workers
+// and sees all work wait for them. It would move hundreds of machines into pools that need
+// none.
+func (d *Dispatcher) heardPools(s *workload.State, now int64) map[string]bool {
+	up, heard := map[string]int{}, map[string]int{}
+	for name, m := range d.machinesByName {
+		if !m.Up || m.movedAt != 0 {
+			continue
+		}
+		up[m.Pool]++
+		if _, ok := d.workerOn(name); ok {
+			heard[m.Pool]++
+		}
+	}
+	known := map[string]bool{}
+	for pool, p := range s.Config.Pools {
+		known[pool] = p.Spare || now-d.leadingSince >= hearingTimeoutMS || heard[pool]*percent >= up[pool]*heardPoolPercent
+	}
+	return known
+}
+
+// hearsAllPools reports whether this leader has heard most machines of each pool, so that
+// it knows which of them cost the least to drain.
+func (d *Dispatcher) hearsAllPools(s *workload.State, now int64) bool {
+	for _, heard := range d.heardPools(s, now) {
+		if !heard {
+			return false
+		}
+	}
+	return true
+}
+
+// onlyPools returns the demand of the given pools.
+func onlyPools(demand map[string]capacity.Demand, pools map[string]bool) map[string]capacity.Demand {
+	known := make(map[string]capacity.Demand, len(demand))
+	for pool, d := range demand {
+		if pools[pool] {
+			known[pool] = d
+		}
+	}
+	return known
+}
+
 // transfer is a machine that gets no new tasks and moves to another pool once it runs
 // nothing.
 type transfer struct {
@@ -272,13 +352,13 @@
 func (d *Dispatcher) startMove(move capacity.Move, now int64) {
 	mt := d.maintenance
 	mt.callsInFlight[move.Machine] = true
-	term := d.term
+	order := d.machineOrder()
 	d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), moveCallTimeout)
 		defer cancel()
-		err := d.provider.Move(ctx, move.Machine, move.Pool, d.settings.Holder, term)
+		err := d.provider.Move(ctx, move.Machine, move.Pool, order)
 		d.finishMove(mt, move, err)
 	}()
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -18,15 +18,27 @@
 	moved      chan string
 	maintained chan string
 	machines   []MachineInfo
+	// connected delays each order until it is closed; nil delays none.
+	connected chan struct{}
 }
 
-func (o *fakeProvider) Maintain(_ context.Context, machine string, _ int64, _ string, _ uint64) error {
-	o.maintained <- machine
-	return nil
+func (o *fakeProvider) Maintain(_ context.Context, machine string, _ int64, order MachineOrder) error {
+	return o.send(order, o.maintained, machine)
+}
+
+func (o *fakeProvider) Move(_ context.Context, machine, pool string, order MachineOrder) error {
+	return o.send(order, o.moved, machine+">"+pool)
 }
 
-func (o *fakeProvider) Move(_ context.Context, machine, pool, _ string, _ uint64) error {
-	o.moved <- machine + ">" + pool
+// send records an order once the connection is there, if it is still permitted.
+func (o *fakeProvider) send(order MachineOrder, sent chan string, text string) error {
+	if o.connected != nil {
+		<-o.connected
+	}
+	if !order.Permitted() {
+		return ErrNotPermitted
+	}
+	sent <- text
 	return nil
 }
 
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -20,6 +20,8 @@
 	ErrMachineBusy = errors.New("dispatch: the machine is not up")
 	// ErrNoMachine means that the machine does not exist or is not due in the wave.
 	ErrNoMachine = errors.New("dispatch: the machine does not exist or is not due in this wave")
+	// ErrNotPermitted means that the order was not sent, because the caller no longer leads.
+	ErrNotPermitted = errors.New("dispatch: the order was not sent, its sender no longer leads")
 	// ErrThrottled means that the platform rejected the call because of its rate limit; a
 	// retry may succeed.
 	ErrThrottled = errors.New("dispatch: the platform rejected the call because of its rate limit")
@@ -60,6 +62,19 @@
 	hasReported map[string]bool
 	// fenced is true after ErrFenced: a later leader calls the platform, so this one stops.
 	fenced bool
+	// starting holds the machines whose maintenance this cycle starts.
+	starting []maintenanceStart
+	// begun holds the machines whose maintenance has begun and is not recorded yet, and
+	// recording is true while they are being recorded.
+	begun     []workload.WaveMachine
+	recording bool
+}
+
+// maintenanceStart is a machine whose maintenance is to start.
+type maintenanceStart struct {
+	workload.WaveMachine
+	// incarnation is that of the machine's worker.
+	incarnation workload.WorkerIncarnation
 }
 
 // downMachine is a machine under maintenance.
@@ -130,6 +145,7 @@
 		for _, number := range open {
 			stops = append(stops, d.advanceWave(s, s.Waves[number], unavailable, now)...)
 		}
+		d.startMaintenance()
 	}
 	stops = append(stops, d.drainStops(s, now)...)
 	stops = append(stops, d.stalledRuns(s, now)...)
@@ -157,7 +173,10 @@
 	}
 	limit := max(w.MaxDown, 1)
 	d.selectOffMachines(s, w, now)
-	d.selectMachines(s, w, min(limit, waveConcurrency(w, now)), now)
+	if d.hearsAllPools(s, now) {
+		d.selectMachines(s, w, min(limit, waveConcurrency(w, now)), now)
+	}
+	down := d.downCount(s, w, now)
 	var stops []workload.Run
 	for _, m := range w.Machines {
 		if d.maintenance.draining[m] != w.Number || w.Begun[m] || d.isMachineInTransit(s, m, now) {
@@ -171,10 +190,15 @@
 			stops = append(stops, d.drainMachine(s, incarnation, unavailable, now)...)
 			continue
 		}
-		withinLimit := w.Ordered[m] || d.downCount(s, w, now) < limit
-		if withinLimit && now >= d.maintenance.retryAt[m] && !d.maintenance.callsInFlight[m] {
-			d.startMaintenance(w, m, incarnation)
+		withinLimit := w.Ordered[m] || down < limit
+		if !withinLimit || now < d.maintenance.retryAt[m] || d.maintenance.callsInFlight[m] {
+			continue
+		}
+		if !w.Ordered[m] {
+			down++
 		}
+		d.maintenance.callsInFlight[m] = true
+		d.maintenance.starting = append(d.maintenance.starting, maintenanceStart{workload.WaveMachine{Wave: w.Number, Machine: m}, incarnation})
 	}
 	return stops
 }
@@ -337,29 +361,41 @@
 	return ok && r.Percent >= fullPace
 }
 
-// startMaintenance records the order and calls the platform in the background, so that the
-// cycle does not wait for it. The order is recorded first: a later leader then counts the
-// machine as one that may be down.
-func (d *Dispatcher) startMaintenance(w *workload.Wave, machine string, incarnation workload.WorkerIncarnation) {
+// startMaintenance records the orders of this cycle in one commit and calls the platform in
+// the background, so that the cycle does not wait for it. The orders are recorded first: a
+// later leader then counts the machines as ones that may be down. The caller holds mu.
+func (d *Dispatcher) startMaintenance() {
 	mt := d.maintenance
-	mt.callsInFlight[machine] = true
-	term := d.term
+	starting, order := mt.starting, d.machineOrder()
+	mt.starting = nil
+	if len(starting) == 0 {
+		return
+	}
 	go func() {
-		p := &workload.Progress{Ordered: []workload.WaveMachine{{Wave: w.Number, Machine: machine}}}
-		if !d.propose(context.Background(), p) {
-			d.finishMaintenanceCall(mt, w.Number, machine, incarnation, fleet.ErrUncertain)
-			return
+		p := &workload.Progress{}
+		for _, m := range starting {
+			p.Ordered = append(p.Ordered, m.WaveMachine)
+		}
+		recorded := d.propose(context.Background(), p)
+		for _, m := range starting {
+			if !recorded {
+				d.finishMaintenanceCall(mt, m, fleet.ErrUncertain)
+				continue
+			}
+			go d.callMaintain(mt, m, order)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), maintainCallTimeout)
-		defer cancel()
-		err := d.provider.Maintain(ctx, machine, w.Number, d.settings.Holder, term)
-		d.finishMaintenanceCall(mt, w.Number, machine, incarnation, err)
 	}()
 }
 
+func (d *Dispatcher) callMaintain(mt *maintenance, m maintenanceStart, order MachineOrder) {
+	ctx, cancel := context.WithTimeout(context.Background(), maintainCallTimeout)
+	defer cancel()
+	d.finishMaintenanceCall(mt, m, d.provider.Maintain(ctx, m.Machine, m.Wave, order))
+}
+
 // finishMaintenanceCall applies the result of a call to maintain a machine.
-func (d *Dispatcher) finishMaintenanceCall(mt *maintenance, wave int64, machine string, incarnation workload.WorkerIncarnation, err error) {
-	d.logger.Info().Err(err).Int64("wave", wave).Str("machine", machine).Msg("maintenance attempt finished")
+func (d *Dispatcher) finishMaintenanceCall(mt *maintenance, m maintenanceStart, err error) {
+	d.logger.Info().Err(err).Int64("wave", m.Wave).Str("machine", m.Machine).Msg("maintenance attempt finished")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := int64(d.log.Now())
@@ -367,22 +403,26 @@
 	switch {
 	case err == nil:
 		d.log.Read(func(s *fleet.State) {
-			mt.down[machine] = downMachine{incarnation: incarnation, returnBy: now + d.maxDownTimeMS(s.Workload, machine)}
+			mt.down[m.Machine] = downMachine{incarnation: m.incarnation, returnBy: now + d.maxDownTimeMS(s.Workload, m.Machine)}
 		})
-		if w, ok := d.workers[incarnation]; ok {
+		if w, ok := d.workers[m.incarnation]; ok {
 			w.terminate()
 		}
 	case errors.Is(err, ErrNoMachine):
 	case errors.Is(err, ErrFenced):
 		mt.fenced = true
-		delete(mt.callsInFlight, machine)
+		delete(mt.callsInFlight, m.Machine)
 		return
 	default:
-		mt.retryAt[machine] = now + machineCallRetryMS
-		delete(mt.callsInFlight, machine)
+		mt.retryAt[m.Machine] = now + machineCallRetryMS
+		delete(mt.callsInFlight, m.Machine)
 		return
 	}
-	go d.recordMaintained(mt, wave, machine)
+	mt.begun = append(mt.begun, m.WaveMachine)
+	if !mt.recording {
+		mt.recording = true
+		go d.recordMaintained(mt)
+	}
 }
 
 // maxDownTimeMS returns how long a machine may be down for its maintenance. A machine that
@@ -394,20 +434,29 @@
 	return returnTimeoutMS
 }
 
-// recordMaintained commits that the maintenance has started. It retries until the commit is
-// known or this store no longer leads.
-func (d *Dispatcher) recordMaintained(mt *maintenance, wave int64, machine string) {
-	p := &workload.Progress{Begun: []workload.WaveMachine{{Wave: wave, Machine: machine}}}
-	for d.log.Leadership().Leading {
-		if d.propose(context.Background(), p) {
-			break
+// recordMaintained commits that the maintenance of machines has begun, those of calls that
+// finished during a commit together in the next one. It retries until the commit is known
+// or this store no longer leads.
+func (d *Dispatcher) recordMaintained(mt *maintenance) {
+	for {
+		d.mu.Lock()
+		begun := mt.begun
+		mt.begun = nil
+		mt.recording = len(begun) > 0
+		d.mu.Unlock()
+		if len(begun) == 0 {
+			return
 		}
+		for d.log.Leadership().Leading && !d.propose(context.Background(), &workload.Progress{Begun: begun}) {
+		}
+		d.mu.Lock()
+		for _, m := range begun {
+			delete(mt.callsInFlight, m.Machine)
+			delete(mt.draining, m.Machine)
+		}
+		d.mu.Unlock()
+		d.Wake()
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(mt.callsInFlight, machine)
-	delete(mt.draining, machine)
-	d.Wake()
 }
 
 // WaveState reports whether the maintenance wave with this number is known, and whether it
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -43,6 +43,8 @@
 	// applyRefused is set.
 	refuse       bool
 	applyRefused bool
+	// observe is called with each command that is applied, if it is set.
+	observe func(fleet.Command)
 
 	dispatchers []*Dispatcher
 	workers     []*modelWorker
@@ -75,6 +77,9 @@
 	if cmd, err = fleet.DecodeCommand(data); err != nil {
 		return fleet.Result{}, err
 	}
+	if l.r.observe != nil {
+		l.r.observe(cmd)
+	}
 	res := l.r.state.Apply(l.r.state.Applied+1, cmd)
 	if l.r.refuse {
 		return fleet.Result{}, fleet.ErrUncertain
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -61,6 +61,7 @@
 	for _, p := range components {
 		p.Register(s.mux)
 	}
+	s.mux.RecoverPanics(log)
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET(wire.Path, s.acceptPeer)
