--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,8 +23,11 @@
 	log     fleet.Log
 	changed func()
 	logger  zerolog.Logger
-	routes  atomic.Pointer[Routes]
-	calls   metrics.Timer
+	// routes is the index of the configuration in force; buildingRoutes is held while it is
+	// built.
+	routes         atomic.Pointer[Routes]
+	buildingRoutes sync.Mutex
+	calls          metrics.Timer
 	// unresolved holds the submissions whose outcome is not known.
 	unresolved *recentIDs
 }
@@ -88,18 +92,23 @@
 }
 
 // currentRoutes returns the index of the configuration in force, or nil if there is none
-// yet.
+// yet. It is built once for a configuration, outside of the read: with thousands of queues
+// that takes milliseconds, for which neither commits nor other calls should wait.
 func (s *Server) currentRoutes() *Routes {
-	var version int64
-	s.log.Read(func(st *fleet.State) { version = st.Workload.Config.Version })
-	if version == 0 {
+	var config workload.Config
+	s.log.Read(func(st *fleet.State) { config = st.Workload.Config })
+	if config.Version == 0 {
 		return nil
 	}
-	if r := s.routes.Load(); r != nil && r.version == version {
+	if r := s.routes.Load(); r != nil && r.version == config.Version {
 		return r
 	}
-	var r *Routes
-	s.log.Read(func(st *fleet.State) { r = NewRoutes(st.Workload.Config) })
+	s.buildingRoutes.Lock()
+	defer s.buildingRoutes.Unlock()
+	if r := s.routes.Load(); r != nil && r.version >= config.Version {
+		return r
+	}
+	r := NewRoutes(config)
 	s.routes.Store(r)
 	return r
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -65,6 +65,13 @@
 	body cbor.RawMessage
 }
 
+// NewRequest returns the request that a Handler receives for a message of the peer, for
+// use without a connection. The error is that of encoding msg.
+func NewRequest(t Type, from string, msg any) (Request, error) {
+	body, err := cbor.Marshal(msg)
+	return Request{Type: t, From: from, body: body}, errors.Wrap(err, "wire: encode body")
+}
+
 // Decode decodes the body into v, a pointer. The error for a malformed body is an
 // *ErrorBody with CodeBadMessage.
 func (r Request) Decode(v any) error {
