Add a machine for a task that finds no room although little work waits

Change: waiting tasks whose step has made no progress for 1.5 s count as overdue, and a pool with a small backlog gets machines for them.

Tests: TestOverdueTaskGetsAMachine, which fails without the change, and TestOverdueTasksAreCounted.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -92,6 +92,9 @@
 	// waiting long-running tasks occupy.
 	Spread      int
 	LongRunning workload.Resources
+	// Overdue is the part of Waiting that has made no progress for a while. Such tasks may
+	// be too large for what any machine has free, however little work waits in all.
+	Overdue workload.Resources
 }
 
 // Input is the input of Decide, which changes none of it.
@@ -184,7 +187,7 @@
 	present := d.poolSizes[pool] + d.in.Incoming[pool] + d.added[pool]
 	spread := max(demand.Spread, machinesFor(demand.LongRunning, d.in.MachineCapacity)) - d.in.Incoming[pool]
 	if d.backlogMS(pool) <= addBacklogMS {
-		return spread
+		return max(spread, machinesFor(demand.Overdue, d.in.MachineCapacity)-d.in.Incoming[pool])
 	}
 	return max(d.requiredMachines(pool)-present, spread)
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -163,6 +163,23 @@
 	}
 }
 
+// Guards against a task that needs most of a machine and waits for good in a pool where each
+// machine has something to run. The work that waits in all is too little to add machines for,
+// and the idle ones have left.
+func TestOverdueTaskGetsAMachine(t *testing.T) {
+	large := workload.Resources{CPUMilli: 29_000, MemoryMiB: 43_000}
+	demand := Demand{UnmetDemand: UnmetDemand{WorkMilliMS: 29_000_000, Waiting: large}}
+	in := Input{Machines: testMachines(-1), Demand: map[string]Demand{"docks": demand}, Spare: "spare", MachineCapacity: size}
+	require.Empty(t, Decide(in), "room may still come free")
+	demand.Overdue = large
+	in.Demand = map[string]Demand{"docks": demand}
+	moves := Decide(in)
+	require.Len(t, moves, 1)
+	require.Equal(t, "docks", moves[0].Pool)
+	in.Incoming = map[string]int{"docks": 1}
+	require.Empty(t, Decide(in))
+}
+
 // BenchmarkDecide measures a decision of hundreds of moves. It is made while the state is
 // locked, so a slow decision delays the store's replies to its peers.
 func BenchmarkDecide(b *testing.B) {
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -81,6 +81,10 @@
 	Labels map[string]capacity.UnmetDemand
 }
 
+// overdueMS is the time without progress after which the waiting tasks of a step count as
+// overdue. Room that frees in the usual way does so within half of the latency targets.
+const overdueMS = 1500
+
 // candidate is a step that has waiting tasks and whose dependencies are done.
 type candidate struct {
 	job        *workload.Job
@@ -287,6 +291,11 @@
 	for range tasks {
 		u.Waiting = u.Waiting.Plus(c.step.Occupies())
 	}
+	if !c.step.LongRunning && p.in.NowMS-c.occurrence.LastProgressMS(c.job, c.ref.Step) >= overdueMS {
+		for range tasks {
+			u.Overdue = u.Overdue.Plus(c.step.Occupies())
+		}
+	}
 	if c.step.LongRunning {
 		perWorker := c.step.MaxPerWorker
 		if perWorker == 0 {
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -275,3 +275,13 @@
 	require.Equal(t, int64(2000), u.Waiting.CPUMilli, "8 of the 10 tasks fit")
 	require.Equal(t, int64(2000), u.Labels["gpu"].Waiting.CPUMilli)
 }
+
+// Guards against demand that counts tasks as overdue while their step makes progress.
+func TestOverdueTasksAreCounted(t *testing.T) {
+	f := newFixture(1, workload.Team{})
+	f.submit("large", "batch", "", now-overdueMS, step(2, 9000))
+	f.submit("fresh", "batch", "", now-overdueMS+1, step(1, 9000))
+	u := f.plan().Unplaced["pool"]
+	require.Equal(t, int64(27000), u.Waiting.CPUMilli)
+	require.Equal(t, int64(18000), u.Overdue.CPUMilli)
+}
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -297,6 +297,22 @@
 	Steps []StepProgress `cbor:"2,keyasint"`
 }
 
+// LastProgressMS returns the cluster time at which a task of the step was last placed or
+// ended, or the step's turn came. The step must be ready.
+func (o *Occurrence) LastProgressMS(j *Job, step int) int64 {
+	last := o.DueAt
+	for i := range o.Steps[step].Tasks {
+		t := &o.Steps[step].Tasks[i]
+		last = max(last, t.PlacedAt, t.EndedAt)
+	}
+	for _, dependency := range j.Steps[step].After {
+		for i := range o.Steps[dependency].Tasks {
+			last = max(last, o.Steps[dependency].Tasks[i].EndedAt)
+		}
+	}
+	return last
+}
+
 // StepProgress is the progress of one step of an occurrence.
 type StepProgress struct {
 	Tasks []Task `cbor:"1,keyasint"`
