Show stalled work with its reason, age and remedy

Coordinators could not see that a round had stalled. A pure function (package stall) finds steps that make no progress, by the replicated state and what the leader believes of the workers, and gives one of nine reasons. GET /v1/stalled shows a team its own work, /v1/operator/stalled and "samphirectl stalled" (with filters, JSON and -watch) show operators all of it.

--- a/cmd/samphire-entry/main.go
+++ b/cmd/samphire-entry/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/entry"
 	"github.com/samphirefork/samphirefork/internal/operator"
 	"github.com/samphirefork/samphirefork/internal/settings"
@@ -45,8 +46,10 @@
 	workers := workerlink.NewManager(set.Instance, e.Leader(), workerlink.HTTPOrderSender{Client: &http.Client{}}, log)
 	workers.Mount(e.Echo())
 	e.OnBackendAnnouncement(workers.AnnounceBackend)
-	operatorPath, handler := operator.NewHandler(e.Leader(), operator.Options{Token: set.OperatorToken, KeySecret: []byte(set.SharedSecret)})
+	options := operator.Options{Token: set.OperatorToken, KeySecret: []byte(set.SharedSecret)}
+	operatorPath, handler := operator.NewHandler(e.Leader(), options)
 	e.Echo().Any(operatorPath+"*", echo.WrapHandler(handler))
+	e.Echo().Any(api.PathOperatorStalled, echo.WrapHandler(operator.NewStalledHandler(e.Leader(), options)))
 	return serve(ctx, e, workers)
 }
 
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -93,6 +93,7 @@
 			a.keyCommand(),
 			a.jobCommand(),
 			a.stepsCommand(),
+			a.stalledCommand(),
 			a.memberCommand(),
 			a.lostCommand(),
 			a.snapshotCommand(),
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -43,6 +43,7 @@
 	path, h := operator.NewHandler(leader.NewClient(pool, []string{fakeLeader.Address()}), opts)
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
+	mux.Handle(api.PathOperatorStalled, operator.NewStalledHandler(leader.NewClient(pool, []string{fakeLeader.Address()}), opts))
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	return testEnv{fakeLeader: fakeLeader, pool: pool, entry: strings.TrimPrefix(srv.URL, "http://")}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -273,6 +273,7 @@
 		return nil
 	}
 	p := &workload.Progress{}
+	var stallChanges []stallChange
 	if now-d.prunedAt > pruneIntervalMS {
 		d.prunedAt = now
 		p.PruneBefore = now - d.settings.JobRetention.Milliseconds()
@@ -297,7 +298,9 @@
 		}
 		d.updateDemand(s.Workload, plan, now)
 		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
+		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
+	d.logStalls(stallChanges, now)
 	if len(p.Due)+len(p.Stops)+len(p.Starts) == 0 && p.PruneBefore <= 0 {
 		return nil
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -104,6 +104,7 @@
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
 	transfers map[string]transfer
+	stalls    *stallTracker
 	// estimates is kept across leaderships: the ratios that it has learned stay valid.
 	estimates *estimates
 }
@@ -114,6 +115,7 @@
 	d := &Dispatcher{
 		log: log, settings: s, logger: logger, meters: newMeters(registry),
 		advisor: advisor, provider: machines, estimates: newEstimates(), wakeup: make(chan struct{}, 1),
+		stalls: newStallTracker(registry),
 	}
 	d.reset(0, 0)
 	return d
@@ -139,6 +141,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
+	d.stalls.clear()
 }
 
 // Wake requests a cycle now instead of at the next tick. It does not block.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -17,6 +17,32 @@
 func (h WorkerHandler) Register(mux wire.Mux) {
 	mux[wire.TypeStepReport] = h.serveReport
 	mux[wire.TypeStepLeave] = h.serveLeave
+	mux[wire.TypeStalled] = h.serveStalled
+}
+
+// maxStalledEntries bounds the entries of one reply, so that it fits into a frame.
+const maxStalledEntries = 5000
+
+func (h WorkerHandler) serveStalled(_ context.Context, req wire.Request) (any, error) {
+	var msg wire.StalledRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	stalls, now, err := h.Stalled()
+	if err != nil {
+		return nil, toWireError(err)
+	}
+	reply := wire.StalledReply{NowMS: now}
+	for _, s := range stalls {
+		switch {
+		case !msg.AllTeams && s.Team != msg.Team, msg.Queue != "" && s.Queue != msg.Queue, msg.Reason != "" && s.Reason != msg.Reason:
+		case len(reply.Stalls) == maxStalledEntries:
+			reply.Omitted++
+		default:
+			reply.Stalls = append(reply.Stalls, s)
+		}
+	}
+	return reply, nil
 }
 
 func (h WorkerHandler) serveReport(ctx context.Context, req wire.Request) (any, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphirefork/samphirefork/internal/admission"
+	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/leader"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/wait"
@@ -154,6 +155,7 @@
 	router.POST("/v1/call/:service", e.handleCall)
 	router.POST("/v1/queues/:queue/jobs", e.handleSubmit)
 	router.GET("/v1/jobs/:id", e.handleGetJob)
+	router.GET(api.PathStalled, e.handleStalled)
 	router.POST("/v1/queues/:queue/step-jobs", e.handleSubmitSteps)
 	router.GET("/v1/queues/:queue/step-jobs/:id", e.handleGetSteps)
 	router.DELETE("/v1/queues/:queue/step-jobs/:id", e.handleCancelSteps)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -82,7 +82,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = led.Close() })
 	s := &fakeStore{ledger: led, config: testConfig(), grant: 100, jobs: map[string]*fleet.Job{}}
-	mux := wire.Mux{wire.TypeRenew: s.renew, wire.TypePropose: s.propose, wire.TypeJobWait: s.jobWait}
+	mux := wire.Mux{wire.TypeRenew: s.renew, wire.TypePropose: s.propose, wire.TypeJobWait: s.jobWait, wire.TypeStalled: s.stalled}
 	led.Register(mux)
 	claim := mux[wire.TypeLedgerClaim]
 	mux[wire.TypeLedgerClaim] = func(ctx context.Context, req wire.Request) (any, error) {
--- a/internal/operator/operatortest/leader.go
+++ b/internal/operator/operatortest/leader.go
@@ -37,6 +37,7 @@
 	repliesToDrop     int
 	dropAll           bool
 	repliesNotInForce int
+	stalled           wire.StalledReply
 	accepted          int
 }
 
@@ -57,7 +58,8 @@
 		tasks:   map[string]int{},
 		members: []wire.MemberInfo{{ID: 1, Instance: "dc1-s1", DataCentre: "dc1", Address: "127.0.0.1:7001", Match: 40}},
 	}
-	mux := wire.Mux{wire.TypePropose: l.handlePropose, wire.TypeStatus: l.handleStatus, wire.TypeMembership: l.handleMembership}
+	mux := wire.Mux{wire.TypePropose: l.handlePropose, wire.TypeStatus: l.handleStatus, wire.TypeMembership: l.handleMembership,
+		wire.TypeStalled: l.handleStalled}
 	l.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := wire.Accept(w, r, Credentials, mux.Handle)
 		if err != nil {
@@ -105,6 +107,26 @@
 // force.
 func (l *Leader) DelayInForce(n int) { l.withLock(func() { l.repliesNotInForce = n }) }
 
+// SetStalled sets the reply to a query of stalled work, which is filtered by queue and
+// reason.
+func (l *Leader) SetStalled(reply wire.StalledReply) { l.withLock(func() { l.stalled = reply }) }
+
+func (l *Leader) handleStalled(_ context.Context, req wire.Request) (any, error) {
+	var msg wire.StalledRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := wire.StalledReply{NowMS: l.stalled.NowMS}
+	for _, s := range l.stalled.Stalls {
+		if (msg.Queue == "" || msg.Queue == s.Queue) && (msg.Reason == "" || msg.Reason == s.Reason) && (msg.AllTeams || msg.Team == s.Team) {
+			reply.Stalls = append(reply.Stalls, s)
+		}
+	}
+	return reply, nil
+}
+
 // SetTasks sets the number of jobs assigned to a worker. Each status query then reduces
 // it by one, until it is 0.
 func (l *Leader) SetTasks(worker string, n int) { l.withLock(func() { l.tasks[worker] = n }) }
--- a/internal/wire/jobcall.go
+++ b/internal/wire/jobcall.go
@@ -1,6 +1,9 @@
 package wire
 
-import "github.com/samphirefork/samphirefork/internal/workload"
+import (
+	"github.com/samphirefork/samphirefork/internal/stall"
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
 
 // JobOp is an operation on a queue that a caller requests.
 type JobOp uint8
@@ -83,6 +86,24 @@
 	Body []byte `cbor:"1,keyasint"`
 }
 
+// StalledRequest asks the leader for the work that makes no progress.
+type StalledRequest struct {
+	// AllTeams selects the work of all teams; otherwise only that of Team.
+	AllTeams bool   `cbor:"1,keyasint,omitempty"`
+	Team     string `cbor:"2,keyasint,omitempty"`
+	// Queue and Reason select one queue and one reason; empty values select all.
+	Queue  string       `cbor:"3,keyasint,omitempty"`
+	Reason stall.Reason `cbor:"4,keyasint,omitempty"`
+}
+
+// StalledReply is the reply to a StalledRequest. NowMS is the leader's cluster time.
+type StalledReply struct {
+	NowMS  int64         `cbor:"1,keyasint"`
+	Stalls []stall.Stall `cbor:"2,keyasint,omitempty"`
+	// Omitted is the number of further entries, which did not fit into the reply.
+	Omitted int `cbor:"3,keyasint,omitempty"`
+}
+
 // JoinRequest asks the leader whether a store is a member of the log, and to add it as
 // a learner if it is not and Fresh is set.
 type JoinRequest struct {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -30,6 +30,7 @@
 	TypeLeader                         // no body, answered by LeaderInfo
 	TypeStepReport                     // StepReport, answered by StepOrders
 	TypeStepLeave                      // StepReport without a body, answered by empty StepOrders
+	TypeStalled                        // StalledRequest, answered by StalledReply
 )
 
 // RenewRequest renews the configuration lease and the limit grants of an entry.
