End calls at a cut-off data centre once waiting can't help

Cause: an entry that had lost the leader repeated a submission with an unknown outcome until the caller's time limit (504 after 2.9 s), and let each new call wait 0.7 s, however long it had been cut off.

Change: a call with an unknown outcome ends when no leader has answered for 1.5 s; a new call is refused as not run at once after 2.5 s, twice the longest election. Callers then ask an entry that has a leader.

Test: TestCallsEndOnceTheLeaderIsOutOfReach; with the former client the first part takes the caller's whole 30 s.

--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -26,6 +26,9 @@
 	// sent. Two polls have failed by then.
 	sendTimeout          = 1100 * time.Millisecond
 	contactCheckInterval = 20 * time.Millisecond
+	// outOfReachTimeout is the time without an answer from a leader after which calls are
+	// refused at once: elections take at most half of it, so the entry is cut off.
+	outOfReachTimeout = 2500 * time.Millisecond
 	// leaderWaitTimeout bounds the time for which a call that no store has accepted waits
 	// for a leader. It is a fifth of the shortest latency target, so that callers still
 	// have time to try another entry.
@@ -122,8 +125,9 @@
 
 // Call forwards a call to the leader and returns its reply. It waits at most
 // leaderWaitTimeout, 700 ms, for a leader. Once a store may have accepted a submission or
-// cancellation, Call repeats it until ctx ends, which is safe since the call is idempotent
-// by the job's identifier. Errors wrap ErrNotRun or ErrMayHaveRun.
+// cancellation, Call repeats it until ctx ends or no leader has answered for readyTimeout,
+// 1.5 s, which is safe since the call is idempotent by the job's identifier. Errors wrap
+// ErrNotRun or ErrMayHaveRun.
 func (c *Client) Call(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
 	var reply wire.JobCallReply
 	firstCtx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
@@ -141,18 +145,38 @@
 	if call.Op == wire.JobStatus || call.Op == wire.JobWaiting {
 		return reply, errors.Wrap(ErrMayHaveRun, err.Error())
 	}
-	if err = c.leader.Call(ctx, wire.TypeJobCall, call, &reply, 0); err != nil {
-		return reply, errors.Wrap(ErrMayHaveRun, err.Error())
+	return c.resolve(ctx, call, err)
+}
+
+// resolve repeats a call that a store may have accepted until a leader answers, contact with
+// the leader is lost, or ctx ends. last is the error of the attempt before.
+//
+// Load pattern: a data centre is cut off while its callers submit. No answer can come until
+// it heals; a caller that is told so at once can ask an entry that has a leader.
+func (c *Client) resolve(ctx context.Context, call wire.JobCall, last error) (wire.JobCallReply, error) {
+	for c.Ready() && ctx.Err() == nil {
+		var reply wire.JobCallReply
+		attempt, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
+		err := c.leader.Call(attempt, wire.TypeJobCall, call, &reply, 0)
+		cancel()
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+		var unavailable *leader.ErrUnavailable
+		if !errors.As(err, &unavailable) {
+			break
+		}
 	}
-	return reply, nil
+	return wire.JobCallReply{}, errors.Wrap(ErrMayHaveRun, last.Error())
 }
 
 // awaitContact waits until a leader has answered within sendTimeout, and returns false if
-// ctx ends before. A call that is sent without contact may end with an unknown outcome; one
+// ctx ends before or the leader is out of reach. A call that is sent without contact may end with an unknown outcome; one
 // that is not sent has certainly not run.
 func (c *Client) awaitContact(ctx context.Context) bool {
 	for !c.inContact(sendTimeout) {
-		if !wait.For(ctx, contactCheckInterval) {
+		if !c.inContact(outOfReachTimeout) || !wait.For(ctx, contactCheckInterval) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/intake/client_test.go
@@ -0,0 +1,90 @@
+package intake
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/wire"
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+// fakeLeader is a store that leads and can be cut off: it then accepts calls and answers
+// nothing.
+type fakeLeader struct {
+	address  string
+	cutOff   atomic.Bool
+	accepted atomic.Int64
+}
+
+func newFakeLeader(t *testing.T, creds wire.Credentials) *fakeLeader {
+	t.Helper()
+	l := &fakeLeader{}
+	answer := func(reply any) wire.Handler {
+		return func(ctx context.Context, req wire.Request) (any, error) {
+			if req.Type == wire.TypeJobCall {
+				l.accepted.Add(1)
+			}
+			if l.cutOff.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return reply, nil
+		}
+	}
+	mux := wire.Mux{wire.TypeLeader: answer(wire.LeaderInfo{Term: 1}), wire.TypeJobCall: answer(wire.JobCallReply{Verdict: wire.VerdictOK})}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, err := wire.Accept(w, r, creds, mux.Handle); err == nil {
+			<-conn.Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	l.address = strings.TrimPrefix(srv.URL, "http://")
+	return l
+}
+
+// Guards against callers of a data centre that is cut off who wait for their whole time
+// limit: once no leader has answered for a while, neither a call with an unknown outcome nor
+// one that was not sent can be helped by waiting.
+func TestCallsEndOnceTheLeaderIsOutOfReach(t *testing.T) {
+	creds := wire.Credentials{Instance: "entry", Secret: []byte("secret of the fleet")}
+	l := newFakeLeader(t, creds)
+	pool := wire.NewPool(creds, wire.Mux{}.Handle)
+	t.Cleanup(pool.Close)
+	c := NewClient(pool, func() []string { return []string{l.address} }, zerolog.Nop())
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	require.Eventually(t, c.Ready, 10*time.Second, time.Millisecond)
+	submit := wire.JobCall{Op: wire.JobSubmit, Content: &workload.Submit{}}
+	_, err := c.Call(ctx, submit)
+	require.NoError(t, err)
+
+	l.cutOff.Store(true)
+	accepted := l.accepted.Load()
+	start := time.Now()
+	_, err = c.Call(ctx, submit)
+	require.ErrorIs(t, err, ErrMayHaveRun)
+	require.Less(t, time.Since(start), readyTimeout+2*leaderWaitTimeout)
+	require.Greater(t, l.accepted.Load(), accepted)
+
+	start = time.Now()
+	accepted = l.accepted.Load()
+	_, err = c.Call(ctx, submit)
+	require.ErrorIs(t, err, ErrNotRun)
+	require.Less(t, time.Since(start), 2*leaderWaitTimeout)
+	require.Equal(t, accepted, l.accepted.Load(), "a call that is refused as not run was not sent")
+
+	require.Eventually(t, func() bool { return !c.inContact(outOfReachTimeout) }, 10*time.Second, time.Millisecond)
+	start = time.Now()
+	_, err = c.Call(ctx, submit)
+	require.ErrorIs(t, err, ErrNotRun)
+	require.Less(t, time.Since(start), leaderWaitTimeout/2, "it is known that waiting does not help")
+}
