Count the time for which a response was held towards the heartbeat interval

Cause: a worker whose response was held for 0.7 s until it got tasks was told to report 0.8 or 0.9 s later, up to 1.6 s after its last report. It counted as silent after 1.3 s although nothing was wrong: no new tasks for it, and copies of its speculative tasks elsewhere.

Change: the interval begins with the report, not with the response.

Test: TestWorkerWithAHeldResponseStaysLive, which fails without the change.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -381,12 +381,13 @@
 	if d.term != term || d.workers[w.Incarnation] != w {
 		return Orders{}, &NotLeaderError{Leader: d.log.Leadership().Leader}
 	}
+	held := time.Duration(int64(d.log.Now())-receivedAt) * time.Millisecond
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
 		w.recordStartsSent(s.Workload, o.Starts)
 		o.Paces = w.paceOrders(s.Workload, receivedAt)
-		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0)
+		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0, held)
 	})
 	l := d.log.Leadership()
 	if !l.Leading || l.Term != term {
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -233,6 +233,35 @@
 	return moved
 }
 
+// A worker whose response was held until it got tasks must report again before it counts as
+// silent: it would get no further tasks for a while, and copies of its speculative tasks
+// would start.
+func TestWorkerWithAHeldResponseStaysLive(t *testing.T) {
+	for _, liveWorkers := range []int{1, 1100} {
+		require.LessOrEqual(t, responseTimeout.Milliseconds()+retryAfterHold(t, liveWorkers), int64(heartbeatTimeoutMS)-200,
+			"200 ms for both ways and the worker")
+	}
+}
+
+// retryAfterHold returns the milliseconds after which a worker is told to report again whose
+// response was held as long as possible and then carried a start.
+func retryAfterHold(t *testing.T, liveWorkers int) int64 {
+	r := newRig(1)
+	d := r.dispatchers[0]
+	w := r.addWorker("a", "r1")
+	w.heartbeat(0, false)
+	receivedAt := r.now
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU}})
+	r.cycle()
+	d.liveWorkers = liveWorkers
+	r.now += responseTimeout.Milliseconds()
+	orders, err := d.composeOrders(d.workers[workload.WorkerIncarnation{ID: "a", Born: w.born}], d.term, receivedAt)
+	require.NoError(t, err)
+	require.Len(t, orders.Starts, 1)
+	require.Positive(t, orders.Retry)
+	return orders.Retry.Milliseconds()
+}
+
 // FuzzReport guards against reports that pass validation and make the dispatcher panic.
 func FuzzReport(f *testing.F) {
 	f.Add([]byte(`{"life":{"id":"w"},"pool":"pool","sequence":1,"running":[{"task":{"job":"job"},"run":1,"percent":50}],"ended":[{"task":{"job":"job","index":1},"run":1,"number":1,"outcome":"done"}]}`))
--- a/internal/dispatch/heartbeat_interval.go
+++ b/internal/dispatch/heartbeat_interval.go
@@ -25,13 +25,15 @@
 	maxInterval = 900 * time.Millisecond
 )
 
-// heartbeatInterval returns the time until the worker's next heartbeat.
+// heartbeatInterval returns the time until the worker's next heartbeat. held is the time
+// for which the response to the present one was held. It counts towards the interval: the
+// worker would count as silent if it waited for both.
 //
 // A start order can reach a worker only in the response to a heartbeat, and a held response
 // delays the report of an ended run. So responses to idle workers are held, workers with
 // free capacity report often while their pool is busy, and full ones report when a run
 // ends.
-func (d *Dispatcher) heartbeatInterval(w *worker, s *workload.State, started bool) time.Duration {
+func (d *Dispatcher) heartbeatInterval(w *worker, s *workload.State, started bool, held time.Duration) time.Duration {
 	floor := min(intervalPerWorker*time.Duration(d.liveWorkers), maxInterval)
 	occupied := s.RunsOn(w.Incarnation)
 	if len(occupied) == 0 && !started {
@@ -48,5 +50,5 @@
 	if d.busyPools[w.Pool] && free.CPUMilli > 0 && free.MemoryMiB > 0 && !w.Draining {
 		interval = busyPoolInterval
 	}
-	return max(interval, floor)
+	return max(max(interval, floor)-held, idleInterval)
 }
