--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -76,11 +76,12 @@
 // heartbeats that wait for the result.
 func (d *Dispatcher) cycle(ctx context.Context) {
 	start := time.Now()
-	now, term, ends, upTo, err := d.beginCycle()
+	c, err := d.beginCycle()
 	if err != nil {
 		return
 	}
-	if !d.recordEnds(ctx, term, ends, now) {
+	now, upTo := c.now, c.upTo
+	if !d.recordEnds(ctx, c) {
 		return
 	}
 	d.markRecorded(upTo)
@@ -92,17 +93,26 @@
 	d.meters.cycles.UpdateSince(start)
 }
 
-// beginCycle returns the cluster time, the term, and the result of collectEnds, or a
-// NotLeaderError.
-func (d *Dispatcher) beginCycle() (int64, uint64, []workload.End, map[*worker]int64, error) {
+// cycleStart is what a cycle begins with: the cluster time, the term, and the result of
+// collectEnds.
+type cycleStart struct {
+	now  int64
+	term uint64
+	ends []workload.End
+	upTo map[*worker]int64
+}
+
+// beginCycle returns a NotLeaderError while another store leads.
+func (d *Dispatcher) beginCycle() (cycleStart, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, err := d.checkLeadership()
 	if err != nil {
-		return 0, 0, nil, nil, err
+		return cycleStart{}, err
 	}
-	ends, upTo := d.collectEnds(now)
-	return now, d.term, ends, upTo, nil
+	c := cycleStart{now: now, term: d.term}
+	c.ends, c.upTo = d.collectEnds(now)
+	return c, nil
 }
 
 // propose commits a batch to the fleet log. It returns false unless the batch is known to
@@ -186,14 +196,14 @@
 
 // recordEnds commits the ends in commands of bounded size. It returns false, and keeps
 // those that may not be committed for the next cycle, unless all are known to be committed.
-func (d *Dispatcher) recordEnds(ctx context.Context, term uint64, ends []workload.End, now int64) bool {
-	for len(ends) > 0 {
+func (d *Dispatcher) recordEnds(ctx context.Context, c cycleStart) bool {
+	for ends := c.ends; len(ends) > 0; {
 		batch := ends[:min(len(ends), maxEndsPerCommand)]
 		if !d.propose(ctx, &workload.Progress{Ends: batch}) {
-			d.requeueEnds(term, ends)
+			d.requeueEnds(c.term, ends)
 			return false
 		}
-		d.noteEnds(batch, now)
+		d.noteEnds(batch, c.now)
 		ends = ends[len(batch):]
 	}
 	return true
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -212,7 +212,7 @@
 	f.r.cycle()
 	f.r.cycle()
 	require.Zero(t, f.movedMachines(t))
-	f.r.now += hearingTimeoutMS
+	f.r.now += reportingTimeoutMS
 	f.r.cycle()
 	f.r.cycle()
 	require.Positive(t, f.movedMachines(t), "the other machines may be lost")
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -37,11 +37,11 @@
 	// arrivalWindowMS is the time over which arriving work is counted: a burst shows within
 	// it, and a single large job doesn't look like one.
 	arrivalWindowMS = 1000
-	// heardPoolPercent is the part of a pool's machines that must have reported to a new
-	// leader before it moves machines into or out of the pool, and hearingTimeoutMS the
+	// reportingPoolPercent is the part of a pool's machines that must have reported to a new
+	// leader before it moves machines into or out of the pool, and reportingTimeoutMS the
 	// time after which it does so in any case: machines may be lost.
-	heardPoolPercent = 90
-	hearingTimeoutMS = 2500
+	reportingPoolPercent = 90
+	reportingTimeoutMS   = 2500
 )
 
 // MachineInfo describes a machine as the platform lists it.
@@ -178,8 +178,8 @@
 	if d.provider == nil || d.maintenance.fenced || !d.machinesListed {
 		return
 	}
-	heard := d.heardPools(s, now)
-	in := capacity.Input{Demand: onlyPools(d.demand, heard), Spare: sparePool(s)}
+	reporting := d.reportingPools(s, now)
+	in := capacity.Input{Demand: onlyPools(d.demand, reporting), Spare: sparePool(s)}
 	d.completeTransfers(s, &in, now)
 	total, machines := workload.Resources{}, int64(0)
 	for name, m := range d.machinesByName {
@@ -189,7 +189,7 @@
 			continue
 		}
 		candidate := d.moveCandidate(s, m, name, in.Spare, now)
-		if !heard[m.Pool] {
+		if !reporting[m.Pool] {
 			candidate.IdleMS, candidate.Tasks = -1, 0
 		}
 		in.Machines = append(in.Machines, candidate)
@@ -210,36 +210,36 @@
 	}
 }
 
-// heardPools returns the pools of the configuration whose demand is known: most of their
+// reportingPools returns the pools of the configuration whose demand is known: most of their
 // machines that are up have reported to this leader, or the leadership has lasted for
-// hearingTimeoutMS. The machines of the spare pool report nothing.
+// reportingTimeoutMS. The machines of the spare pool report nothing.
 //
-// Load pattern: the leader is lost during a burst. Its successor first hears a few workers
-// and sees all work wait for them. It would move hundreds of machines into pools that need
-// none.
-func (d *Dispatcher) heardPools(s *workload.State, now int64) map[string]bool {
-	up, heard := map[string]int{}, map[string]int{}
+// Load pattern: the leader is lost during a burst. Its successor first gets the reports of a
+// few workers and sees all work wait for them. It would move hundreds of machines into pools
+// that need none.
+func (d *Dispatcher) reportingPools(s *workload.State, now int64) map[string]bool {
+	up, reported := map[string]int{}, map[string]int{}
 	for name, m := range d.machinesByName {
 		if !m.Up || m.movedAt != 0 {
 			continue
 		}
 		up[m.Pool]++
 		if _, ok := d.workerOn(name); ok {
-			heard[m.Pool]++
+			reported[m.Pool]++
 		}
 	}
-	known := map[string]bool{}
+	pools := map[string]bool{}
 	for pool, p := range s.Config.Pools {
-		known[pool] = p.Spare || now-d.leadingSince >= hearingTimeoutMS || heard[pool]*percent >= up[pool]*heardPoolPercent
+		pools[pool] = p.Spare || now-d.leadingSince >= reportingTimeoutMS || reported[pool]*percent >= up[pool]*reportingPoolPercent
 	}
-	return known
+	return pools
 }
 
-// hearsAllPools reports whether this leader has heard most machines of each pool, so that
-// it knows which of them cost the least to drain.
-func (d *Dispatcher) hearsAllPools(s *workload.State, now int64) bool {
-	for _, heard := range d.heardPools(s, now) {
-		if !heard {
+// allPoolsReporting reports whether most machines of each pool have reported to this leader,
+// so that it knows which of them cost the least to drain.
+func (d *Dispatcher) allPoolsReporting(s *workload.State, now int64) bool {
+	for _, reporting := range d.reportingPools(s, now) {
+		if !reporting {
 			return false
 		}
 	}
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -173,7 +173,7 @@
 	}
 	limit := max(w.MaxDown, 1)
 	d.selectOffMachines(s, w, now)
-	if d.hearsAllPools(s, now) {
+	if d.allPoolsReporting(s, now) {
 		d.selectMachines(s, w, min(limit, waveConcurrency(w, now)), now)
 	}
 	down := d.downCount(s, w, now)
--- a/internal/dispatch/stalled.go
+++ b/internal/dispatch/stalled.go
@@ -141,12 +141,12 @@
 func (d *Dispatcher) logStalls(changes []stallChange, now int64) {
 	for i, c := range changes {
 		if i == maxStallLines {
-			d.logger.Info().Int("more", len(changes)-i).Msg("more work is stalled or goes on")
+			d.logger.Info().Int("more", len(changes)-i).Msg("further changes of stalled work are not logged")
 			return
 		}
 		message := "work is stalled"
 		if c.ended {
-			message = "stalled work goes on or has ended"
+			message = "work is no longer stalled"
 		}
 		d.logger.Info().Str("job", c.Job).Int("occurrence", c.Occurrence).Int("step", c.Step).Str("queue", c.Queue).Str("team", c.Team).
 			Int("tasks", c.Tasks).Str("reason", string(c.Reason)).Str("detail", c.Detail).Int64("stalled_ms", now-c.SinceMS).Msg(message)
--- a/internal/dispatch/stalled_test.go
+++ b/internal/dispatch/stalled_test.go
@@ -129,7 +129,7 @@
 			require.Empty(t, r.reasons())
 			require.Nil(t, r.registry.Get(gauge))
 			require.Equal(t, 1, strings.Count(r.log.String(), `"message":"work is stalled"`))
-			require.Equal(t, 1, strings.Count(r.log.String(), `"message":"stalled work goes on or has ended"`))
+			require.Equal(t, 1, strings.Count(r.log.String(), `"message":"work is no longer stalled"`))
 			require.Empty(t, r.violation)
 		})
 	}
