Keep the first machine list of a leadership

Cause: a new leader may read the machine list before its first report and its first cycle. These discarded the list together with what the earlier leadership knew, and the next one was read 5 s later. Until then no machine was moved.

Test: TestFirstMachineListOfALeadershipIsKept, which fails without the change.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -218,6 +218,27 @@
 	require.Positive(t, f.movedMachines(t), "the other machines may be lost")
 }
 
+// The machine list may arrive before the first report and the first cycle of a new
+// leadership. It must not be discarded with the knowledge of the earlier one: the next list
+// follows 5 s later, and no machine could be moved until then.
+func TestFirstMachineListOfALeadershipIsKept(t *testing.T) {
+	r, o := newRigWithProvider(t)
+	d := r.dispatchers[0]
+	r.term++
+	d.applyList([]MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}, r.now)
+	a := r.addWorker("a", "r1")
+	for range 40 {
+		r.submit(fmt.Sprint(len(r.state.Workload.Jobs)), workload.Step{Count: 4, Size: workload.Resources{CPUMilli: 2000}, EstimatedMS: 4000})
+	}
+	for range 3 {
+		a.heartbeat(0, false)
+		r.cycle()
+	}
+	require.True(t, d.hasMachineList())
+	require.Equal(t, "off>"+rigPool, <-o.moved)
+	waitForCalls(t, d)
+}
+
 // movedMachines returns the number of machines that the leader has moved.
 func (f *sizeFixture) movedMachines(t *testing.T) int {
 	t.Helper()
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -116,7 +116,10 @@
 			continue
 		}
 		due := interval
-		if interval == listInterval && d.hasSilentWorkers() {
+		switch {
+		case !d.hasMachineList():
+			due = listRetryInterval
+		case interval == listInterval && d.hasSilentWorkers():
 			due = silentListInterval
 		}
 		if time.Since(last) < due {
@@ -137,11 +140,22 @@
 	}
 }
 
+// hasMachineList reports whether the machine list was read under the present leadership.
+func (d *Dispatcher) hasMachineList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machinesListed && d.leadsIn(d.term)
+}
+
 // applyList updates the machines from a list that was requested at the given cluster time.
-// It keeps what became known since then.
+// It keeps what became known since then. The list may be the first thing that a new
+// leadership learns, so the knowledge of an earlier one is discarded here, too.
 func (d *Dispatcher) applyList(list []MachineInfo, requestedAt int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, err := d.checkLeadership(); err != nil {
+		return
+	}
 	listed := make(map[string]MachineInfo, len(list))
 	for _, info := range list {
 		listed[info.Name] = info
