Add a machine of the required label for an overdue task

The same as for tasks without a label: one whose step has made no progress for 1.5 s gets a machine although the backlog of the label is small. The test fails without the change.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -178,6 +178,14 @@
 	require.Equal(t, "docks", moves[0].Pool)
 	in.Incoming = map[string]int{"docks": 1}
 	require.Empty(t, Decide(in))
+
+	labelled := UnmetDemand{WorkMilliMS: 29_000_000, Waiting: large, Overdue: large}
+	in = Input{Machines: withLabels(testMachines(-1), "docks", "gpu", "plain"), Spare: "spare", MachineCapacity: size}
+	for i := range in.Machines {
+		in.Machines[i].Labels = append(in.Machines[i].Labels, "gpu")
+	}
+	in.Demand = map[string]Demand{"docks": {Labels: map[string]UnmetDemand{"gpu": labelled}}}
+	require.Len(t, Decide(in), 1, "the same for a task that requires a label")
 }
 
 // BenchmarkDecide measures a decision of hundreds of moves. It is made while the state is
--- a/internal/capacity/labels.go
+++ b/internal/capacity/labels.go
@@ -57,7 +57,7 @@
 func (d *decider) labelledMachinesToAdd(n poolLabel) int {
 	need := d.in.Demand[n.pool].Labels[n.label]
 	incoming := d.in.IncomingLabels[n.pool][n.label]
-	want := max(need.Spread, machinesFor(need.LongRunning, d.in.MachineCapacity))
+	want := max(need.Spread, machinesFor(need.LongRunning, d.in.MachineCapacity), machinesFor(need.Overdue, d.in.MachineCapacity))
 	if !d.labelBacklogWithin(n, addBacklogMS) {
 		size := max(d.in.MachineCapacity.CPUMilli, 1)
 		clearing := (need.WorkMilliMS/clearBacklogMS + size - 1) / size
