Share the machines among pools that are in a burst at once

Cause: machines went to the pool with the largest backlog until it had all that it lacked; another pool whose burst was a little smaller got none.

Change: machines are given one at a time, to the pool that has got the smallest part of what it lacks. The machines by rack are counted once for a decision instead of for each move.

Tests: TestPoolsInABurstShareTheMachines, which fails without the change.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -127,7 +127,7 @@
 // Decide returns the moves to begin now, at most one for each machine.
 func Decide(in Input) []Move {
 	d := decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
-		labelled: map[poolLabel]int{}, racks: map[string]string{}}
+		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.poolSizes[m.Pool]++
 		d.racks[m.Name] = m.Rack
@@ -136,9 +136,7 @@
 		}
 	}
 	d.addLabelledMachines()
-	for _, pool := range d.poolsByBacklog() {
-		d.addMachines(pool, d.machinesToAdd(pool))
-	}
+	d.shareMachines()
 	d.releaseIdle()
 	return d.moves
 }
@@ -157,7 +155,10 @@
 	// machine.
 	labelled map[poolLabel]int
 	racks    map[string]string
-	moves    []Move
+	// poolRacks is the number of machines by rack, for each receiving pool: those of the
+	// pool and all that this decision moves, wherever to.
+	poolRacks map[string]map[string]int
+	moves     []Move
 }
 
 // poolsByBacklog returns the pools that need machines, the largest backlog first.
@@ -217,20 +218,47 @@
 	return n
 }
 
-// addMachines moves up to the given number of machines into a pool: first machines that
-// are off, then idle ones of pools without a backlog, then ones that still run tasks.
-func (d *decider) addMachines(pool string, count int) {
-	for ; count > 0; count-- {
-		if m, ok := d.idleDonor(pool); ok {
-			d.addMove(m, Move{Machine: m.Name, Pool: pool})
-			continue
+// need is the number of machines that a pool lacks, and of those that it was given.
+type need struct {
+	pool         string
+	lacks, given int
+}
+
+// shareMachines moves machines into the pools that need them, one at a time to the pool that
+// has got the smallest part of what it lacks, so that several pools in a burst at once keep
+// pace with each other.
+func (d *decider) shareMachines() {
+	var needs []need
+	for _, pool := range d.poolsByBacklog() {
+		needs = append(needs, need{pool: pool, lacks: d.machinesToAdd(pool)})
+	}
+	for len(needs) > 0 {
+		next := 0
+		for i := range needs {
+			if needs[i].given*needs[next].lacks < needs[next].given*needs[i].lacks {
+				next = i
+			}
 		}
-		m, ok := d.busyDonor(pool)
-		if !ok {
-			return
+		n := &needs[next]
+		n.given++
+		if !d.addMachine(n.pool) || n.given == n.lacks {
+			needs = slices.Delete(needs, next, next+1)
 		}
+	}
+}
+
+// addMachine moves one machine into a pool: one that is off, or else an idle one of a pool
+// without a backlog, or else one that still runs tasks. It returns false if there is none.
+func (d *decider) addMachine(pool string) bool {
+	if m, ok := d.idleDonor(pool); ok {
+		d.addMove(m, Move{Machine: m.Name, Pool: pool})
+		return true
+	}
+	m, ok := d.busyDonor(pool)
+	if ok {
 		d.addMove(m, Move{Machine: m.Name, Pool: pool, WaitUntilIdle: true})
 	}
+	return ok
 }
 
 // busyDonor returns the machine with the fewest tasks among the pools that have a surplus
@@ -273,14 +301,18 @@
 
 // idleDonor returns the best machine of another pool that can move at once.
 func (d *decider) idleDonor(pool string) (Machine, bool) {
-	racks := map[string]int{}
-	for _, m := range d.in.Machines {
-		if m.Pool == pool {
-			racks[m.Rack]++
+	racks := d.poolRacks[pool]
+	if racks == nil {
+		racks = map[string]int{}
+		for _, m := range d.in.Machines {
+			if m.Pool == pool {
+				racks[m.Rack]++
+			}
 		}
-	}
-	for _, move := range d.moves {
-		racks[d.racks[move.Machine]]++
+		for _, move := range d.moves {
+			racks[d.racks[move.Machine]]++
+		}
+		d.poolRacks[pool] = racks
 	}
 	eligible := func(m Machine) bool { return m.Pool != pool && d.available(m) }
 	return d.selectMachine(eligible, func(a, b Machine) bool { return ranksHigher(a, b, racks) })
@@ -329,6 +361,9 @@
 }
 
 func (d *decider) addMove(m Machine, move Move) {
+	for _, racks := range d.poolRacks {
+		racks[m.Rack]++
+	}
 	d.moved[m.Name] = true
 	d.poolSizes[m.Pool]--
 	d.added[move.Pool]++
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -188,6 +188,19 @@
 	require.Len(t, Decide(in), 1, "the same for a task that requires a label")
 }
 
+// Guards against a pool that takes all machines because its backlog is slightly larger, while
+// another pool in a burst gets none.
+func TestPoolsInABurstShareTheMachines(t *testing.T) {
+	smaller := burst
+	smaller.WorkMilliMS -= 1000
+	in := Input{Machines: testMachines(-1), Spare: "spare", MachineCapacity: size, Demand: map[string]Demand{"docks": burst, "tours": smaller}}
+	got := map[string]int{}
+	for _, m := range Decide(in) {
+		got[m.Pool]++
+	}
+	require.Equal(t, map[string]int{"docks": 4, "tours": 4}, got)
+}
+
 // BenchmarkDecide measures a decision of hundreds of moves. It is made while the state is
 // locked, so a slow decision delays the store's replies to its peers.
 func BenchmarkDecide(b *testing.B) {
