Do not show a task as failing while its present run goes on

A lasting task fails at times. In a small pool its failures cover every worker after a while, and it was shown as fails_on_each_worker for good although it runs. Failures count only until a run has lasted 5 s. The new part of TestProgressIsNoStall fails without the change.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -16,9 +16,14 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
-// AfterMS is the time without progress, in milliseconds, after which a step counts as
-// stalled.
-const AfterMS = 1000
+const (
+	// AfterMS is the time without progress, in milliseconds, after which a step counts as
+	// stalled.
+	AfterMS = 1000
+	// failingRunMS is the time for which a run must have lasted so that earlier failures of
+	// its task no longer count: tasks take 1 to 3 s, and those that last fail at times.
+	failingRunMS = 5000
+)
 
 // Reason is why a step makes no progress.
 type Reason string
@@ -160,8 +165,8 @@
 	return f
 }
 
-// poolView is what the live workers of a pool have in common. It answers most questions about a
-// step without a walk over the workers: a full pool has thousands of waiting steps.
+// poolView summarises the live workers of a pool, so that most steps can be judged without a
+// walk over the workers: a full pool has thousands of waiting steps.
 type poolView struct {
 	accepting, held []*Worker
 	workers         int
@@ -239,7 +244,7 @@
 func (f *finder) findFailing() {
 	for ref, failed := range f.in.FailedOn {
 		j, t, ok := f.in.State.Task(ref)
-		if !ok || j.State.Final() || t.Phase == workload.Done || ref.Step >= len(j.Steps) {
+		if !ok || j.State.Final() || ref.Step >= len(j.Steps) || !f.mayBeFailing(t) {
 			continue
 		}
 		key := Key{ref.Job, ref.Occurrence, ref.Step}
@@ -253,6 +258,11 @@
 	}
 }
 
+// mayBeFailing reports whether the task waits, or its run has lasted for a short time only.
+func (f *finder) mayBeFailing(t *workload.Task) bool {
+	return t.Phase == workload.Waiting || t.Phase == workload.Placed && f.in.NowMS-t.PlacedAt < failingRunMS
+}
+
 // failedOnEach reports whether a task of the step failed on each live worker that could run
 // it.
 func (f *finder) failedOnEach(j *workload.Job, step *workload.Step, failed map[string]bool) bool {
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -132,6 +132,14 @@
 	f.submit("fresh", "", now-AfterMS+1, step(9, 9000))
 	f.submit("next", "", 1, step(1, 4000))
 	require.Empty(t, Find(Input{State: f.state, NowMS: now, Workers: f.workers}))
+
+	f = newFixture()
+	lasting := step(1, 4000)
+	lasting.LongRunning = true
+	f.submit("lasts", "", 1, lasting)
+	f.start("lasts", 0, 1, now-failingRunMS)
+	failures := map[workload.TaskRef]map[string]bool{{Job: "lasts"}: {"w0": true, "w1": true}}
+	require.Empty(t, Find(Input{State: f.state, NowMS: now, Workers: f.workers, FailedOn: failures}), "its present run goes on")
 }
 
 // BenchmarkFind measures the search with a thousand stalled jobs in full pools.
