--- /dev/null
+++ b/internal/dispatch/machinelist.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/wait"
+)
+
+const (
+	// listInterval is the time between readings of the platform's machine list. Changes in
+	// between are known from our own moves and the workers' reports.
+	listInterval      = 5 * time.Second
+	listTimeout       = 4 * time.Second
+	listRetryInterval = 500 * time.Millisecond
+	listPollInterval  = 250 * time.Millisecond
+	// silentListInterval is the time between readings while a worker with tasks is silent:
+	// a tenth of the longest lease, and 6 calls for 500 machines.
+	silentListInterval = time.Second
+)
+
+// pollMachines reads the machine list at intervals until ctx ends, while this store leads.
+func (d *Dispatcher) pollMachines(ctx context.Context) {
+	var last time.Time
+	interval := listRetryInterval
+	for wait.For(ctx, listPollInterval) {
+		if !d.log.Leadership().Leading {
+			continue
+		}
+		due := interval
+		switch {
+		case !d.hasMachineList():
+			due = listRetryInterval
+		case interval == listInterval && d.hasSilentWorkers():
+			due = silentListInterval
+		}
+		if time.Since(last) < due {
+			continue
+		}
+		last = time.Now()
+		interval = listRetryInterval
+		requestedAt := int64(d.log.Now())
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		list, err := d.provider.List(call)
+		cancel()
+		if err != nil {
+			d.logger.Warn().Err(err).Msg("could not read the machine list")
+			continue
+		}
+		d.applyList(list, requestedAt)
+		interval = listInterval
+	}
+}
+
+// hasMachineList reports whether the machine list was read under the present leadership.
+func (d *Dispatcher) hasMachineList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machinesListed && d.leadsIn(d.term)
+}
+
+// applyList updates the machines from a list that was requested at the given cluster time.
+// It keeps what became known since then. The list may be the first thing that a new
+// leadership learns, so the knowledge of an earlier one is discarded here, too.
+func (d *Dispatcher) applyList(list []MachineInfo, requestedAt int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, err := d.checkLeadership(); err != nil {
+		return
+	}
+	listed := make(map[string]MachineInfo, len(list))
+	for _, info := range list {
+		listed[info.Name] = info
+		m, ok := d.machinesByName[info.Name]
+		if !ok {
+			d.machinesByName[info.Name] = &machine{MachineInfo: info, updatedAt: requestedAt}
+			continue
+		}
+		if m.updatedAt < requestedAt && (m.movedAt == 0 || requestedAt-m.movedAt > arrivalTimeoutMS) && !d.maintenance.callsInFlight[info.Name] {
+			m.MachineInfo = info
+		}
+	}
+	d.machinesListed = true
+	d.log.Read(func(s *fleet.State) {
+		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt})
+	})
+}
+
+// updateMachine records the machine from which an incarnation reports.
+func (d *Dispatcher) updateMachine(w *worker, now int64) {
+	m, ok := d.machinesByName[w.Machine]
+	if !ok {
+		m = &machine{MachineInfo: MachineInfo{Name: w.Machine}}
+		d.machinesByName[w.Machine] = m
+	}
+	m.Pool, m.Rack, m.DataCentre, m.Labels, m.Capacity, m.Up = w.Pool, w.Rack, w.DataCentre, w.Labels, w.Capacity, true
+	m.updatedAt = now
+	m.movedAt = 0
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -8,22 +8,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
-	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
-	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
 const (
-	// listInterval is the time between readings of the platform's machine list. Changes in
-	// between are known from our own moves and the workers' reports.
-	listInterval      = 5 * time.Second
-	listTimeout       = 4 * time.Second
-	listRetryInterval = 500 * time.Millisecond
-	listPollInterval  = 250 * time.Millisecond
-	// silentListInterval is the time between readings while a worker with tasks is silent:
-	// a tenth of the longest lease, and 6 calls for 500 machines.
-	silentListInterval = time.Second
 	// arrivalTimeoutMS is the time after a move at which a machine that has not reported no
 	// longer counts as in transit.
 	arrivalTimeoutMS = 6000
@@ -37,11 +26,6 @@
 	// arrivalWindowMS is the time over which arriving work is counted: a burst shows within
 	// it, and a single large job doesn't look like one.
 	arrivalWindowMS = 1000
-	// reportingPoolPercent is the part of a pool's machines that must have reported to a new
-	// leader before it moves machines into or out of the pool, and reportingTimeoutMS the
-	// time after which it does so in any case: machines may be lost.
-	reportingPoolPercent = 90
-	reportingTimeoutMS   = 2500
 )
 
 // MachineInfo describes a machine as the platform lists it.
@@ -107,85 +91,6 @@
 	movedAt int64
 }
 
-// pollMachines reads the machine list at intervals until ctx ends, while this store leads.
-func (d *Dispatcher) pollMachines(ctx context.Context) {
-	var last time.Time
-	interval := listRetryInterval
-	for wait.For(ctx, listPollInterval) {
-		if !d.log.Leadership().Leading {
-			continue
-		}
-		due := interval
-		switch {
-		case !d.hasMachineList():
-			due = listRetryInterval
-		case interval == listInterval && d.hasSilentWorkers():
-			due = silentListInterval
-		}
-		if time.Since(last) < due {
-			continue
-		}
-		last = time.Now()
-		interval = listRetryInterval
-		requestedAt := int64(d.log.Now())
-		call, cancel := context.WithTimeout(ctx, listTimeout)
-		list, err := d.provider.List(call)
-		cancel()
-		if err != nil {
-			d.logger.Warn().Err(err).Msg("could not read the machine list")
-			continue
-		}
-		d.applyList(list, requestedAt)
-		interval = listInterval
-	}
-}
-
-// hasMachineList reports whether the machine list was read under the present leadership.
-func (d *Dispatcher) hasMachineList() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.machinesListed && d.leadsIn(d.term)
-}
-
-// applyList updates the machines from a list that was requested at the given cluster time.
-// It keeps what became known since then. The list may be the first thing that a new
-// leadership learns, so the knowledge of an earlier one is discarded here, too.
-func (d *Dispatcher) applyList(list []MachineInfo, requestedAt int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, err := d.checkLeadership(); err != nil {
-		return
-	}
-	listed := make(map[string]MachineInfo, len(list))
-	for _, info := range list {
-		listed[info.Name] = info
-		m, ok := d.machinesByName[info.Name]
-		if !ok {
-			d.machinesByName[info.Name] = &machine{MachineInfo: info, updatedAt: requestedAt}
-			continue
-		}
-		if m.updatedAt < requestedAt && (m.movedAt == 0 || requestedAt-m.movedAt > arrivalTimeoutMS) && !d.maintenance.callsInFlight[info.Name] {
-			m.MachineInfo = info
-		}
-	}
-	d.machinesListed = true
-	d.log.Read(func(s *fleet.State) {
-		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt})
-	})
-}
-
-// updateMachine records the machine from which an incarnation reports.
-func (d *Dispatcher) updateMachine(w *worker, now int64) {
-	m, ok := d.machinesByName[w.Machine]
-	if !ok {
-		m = &machine{MachineInfo: MachineInfo{Name: w.Machine}}
-		d.machinesByName[w.Machine] = m
-	}
-	m.Pool, m.Rack, m.DataCentre, m.Labels, m.Capacity, m.Up = w.Pool, w.Rack, w.DataCentre, w.Labels, w.Capacity, true
-	m.updatedAt = now
-	m.movedAt = 0
-}
-
 // rebalance starts the moves that the demand of the last plan calls for. The caller holds
 // mu.
 func (d *Dispatcher) rebalance(s *workload.State, now int64) {
@@ -224,53 +129,6 @@
 	}
 }
 
-// reportingPools returns the pools of the configuration whose demand is known: most of their
-// machines that are up have reported to this leader, or the leadership has lasted for
-// reportingTimeoutMS. The machines of the spare pool report nothing.
-//
-// Load pattern: the leader is lost during a burst. Its successor first gets the reports of a
-// few workers and sees all work wait for them. It would move hundreds of machines into pools
-// that need none.
-func (d *Dispatcher) reportingPools(s *workload.State, now int64) map[string]bool {
-	up, reported := map[string]int{}, map[string]int{}
-	for name, m := range d.machinesByName {
-		if !m.Up || m.movedAt != 0 {
-			continue
-		}
-		up[m.Pool]++
-		if _, ok := d.workerOn(name); ok {
-			reported[m.Pool]++
-		}
-	}
-	pools := map[string]bool{}
-	for pool, p := range s.Config.Pools {
-		pools[pool] = p.Spare || now-d.leadingSince >= reportingTimeoutMS || reported[pool]*percent >= up[pool]*reportingPoolPercent
-	}
-	return pools
-}
-
-// allPoolsReporting reports whether most machines of each pool have reported to this leader,
-// so that it knows which of them cost the least to drain.
-func (d *Dispatcher) allPoolsReporting(s *workload.State, now int64) bool {
-	for _, reporting := range d.reportingPools(s, now) {
-		if !reporting {
-			return false
-		}
-	}
-	return true
-}
-
-// onlyPools returns the demand of the given pools.
-func onlyPools(demand map[string]capacity.Demand, pools map[string]bool) map[string]capacity.Demand {
-	known := make(map[string]capacity.Demand, len(demand))
-	for pool, d := range demand {
-		if pools[pool] {
-			known[pool] = d
-		}
-	}
-	return known
-}
-
 // transfer is a machine that gets no new tasks and moves to another pool once it runs
 // nothing.
 type transfer struct {
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -361,70 +360,6 @@
 	return ok && r.Percent >= fullPace
 }
 
-// startMaintenance records the orders of this cycle in one commit and calls the platform in
-// the background, so that the cycle does not wait for it. The orders are recorded first: a
-// later leader then counts the machines as ones that may be down. The caller holds mu.
-func (d *Dispatcher) startMaintenance() {
-	mt := d.maintenance
-	starting, order := mt.starting, d.machineOrder()
-	mt.starting = nil
-	if len(starting) == 0 {
-		return
-	}
-	go func() {
-		p := &workload.Progress{}
-		for _, m := range starting {
-			p.Ordered = append(p.Ordered, m.WaveMachine)
-		}
-		recorded := d.propose(context.Background(), p)
-		for _, m := range starting {
-			if !recorded {
-				d.finishMaintenanceCall(mt, m, fleet.ErrUncertain)
-				continue
-			}
-			go d.callMaintain(mt, m, order)
-		}
-	}()
-}
-
-func (d *Dispatcher) callMaintain(mt *maintenance, m maintenanceStart, order MachineOrder) {
-	ctx, cancel := context.WithTimeout(context.Background(), maintainCallTimeout)
-	defer cancel()
-	d.finishMaintenanceCall(mt, m, d.provider.Maintain(ctx, m.Machine, m.Wave, order))
-}
-
-// finishMaintenanceCall applies the result of a call to maintain a machine.
-func (d *Dispatcher) finishMaintenanceCall(mt *maintenance, m maintenanceStart, err error) {
-	d.logger.Info().Err(err).Int64("wave", m.Wave).Str("machine", m.Machine).Msg("maintenance attempt finished")
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := int64(d.log.Now())
-	defer d.Wake()
-	switch {
-	case err == nil:
-		d.log.Read(func(s *fleet.State) {
-			mt.down[m.Machine] = downMachine{incarnation: m.incarnation, returnBy: now + d.maxDownTimeMS(s.Workload, m.Machine)}
-		})
-		if w, ok := d.workers[m.incarnation]; ok {
-			w.terminate()
-		}
-	case errors.Is(err, ErrNoMachine):
-	case errors.Is(err, ErrFenced):
-		mt.fenced = true
-		delete(mt.callsInFlight, m.Machine)
-		return
-	default:
-		mt.retryAt[m.Machine] = now + machineCallRetryMS
-		delete(mt.callsInFlight, m.Machine)
-		return
-	}
-	mt.begun = append(mt.begun, m.WaveMachine)
-	if !mt.recording {
-		mt.recording = true
-		go d.recordMaintained(mt)
-	}
-}
-
 // maxDownTimeMS returns how long a machine may be down for its maintenance. A machine that
 // is off does not report its return, so the platform's time for a maintenance is used.
 func (d *Dispatcher) maxDownTimeMS(s *workload.State, machine string) int64 {
@@ -434,31 +369,6 @@
 	return returnTimeoutMS
 }
 
-// recordMaintained commits that the maintenance of machines has begun, those of calls that
-// finished during a commit together in the next one. It retries until the commit is known
-// or this store no longer leads.
-func (d *Dispatcher) recordMaintained(mt *maintenance) {
-	for {
-		d.mu.Lock()
-		begun := mt.begun
-		mt.begun = nil
-		mt.recording = len(begun) > 0
-		d.mu.Unlock()
-		if len(begun) == 0 {
-			return
-		}
-		for d.log.Leadership().Leading && !d.propose(context.Background(), &workload.Progress{Begun: begun}) {
-		}
-		d.mu.Lock()
-		for _, m := range begun {
-			delete(mt.callsInFlight, m.Machine)
-			delete(mt.draining, m.Machine)
-		}
-		d.mu.Unlock()
-		d.Wake()
-	}
-}
-
 // WaveState reports whether the maintenance wave with this number is known, and whether it
 // is complete: the maintenance of all its machines has started or found them gone.
 func WaveState(s *fleet.State, number int64) (known, complete bool) {
