--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -172,8 +172,8 @@
 }
 
 // awaitContact waits until a leader has answered within sendTimeout, and returns false if
-// ctx ends before or the leader is out of reach. A call that is sent without contact may end with an unknown outcome; one
-// that is not sent has certainly not run.
+// ctx ends before or the leader is out of reach. A call that is sent without contact may end
+// with an unknown outcome; one that is not sent has certainly not run.
 func (c *Client) awaitContact(ctx context.Context) bool {
 	for !c.inContact(sendTimeout) {
 		if !c.inContact(outOfReachTimeout) || !wait.For(ctx, contactCheckInterval) {
