Log the voters when the leader changes, and count the spare ones

'leader of the log changed' now names the voters and learners that the store knows, and the gauge store_spare_voters shows on the leader how many voters may still fail.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -106,7 +106,20 @@
 		return
 	}
 	mgr.leader = l.Leader
-	mgr.logger.Info().Str("leader", l.Leader).Uint64("term", l.Term).Msg("leader of the log changed")
+	voters, learners := addressesByRole(mgr.node.Members())
+	mgr.logger.Info().Str("leader", l.Leader).Uint64("term", l.Term).Strs("voters", voters).Strs("learners", learners).Msg("leader of the log changed")
+}
+
+// addressesByRole returns the addresses of the voters and of the learners.
+func addressesByRole(members []wire.MemberInfo) (voters, learners []string) {
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Address)
+		} else {
+			voters = append(voters, m.Address)
+		}
+	}
+	return voters, learners
 }
 
 // reconcile makes at most one membership change.
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -12,6 +12,9 @@
 	syncs        metrics.Timer
 	term         metrics.Gauge
 	appliedIndex metrics.Gauge
+	// spareVoters is, on the leader, the number of voters in contact beyond a majority:
+	// how many may fail before the log stops. It is -1 on other stores.
+	spareVoters metrics.Gauge
 }
 
 func newNodeMetrics(r metrics.Registry) nodeMetrics {
@@ -25,5 +28,6 @@
 		syncs:        metrics.GetOrRegisterTimer("store_sync_seconds", r),
 		term:         metrics.GetOrRegisterGauge("store_term", r),
 		appliedIndex: metrics.GetOrRegisterGauge("store_applied_index", r),
+		spareVoters:  metrics.GetOrRegisterGauge("store_spare_voters", r),
 	}
 }
--- a/internal/store/view.go
+++ b/internal/store/view.go
@@ -79,6 +79,26 @@
 	n.view.Store(v)
 	n.metrics.term.Update(int64(st.Term))
 	n.metrics.appliedIndex.Update(int64(n.applied))
+	n.metrics.spareVoters.Update(n.spareVoters(st, v.members))
+}
+
+// spareVoters returns the number of voters beyond a majority that answer within the minimum
+// election timeout, or -1 if this node does not lead.
+func (n *Node) spareVoters(st raft.Status, members []wire.MemberInfo) int64 {
+	if st.Role != raft.Leader {
+		return -1
+	}
+	voters, live := int64(0), int64(0)
+	for _, m := range members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if m.SilentMS < n.minElection().Milliseconds() {
+			live++
+		}
+	}
+	return max(live-voters/2-1, 0)
 }
 
 // heardLeaderRecently reports whether the leader that this member follows is likely to
