Replace a silent voter within half of the platform's recovery time

Cause: a voter that was gone for good kept its vote for 12 s although its successor had caught up, and each new leader counted the silence from its own start. The platform counts a replaced instance as lost only until 4 s after its successor's start. The next loss of a disk, 15 s later, left one voter of three.

It is not removed before a learner has caught up.

The case 'voter silent below the limit' of TestPlanChange asked for 9 s of silence without a change, which is the fault; it is replaced by a case just below the new limit and two on the learner's lag.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
 	"github.com/samphirefork/samphirefork/internal/store"
 	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
@@ -21,9 +22,8 @@
 	// joinTimeout bounds a join request to one store. A learner that has been silent for
 	// at least as long is not promoted and does not replace a voter.
 	joinTimeout = 700 * time.Millisecond
-	// voterSilenceLimit is the silence after which a voter is removed if a learner can
-	// take its place. It exceeds restarts and network partitions, which last up to 10 s.
-	voterSilenceLimit = 12 * time.Second
+	// minSilenceLimit is the least Policy.SilenceLimit. An election takes up to 1 s.
+	minSilenceLimit = time.Second
 	// learnerSilenceLimit is the silence after which a learner is removed.
 	learnerSilenceLimit = 30 * time.Second
 	changeTimeout       = time.Second
@@ -39,7 +39,7 @@
 type Manager struct {
 	node   *store.Node
 	self   wire.MemberInfo
-	voters int
+	policy Policy
 	pool   *wire.Pool
 	seeds  func() []string
 	logger zerolog.Logger
@@ -47,14 +47,23 @@
 	leader string
 }
 
+// Policy determines the voters that the leader aims for.
+type Policy struct {
+	// Voters is the target number of voters.
+	Voters int
+	// SilenceLimit is the silence after which a voter is removed if a learner that has
+	// caught up can take its place; at least 1 s. Until then the loss of the voter counts
+	// against what the log tolerates. A store that was only cut off joins again as a learner.
+	SilenceLimit time.Duration
+}
+
 // Options are the dependencies of a Manager. All fields but Logger are required.
 type Options struct {
 	// Node is the local member of the log.
 	Node *store.Node
 	// Self describes this store in join requests.
-	Self wire.MemberInfo
-	// Voters is the target number of voters.
-	Voters int
+	Self   wire.MemberInfo
+	Policy Policy
 	// Pool holds the connections to other stores.
 	Pool *wire.Pool
 	// Seeds returns addresses of other stores, which are tried after those of the members.
@@ -64,7 +73,8 @@
 
 // NewManager returns a manager, which takes no action until Run is called.
 func NewManager(o Options) *Manager {
-	return &Manager{node: o.Node, self: o.Self, voters: o.Voters, pool: o.Pool, seeds: o.Seeds, logger: o.Logger}
+	o.Policy.SilenceLimit = max(o.Policy.SilenceLimit, minSilenceLimit)
+	return &Manager{node: o.Node, self: o.Self, policy: o.Policy, pool: o.Pool, seeds: o.Seeds, logger: o.Logger}
 }
 
 // Register implements store.Component.
@@ -125,7 +135,7 @@
 // reconcile makes at most one membership change.
 func (mgr *Manager) reconcile(ctx context.Context) {
 	members := mgr.node.Members()
-	change, reason := PlanChange(members, mgr.voters)
+	change, reason := mgr.policy.PlanChange(members)
 	if change == nil {
 		return
 	}
@@ -141,20 +151,20 @@
 	line.Msg("membership change")
 }
 
-// PlanChange returns the next change that the leader should make to bring the
-// number of voters to target, and the reason for it. It returns nil and an empty
-// reason if no change is due. A voter that has been silent for more than 12 s is
-// removed only if a live learner can replace it, and a learner after 30 s.
-func PlanChange(members []wire.MemberInfo, target int) (*wire.MembershipChange, string) {
-	voters := 0
+// PlanChange returns the next change that the leader should make to reach the target,
+// and the reason for it. It returns nil and an empty reason if no change is due. A silent
+// voter is removed only if a live learner has caught up, and a learner after 30 s of silence.
+func (p Policy) PlanChange(members []wire.MemberInfo) (*wire.MembershipChange, string) {
+	voters, last := 0, uint64(0)
 	var learner, silentVoter, silentLearner *wire.MemberInfo
 	for i := range members {
 		m := &members[i]
+		last = max(last, m.Match)
 		silent := time.Duration(m.SilentMS) * time.Millisecond
 		switch {
 		case !m.Learner:
 			voters++
-			if silent > voterSilenceLimit {
+			if silent > p.SilenceLimit {
 				silentVoter = m
 			}
 		case silent < joinTimeout:
@@ -163,10 +173,11 @@
 			silentLearner = m
 		}
 	}
+	caughtUp := learner != nil && learner.Match+raft.MaxPromoteLag >= last
 	switch {
-	case voters < target && learner != nil:
+	case voters < p.Voters && learner != nil:
 		return &wire.MembershipChange{Promote: learner.ID}, "fewer voters than the target"
-	case silentVoter != nil && learner != nil && voters > 1:
+	case silentVoter != nil && caughtUp && voters > 1:
 		return &wire.MembershipChange{Remove: silentVoter.ID}, "voter is silent and a learner can take its place"
 	case silentLearner != nil:
 		return &wire.MembershipChange{Remove: silentLearner.ID}, "learner is silent"
--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -9,7 +10,7 @@
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
-const silentMS = int64(13000)
+const silentMS = int64(2100)
 
 // Guards against a change that costs the log its majority, and against a silent
 // voter that is not replaced although a learner is available.
@@ -18,6 +19,8 @@
 	learner := func(id uint64, silent int64) wire.MemberInfo {
 		return wire.MemberInfo{ID: id, Learner: true, SilentMS: silent}
 	}
+	at := func(m wire.MemberInfo, match uint64) wire.MemberInfo { m.Match = match; return m }
+	leader := at(voter(1, 0), 1000)
 	cases := map[string]struct {
 		members []wire.MemberInfo
 		want    *wire.MembershipChange
@@ -26,14 +29,16 @@
 		"spare learner":                 {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 5), learner(4, 5)}, nil},
 		"too few voters":                {[]wire.MemberInfo{voter(1, 0), voter(2, 5), learner(4, 5)}, &wire.MembershipChange{Promote: 4}},
 		"silent learner not promoted":   {[]wire.MemberInfo{voter(1, 0), voter(2, 5), learner(4, 5000)}, nil},
-		"voter silent below the limit":  {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 9000), learner(4, 5)}, nil},
+		"voter silent below the limit":  {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 1900), learner(4, 5)}, nil},
 		"silent voter with a learner":   {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, silentMS), learner(4, 5)}, &wire.MembershipChange{Remove: 3}},
 		"silent voter without learner":  {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, silentMS)}, nil},
+		"silent voter, learner behind":  {[]wire.MemberInfo{leader, voter(2, 5), voter(3, silentMS), at(learner(4, 5), 900)}, nil},
+		"silent voter, learner close":   {[]wire.MemberInfo{leader, voter(2, 5), voter(3, silentMS), at(learner(4, 5), 940)}, &wire.MembershipChange{Remove: 3}},
 		"learner silent over the limit": {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 5), learner(4, 40000)}, &wire.MembershipChange{Remove: 4}},
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
-			got, _ := PlanChange(tt.members, 3)
+			got, _ := Policy{Voters: 3, SilenceLimit: 2 * time.Second}.PlanChange(tt.members)
 			require.Equal(t, tt.want, got)
 		})
 	}
--- a/internal/membership/replace_test.go
+++ b/internal/membership/replace_test.go
@@ -42,7 +42,7 @@
 	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Initialize: members != nil})
 	require.NoError(t, err)
 	manager := NewManager(Options{
-		Node: node, Self: wire.MemberInfo{ID: id, Address: address}, Voters: 3, Pool: wire.NewPool(testCredentials, nil),
+		Node: node, Self: wire.MemberInfo{ID: id, Address: address}, Policy: Policy{Voters: 3, SilenceLimit: successorTime / 2}, Pool: wire.NewPool(testCredentials, nil),
 		Seeds: func() []string { return seeds }, Logger: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// maxPromoteLag is the largest number of entries by which a learner may be behind the
+// MaxPromoteLag is the largest number of entries by which a learner may be behind the
 // leader when it is promoted.
-const maxPromoteLag = 64
+const MaxPromoteLag = 64
 
 // ChangeMembers appends a membership change to the log and returns its index. The
 // change takes effect when it is appended. Until it is applied, another change returns
@@ -107,7 +107,7 @@
 		return nil, ErrMemberExists
 	}
 	p := c.peers[id]
-	if p == nil || p.match+maxPromoteLag < c.log.last() || c.now-p.contact >= c.cfg.MinElectionTimeout {
+	if p == nil || p.match+MaxPromoteLag < c.log.last() || c.now-p.contact >= c.cfg.MinElectionTimeout {
 		return nil, ErrNotCaughtUp
 	}
 	members[i].Learner = false
