Promote the learner that has caught up furthest

The leader chose the last live learner in its list. One that answers heartbeats and stores nothing, as a store with a stalled disk does, was refused at each check ('learner has not caught up') while another one was ready, and the log went on with too few voters. It has the same effect as a silent voter that is kept: the next loss stops the log. The choice is now by match, and of several silent voters the one silent for longest goes first. The two cases of TestPlanChange fail with the previous choice.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -164,11 +164,13 @@
 		switch {
 		case !m.Learner:
 			voters++
-			if silent > p.SilenceLimit {
+			if silent > p.SilenceLimit && (silentVoter == nil || m.SilentMS > silentVoter.SilentMS) {
 				silentVoter = m
 			}
 		case silent < joinTimeout:
-			learner = m
+			if learner == nil || m.Match > learner.Match {
+				learner = m
+			}
 		case silent > learnerSilenceLimit:
 			silentLearner = m
 		}
--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -34,6 +34,8 @@
 		"silent voter without learner":  {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, silentMS)}, nil},
 		"silent voter, learner behind":  {[]wire.MemberInfo{leader, voter(2, 5), voter(3, silentMS), at(learner(4, 5), 900)}, nil},
 		"silent voter, learner close":   {[]wire.MemberInfo{leader, voter(2, 5), voter(3, silentMS), at(learner(4, 5), 940)}, &wire.MembershipChange{Remove: 3}},
+		"longest silent voter first":    {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 9000), voter(4, silentMS), voter(5, 5), learner(6, 5)}, &wire.MembershipChange{Remove: 3}},
+		"most caught-up learner":        {[]wire.MemberInfo{leader, voter(2, 5), at(learner(4, 5), 990), at(learner(5, 5), 10)}, &wire.MembershipChange{Promote: 4}},
 		"learner silent over the limit": {[]wire.MemberInfo{voter(1, 0), voter(2, 5), voter(3, 5), learner(4, 40000)}, &wire.MembershipChange{Remove: 4}},
 	}
 	for name, tt := range cases {
