--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -49,6 +49,8 @@
 	dispatchers []*Dispatcher
 	workers     []*modelWorker
 	startCounts map[workload.TaskRef]int
+	// crashing holds the tasks that crash each worker that starts them.
+	crashing map[workload.TaskRef]bool
 	// firstDoneAt is the time at which a completed run of the task was first acknowledged.
 	firstDoneAt map[workload.TaskRef]int64
 	violation   string
@@ -167,6 +169,7 @@
 	born     int64
 	rack     string
 	up       bool
+	downAt   int64
 	draining bool
 	failsAll bool
 	stalls   bool
@@ -208,7 +211,7 @@
 }
 
 func (w *modelWorker) crash() {
-	w.up = false
+	w.up, w.downAt = false, w.r.now
 	w.running = map[workload.TaskRef]*modelRun{}
 }
 
@@ -318,7 +321,9 @@
 		return
 	}
 	for _, s := range o.Starts {
-		w.start(s)
+		if w.up {
+			w.start(s)
+		}
 	}
 }
 
@@ -364,6 +369,10 @@
 		w.r.recordViolation("%s exceeds the capacity of %s", ref, w.id)
 	}
 	w.r.startCounts[ref]++
+	if w.r.crashing[ref] {
+		w.crash()
+		return
+	}
 	work := int64(rigTaskMS)
 	if ref.Step > 0 {
 		work = rigLongTaskMS
