End a revoked run again when the commit of its end has failed

A run whose start no response carried is taken back when its worker falls silent, and no response may carry it from then on. Its end was derived only while the worker was silent: when the commit failed and the worker was heard again, the run was neither started nor ended. The task waited for good, with room for it; a long-running one is what callers report as lost ('is to last and doesn't run').

Ends of revoked runs are now derived until they are applied.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -146,8 +146,11 @@
 		hearsMajority := d.hearsMajority(s.Workload, now)
 		for incarnation, runs := range s.Workload.RunsByWorker() {
 			if !d.isLost(incarnation, now) {
-				if w, ok := d.workers[incarnation]; ok && now-w.lastReportAt > heartbeatTimeoutMS {
-					ends = append(ends, w.revokeUnsent(s.Workload, d.leadingSince)...)
+				if w, ok := d.workers[incarnation]; ok {
+					if now-w.lastReportAt > heartbeatTimeoutMS {
+						w.revokeUnsent(s.Workload, d.leadingSince)
+					}
+					ends = append(ends, w.revokedEnds(s.Workload)...)
 				}
 				if hearsMajority {
 					abandoned = append(abandoned, d.abandonedRuns(s.Workload, incarnation, now)...)
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -33,6 +33,25 @@
 	require.Empty(t, o.maintained)
 }
 
+// A worker is silent, so a run that no response carried is taken back, but the commit of its
+// end fails. When the worker is heard again, the run is neither started nor ended unless its
+// end is derived again.
+func TestRevokedRunEndsAfterAFailedCommit(t *testing.T) {
+	r := newRig(1)
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	r.advance(100)
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 3000}})
+	r.cycle()
+	r.advance(heartbeatTimeoutMS + 100)
+	r.refuse = true
+	r.cycle()
+	r.refuse = false
+	require.True(t, r.settle())
+	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["job"].State)
+	require.Empty(t, r.violation)
+}
+
 // The leave message of a worker names no incarnation. One that arrives late, when the worker
 // has been started again under its identifier, must not shorten the lease of the present
 // incarnation: its tasks would start a second time elsewhere while they run.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -67,20 +67,30 @@
 	}
 }
 
-// revokeUnsent ends the runs on a silent worker whose start order was never sent: they were
-// placed after this leadership began, at since, and no response carried them.
+// revokeUnsent revokes the runs on a silent worker whose start order was never sent: they
+// were placed after this leadership began, at since, and no response carried them.
 //
 // When a data centre is cut off during a burst, the tasks that were placed there since its
 // last heartbeats would otherwise wait for the leases to expire.
-func (w *worker) revokeUnsent(s *workload.State, since int64) []workload.End {
-	var ends []workload.End
+func (w *worker) revokeUnsent(s *workload.State, since int64) {
 	for ref, p := range s.RunsOn(w.Incarnation) {
 		run := workload.Run{Task: ref, Run: p.Run}
 		if _, listed := w.running[ref]; listed || w.startSent[run] || p.PlacedAt <= since || w.hasReportedEnd(run) {
 			continue
 		}
 		w.revoked[run] = true
-		ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: w.Incarnation, Outcome: workload.OutcomeLost})
+	}
+}
+
+// revokedEnds returns the ends of the revoked runs that still occupy the worker. A run that
+// no response may carry must end, also when the worker is heard again before its end is
+// committed.
+func (w *worker) revokedEnds(s *workload.State) []workload.End {
+	var ends []workload.End
+	for ref, p := range s.RunsOn(w.Incarnation) {
+		if w.revoked[workload.Run{Task: ref, Run: p.Run}] {
+			ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: w.Incarnation, Outcome: workload.OutcomeLost})
+		}
 	}
 	return ends
 }
