Send a new member of the log at least the last entry

A learner that joined a log without traffic was sent nothing but heartbeats: the leader expected it to hold the entry that added it and waited for the next one.

TestLearnerOfAnIdleLogCatchesUp fails before ('not reached: the learner holds the log') and passes after.

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -149,9 +149,12 @@
 			delete(c.peers, id)
 		}
 	}
+	// A new member is sent at least the last entry, so that it learns also on an idle log
+	// which entries it lacks.
+	next := max(c.log.last(), c.log.base.Index+1)
 	for _, m := range c.members {
 		if m.ID != c.cfg.ID && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &progress{next: c.log.last() + 1, probing: true, contact: noContact}
+			c.peers[m.ID] = &progress{next: next, probing: true, contact: noContact}
 		}
 	}
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -214,6 +214,23 @@
 	s.stepUntil("two voters agree", 100, func() bool { return s.nodes[9].core.isVoter(9) && s.nodes[9].applied == s.nodes[id].applied })
 }
 
+// A member that joins a log without traffic must catch up: a learner that is behind is not
+// promoted, and then a voter that is lost has no successor.
+func TestLearnerOfAnIdleLogCatchesUp(t *testing.T) {
+	s, id := newSettledSimulation(t, 3)
+	for i := range 100 {
+		s.propose(fmt.Sprint(i))
+		s.step()
+	}
+	s.stepUntil("the proposals are applied", 100, func() bool {
+		return s.nodes[id].core.Status().Applied == s.nodes[id].core.log.last()
+	})
+	_, err := s.nodes[id].core.ChangeMembers(Change{Add: &Member{ID: 9, Address: "9"}})
+	require.NoError(t, err)
+	s.add(9, nil)
+	s.stepUntil("the learner holds the log", 100, func() bool { return s.nodes[id].core.Match(9) == s.nodes[id].core.log.last() })
+}
+
 // Guards against the removal of a live voter after the loss of another one, which
 // would leave the group permanently without a quorum.
 func TestRemovalKeepsAQuorum(t *testing.T) {
