Promote the successor of a silent voter before the voter is removed

The removal came first. Between it and the promotion two voters were left, and both were needed: when one of them lost its disk then, no leader was elected any more although the removed voter was back with its log and the learner held the log as well. One lost disk is to be borne.

Now the learner is promoted first, and the silent voter is removed when there is one voter too many; if it is back by then, the voter furthest behind is removed, since an even number of voters can be cut into halves.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -24,6 +24,8 @@
 	joinTimeout = 700 * time.Millisecond
 	// minSilenceLimit is the least Policy.SilenceLimit. An election takes up to 1 s.
 	minSilenceLimit = time.Second
+	// minVoters is the number of voters from which on none is removed without a successor.
+	minVoters = 2
 	// learnerSilenceLimit is the silence after which a learner is removed.
 	learnerSilenceLimit = 30 * time.Second
 	changeTimeout       = time.Second
@@ -51,7 +53,7 @@
 type Policy struct {
 	// Voters is the target number of voters.
 	Voters int
-	// SilenceLimit is the silence after which a voter is removed if a learner that has
+	// SilenceLimit is the silence after which a voter is replaced if a learner that has
 	// caught up can take its place; at least 1 s. Until then the loss of the voter counts
 	// against what the log tolerates. A store that was only cut off joins again as a learner.
 	SilenceLimit time.Duration
@@ -135,7 +137,7 @@
 // reconcile makes at most one membership change.
 func (mgr *Manager) reconcile(ctx context.Context) {
 	members := mgr.node.Members()
-	change, reason := mgr.policy.PlanChange(members)
+	change, reason := mgr.policy.PlanChange(members, mgr.self.ID)
 	if change == nil {
 		return
 	}
@@ -152,40 +154,76 @@
 }
 
 // PlanChange returns the next change that the leader should make to reach the target,
-// and the reason for it. It returns nil and an empty reason if no change is due. A silent
-// voter is removed only if a live learner has caught up, and a learner after 30 s of silence.
-func (p Policy) PlanChange(members []wire.MemberInfo) (*wire.MembershipChange, string) {
-	voters, last := 0, uint64(0)
-	var learner, silentVoter, silentLearner *wire.MemberInfo
-	for i := range members {
-		m := &members[i]
-		last = max(last, m.Match)
-		silent := time.Duration(m.SilentMS) * time.Millisecond
+// and the reason for it. It returns nil and an empty reason if no change is due.
+//
+// A voter that is silent for too long is replaced: a live learner that has caught up is
+// promoted first and the voter is removed then, so that at no time fewer voters hold the
+// log. If the voter is back before that, the voter that is furthest behind is removed: an
+// even number of voters tolerates no more losses and can be cut into halves.
+func (p Policy) PlanChange(members []wire.MemberInfo, leader uint64) (*wire.MembershipChange, string) {
+	m := classify(members, leader)
+	silentVoter := m.voter != nil && m.voter.silence() > p.SilenceLimit
+	replacing := m.voters > max(p.Voters, minVoters) && m.voters%2 == 0
+	switch {
+	case m.voters < p.Voters && m.learner != nil:
+		return promote(m.learner), "fewer voters than the target"
+	case !replacing && silentVoter && m.learner != nil && m.learner.Match+raft.MaxPromoteLag >= m.last:
+		return promote(m.learner), "voter is silent and a learner can take its place"
+	case replacing && silentVoter:
+		return remove(m.voter), "voter is silent and was replaced"
+	case replacing && m.voter.silence() < joinTimeout:
+		return remove(m.behind), "replaced voter is back"
+	case m.silentLearner != nil:
+		return remove(m.silentLearner), "learner is silent"
+	default:
+		return nil, ""
+	}
+}
+
+// member is a member as the leader sees it.
+type member struct{ wire.MemberInfo }
+
+func (m *member) silence() time.Duration { return time.Duration(m.SilentMS) * time.Millisecond }
+
+func promote(m *member) *wire.MembershipChange { return &wire.MembershipChange{Promote: m.ID} }
+
+func remove(m *member) *wire.MembershipChange { return &wire.MembershipChange{Remove: m.ID} }
+
+// classified holds what PlanChange decides by. Pointers are nil if there is no such member.
+type classified struct {
+	voters int
+	// last is the last index that any member holds.
+	last uint64
+	// voter is the voter that has been silent for longest, and behind the one other than the
+	// leader that holds the least of the log.
+	voter, behind *member
+	// learner is the live learner that holds the most of the log.
+	learner, silentLearner *member
+}
+
+func classify(members []wire.MemberInfo, leader uint64) classified {
+	var c classified
+	for _, info := range members {
+		m := &member{info}
+		c.last = max(c.last, m.Match)
 		switch {
 		case !m.Learner:
-			voters++
-			if silent > p.SilenceLimit && (silentVoter == nil || m.SilentMS > silentVoter.SilentMS) {
-				silentVoter = m
+			c.voters++
+			if c.voter == nil || m.SilentMS > c.voter.SilentMS {
+				c.voter = m
+			}
+			if m.ID != leader && (c.behind == nil || m.Match < c.behind.Match) {
+				c.behind = m
 			}
-		case silent < joinTimeout:
-			if learner == nil || m.Match > learner.Match {
-				learner = m
+		case m.silence() >= joinTimeout:
+			if m.silence() > learnerSilenceLimit {
+				c.silentLearner = m
 			}
-		case silent > learnerSilenceLimit:
-			silentLearner = m
+		case c.learner == nil || m.Match > c.learner.Match:
+			c.learner = m
 		}
 	}
-	caughtUp := learner != nil && learner.Match+raft.MaxPromoteLag >= last
-	switch {
-	case voters < p.Voters && learner != nil:
-		return &wire.MembershipChange{Promote: learner.ID}, "fewer voters than the target"
-	case silentVoter != nil && caughtUp && voters > 1:
-		return &wire.MembershipChange{Remove: silentVoter.ID}, "voter is silent and a learner can take its place"
-	case silentLearner != nil:
-		return &wire.MembershipChange{Remove: silentLearner.ID}, "learner is silent"
-	default:
-		return nil, ""
-	}
+	return c
 }
 
 // requestJoin sends a join request to the other stores in turn until one answers. A
