Refuse a removal that leaves committed entries without a majority

A store whose disk stalls answers heartbeats and stores nothing. While it does, the removal of another voter was allowed, since a majority of the rest was in contact: an entry that had been acknowledged by the leader and the removed store was then on the leader's disk alone, because the removed store empties its folder. One more lost disk would have lost what was acknowledged.

A removal now needs a majority of the remaining voters that hold all committed entries. TestRemovalKeepsCommittedEntriesOnAMajority fails before ('got nil').

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -18,7 +18,7 @@
 // leadership, ErrBadChange for a change without exactly one valid action,
 // ErrMemberExists, ErrUnknownMember, ErrLastVoter, ErrNotCaughtUp for a learner that is
 // too far behind or not in contact, and ErrNoQuorum if no majority of the new voters is
-// in contact with the leader.
+// in contact with the leader or, for a removal, holds all committed entries.
 func (c *Core) ChangeMembers(ch Change) (uint64, error) {
 	if c.role != Leader || c.transferTo != 0 {
 		return 0, ErrNotLeader
@@ -34,7 +34,7 @@
 		c.Transfer()
 		return 0, ErrNotLeader
 	}
-	if !c.majorityInContact(members) {
+	if !c.hasMajorityOf(members, c.inContact) || ch.Remove != 0 && !c.hasMajorityOf(members, c.holdsCommitted) {
 		return 0, ErrNoQuorum
 	}
 	c.appendAsLeader(Entry{Kind: EntryMembership, Members: members})
@@ -58,24 +58,35 @@
 	}
 }
 
-// majorityInContact reports whether a majority of the voters in members has answered
-// within the minimum election timeout. A change that leaves no such majority, such as
-// the removal of a live voter while another one is lost, could neither be committed
-// nor be reverted.
-func (c *Core) majorityInContact(members []Member) bool {
-	voters, live := 0, 0
+// hasMajorityOf reports whether a majority of the voters in members fulfils the condition.
+//
+// A change that leaves no majority in contact, such as the removal of a live voter while
+// another one is lost, could neither be committed nor be reverted. A removal that leaves a
+// committed entry without a majority could lose it.
+func (c *Core) hasMajorityOf(members []Member, condition func(id uint64) bool) bool {
+	voters, count := 0, 0
 	for _, m := range members {
 		if m.Learner {
 			continue
 		}
 		voters++
-		if p := c.peers[m.ID]; m.ID == c.cfg.ID || p != nil && c.now-p.contact < c.cfg.MinElectionTimeout {
-			live++
+		if condition(m.ID) {
+			count++
 		}
 	}
-	return live > voters/2
+	return count > voters/2
+}
+
+// inContact reports whether the member has answered within the minimum election timeout.
+func (c *Core) inContact(id uint64) bool {
+	p := c.peers[id]
+	return id == c.cfg.ID || p != nil && c.now-p.contact < c.cfg.MinElectionTimeout
 }
 
+// holdsCommitted reports whether all committed entries are durable on the member. One whose
+// disk stalls may be in contact without them.
+func (c *Core) holdsCommitted(id uint64) bool { return c.matchIndex(id) >= c.log.committed }
+
 // hasSingleAction reports whether exactly one field is set.
 func (ch Change) hasSingleAction() bool {
 	count := 0
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -214,6 +214,26 @@
 	s.stepUntil("two voters agree", 100, func() bool { return s.nodes[9].core.isVoter(9) && s.nodes[9].applied == s.nodes[id].applied })
 }
 
+// A member whose disk stalls answers heartbeats and stores nothing. The removal of another
+// one must not leave committed entries on less than a majority of the voters.
+func TestRemovalKeepsCommittedEntriesOnAMajority(t *testing.T) {
+	s, id := newSettledSimulation(t, 3)
+	leader := s.nodes[id].core
+	others := slices.DeleteFunc(slices.Clone(s.ids), func(other uint64) bool { return other == id })
+	stored, stalled := others[0], others[1]
+	require.True(t, s.propose("x"))
+	s.stepUntil("the entry is stored everywhere", 100, func() bool {
+		return leader.Match(stored) == leader.log.last() && leader.Match(stalled) == leader.log.last() && leader.currentTermApplied()
+	})
+	s.nodes[stalled].stalls = true
+	require.True(t, s.propose("y"))
+	s.stepUntil("the entry is committed without the stalled member", 100, func() bool { return leader.Status().Committed == leader.log.last() })
+	_, err := leader.ChangeMembers(Change{Remove: stored})
+	require.ErrorIs(t, err, ErrNoQuorum)
+	_, err = leader.ChangeMembers(Change{Remove: stalled})
+	require.NoError(t, err)
+}
+
 // A member that joins a log without traffic must catch up: a learner that is behind is not
 // promoted, and then a voter that is lost has no successor.
 func TestLearnerOfAnIdleLogCatchesUp(t *testing.T) {
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -276,16 +276,4 @@
 	return values[(len(values)-1)/2]
 }
 
-func (c *Core) hasMajority(has func(id uint64) bool) bool {
-	voters, count := 0, 0
-	for _, m := range c.members {
-		if m.Learner {
-			continue
-		}
-		voters++
-		if has(m.ID) {
-			count++
-		}
-	}
-	return count > voters/2
-}
+func (c *Core) hasMajority(has func(id uint64) bool) bool { return c.hasMajorityOf(c.members, has) }
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -49,6 +49,8 @@
 	applied uint64
 	state   uint64
 	paused  bool
+	// stalls keeps pending writes from completing.
+	stalls bool
 }
 
 type inFlightMessage struct {
@@ -181,7 +183,7 @@
 	s.transmit(n.core.Messages())
 	for {
 		if n.pending != nil {
-			if s.rng.Float64() < s.stall {
+			if n.stalls || s.rng.Float64() < s.stall {
 				return
 			}
 			s.finish(n)
