Tell no store that it was removed before the removal is committed

A store that knows no leader asks to join. The leader judged it by the newest membership in its log, committed or not, and a store that is told of its removal empties its folder. While the removal could not be committed, for example because another disk stalled, the folder that was emptied may have held one of the two copies of an acknowledged entry, and its vote was still needed if the removal was never committed.

TestUncommittedRemovalEmptiesNoStore fails before ('this store was removed from the log') and passes after.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -292,6 +292,9 @@
 			return wire.JoinReply{Member: true, Members: members}, nil
 		}
 	}
+	if !msg.Fresh && !mgr.node.IsRemoved(msg.Member.ID) {
+		return nil, &wire.ErrorBody{Code: wire.CodeBusy, Message: "a change of the members is in progress"}
+	}
 	if !msg.Fresh {
 		return wire.JoinReply{Removed: true, Members: members}, nil
 	}
--- a/internal/membership/replace_test.go
+++ b/internal/membership/replace_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirefork/samphirefork/internal/disk"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/store"
@@ -25,10 +28,36 @@
 
 var testCredentials = wire.Credentials{Instance: "test", Secret: []byte("a secret of the tests")}
 
-// managedStore is a store with a Manager. stop ends it for good.
+// stallingFS is a disk whose syncs wait while its lock is held.
+type stallingFS struct {
+	disk.OS
+	sync.RWMutex
+}
+
+type stallingFile struct {
+	disk.File
+	fs *stallingFS
+}
+
+func (f *stallingFS) Create(path string) (disk.File, error) {
+	file, err := f.OS.Create(path)
+	return &stallingFile{File: file, fs: f}, err
+}
+
+func (f *stallingFile) Sync() error {
+	f.fs.RLock()
+	defer f.fs.RUnlock()
+	return f.File.Sync()
+}
+
+// managedStore is a store with a Manager. stop ends it for good, and done receives the error
+// with which it ended before.
 type managedStore struct {
+	id   uint64
 	node *store.Node
+	fs   *stallingFS
 	stop func()
+	done chan error
 }
 
 // startManaged starts a store on the listener. Without members it joins through the seeds.
@@ -39,7 +68,8 @@
 		ID: id, Listen: address, Advertise: address, DataFolder: t.TempDir(), Members: members, Join: members == nil,
 	}
 	cfg.SharedSecret = string(testCredentials.Secret)
-	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Initialize: members != nil})
+	fs := &stallingFS{}
+	node, err := store.Open(cfg, store.Options{Machine: store.NewFleetMachine(), Initialize: members != nil, FS: fs})
 	require.NoError(t, err)
 	manager := NewManager(Options{
 		Node: node, Self: wire.MemberInfo{ID: id, Address: address}, Policy: Policy{Voters: 3, SilenceLimit: successorTime / 2}, Pool: wire.NewPool(testCredentials, nil),
@@ -50,14 +80,10 @@
 	go func() {
 		done <- store.NewServer(node, metrics.NewRegistry(), zerolog.Nop(), manager).Run(ctx, listener)
 	}()
-	stopped := false
-	s := managedStore{node: node, stop: func() {
-		if !stopped {
-			stopped = true
-			cancel()
-			<-done
-		}
-	}}
+	s := managedStore{id: id, node: node, fs: fs, done: done, stop: sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})}
 	t.Cleanup(s.stop)
 	return s
 }
@@ -96,30 +122,69 @@
 	return false
 }
 
-// A voter that is gone for good must have given its vote to its successor by the time at
-// which the next voter may be lost, or two of three voters are lost and no leader is elected.
-func TestVoterGoneForGoodIsReplacedBeforeTheNextIsLost(t *testing.T) {
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return l
+}
+
+// startVoters starts three stores that are the first voters, waits until one leads, and
+// returns them with their addresses.
+func startVoters(t *testing.T) (stores []managedStore, seeds []string) {
+	t.Helper()
 	var listeners []net.Listener
 	var members []settings.Member
-	var seeds []string
-	for id := uint64(1); id <= 4; id++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+	for id := uint64(1); id <= 3; id++ {
+		l := listen(t)
 		listeners = append(listeners, l)
-		if id <= 3 {
-			seeds = append(seeds, l.Addr().String())
-			members = append(members, settings.Member{ID: id, Address: l.Addr().String()})
-		}
+		seeds = append(seeds, l.Addr().String())
+		members = append(members, settings.Member{ID: id, Address: l.Addr().String()})
 	}
-	var stores []managedStore
 	for i, m := range members {
 		stores = append(stores, startManaged(t, m.ID, listeners[i], members, seeds))
 	}
 	require.Eventually(t, func() bool { return leads(stores) }, replaceWait, 10*time.Millisecond)
+	return stores, seeds
+}
+
+// A voter that is gone for good must have given its vote to its successor by the time at
+// which the next voter may be lost, or two of three voters are lost and no leader is elected.
+func TestVoterGoneForGoodIsReplacedBeforeTheNextIsLost(t *testing.T) {
+	stores, seeds := startVoters(t)
 	stores[0].stop()
-	successor := startManaged(t, 4, listeners[3], nil, seeds)
+	successor := startManaged(t, 4, listen(t), nil, seeds)
 	require.Eventually(t, func() bool { return votes(stores[1:], 4) && !votes(stores[1:], 1) }, successorTime, 10*time.Millisecond)
 	stores[1].stop()
 	remaining := []managedStore{stores[2], successor}
 	require.Eventually(t, func() bool { return leads(remaining) && commits(remaining) }, replaceWait, 100*time.Millisecond)
 }
+
+// A store that asks to join while its removal is not committed must not be told that it was
+// removed: it would empty its folder, which may hold the only further copy of an entry.
+func TestUncommittedRemovalEmptiesNoStore(t *testing.T) {
+	stores, _ := startVoters(t)
+	leading := slices.IndexFunc(stores, func(s managedStore) bool { return s.node.Leadership().Leading })
+	leader, removed, stalled := stores[leading], stores[(leading+1)%3], stores[(leading+2)%3]
+	require.Eventually(t, func() bool { return commits(stores) }, replaceWait, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return stalled.node.Applied() == leader.node.Applied() }, replaceWait, 10*time.Millisecond)
+	stalled.fs.Lock()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, leader.node.ChangeMembers(ctx, wire.MembershipChange{Remove: removed.id}), fleet.ErrUncertain)
+	select {
+	case err := <-removed.done:
+		stalled.fs.Unlock()
+		removed.done <- err
+		t.Fatal(err)
+	case <-time.After(successorTime):
+	}
+	stalled.fs.Unlock()
+	select {
+	case err := <-removed.done:
+		removed.done <- err
+		require.ErrorIs(t, err, ErrRemoved)
+	case <-time.After(replaceWait):
+		t.Fatal("a store whose removal is committed was not told so")
+	}
+}
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -230,7 +230,10 @@
 	// LeaderHeardAt is the time of the last message from a leader, or the start time of
 	// the member. A leader does not update it.
 	LeaderHeardAt int64
-	Members       []Member
+	// Members is the newest membership in the log, and MembersCommitted is true once the
+	// entry with it is committed.
+	Members          []Member
+	MembersCommitted bool
 }
 
 // Status returns the current status. The caller must not modify Members.
@@ -238,6 +241,7 @@
 	s := Status{
 		Term: c.term, Role: c.role, Leader: c.leader,
 		Committed: c.log.committed, Applied: c.log.applied, Members: c.members, LeaderHeardAt: c.leaderHeardAt,
+		MembersCommitted: c.membersIndex <= c.log.committed,
 	}
 	if c.role == Leader {
 		s.Ready = c.transferTo == 0 && c.currentTermApplied()
--- a/internal/store/view.go
+++ b/internal/store/view.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
@@ -37,6 +38,8 @@
 	applied     uint64
 	leadership  leadership
 	members     []wire.MemberInfo
+	// membersCommitted is true if no change of the members is in progress.
+	membersCommitted bool
 }
 
 // updateLeadership handles the start and the end of this node's leadership.
@@ -65,6 +68,8 @@
 		lastContact: st.QuorumContact,
 		applied:     n.applied,
 		leadership:  n.leadership,
+
+		membersCommitted: st.MembersCommitted,
 	}
 	for _, m := range st.Members {
 		n.network.recordAddress(m.ID, m.Address)
@@ -165,5 +170,12 @@
 // the member itself only; SilentMS is -1 elsewhere. Callers must not change the slice.
 func (n *Node) Members() []wire.MemberInfo { return n.view.Load().members }
 
+// IsRemoved reports whether the committed membership does not contain a member. It may be
+// called on the leader only.
+func (n *Node) IsRemoved(id uint64) bool {
+	v := n.view.Load()
+	return v.membersCommitted && !slices.ContainsFunc(v.members, func(m wire.MemberInfo) bool { return m.ID == id })
+}
+
 // Applied returns the index of the last applied entry.
 func (n *Node) Applied() uint64 { return n.view.Load().applied }
