--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -37,6 +37,9 @@
 	Truncate(path string, size int64) error
 	Rename(from, to string) error
 	Remove(path string) error
+	// RemoveAll removes a file, or a folder with its contents, if it exists. A crash may
+	// leave any part of the contents.
+	RemoveAll(path string) error
 	// SyncFolder makes the creation, renaming and removal of entries of a folder
 	// durable.
 	SyncFolder(path string) error
@@ -100,6 +103,9 @@
 // Remove implements FS.
 func (OS) Remove(path string) error { return os.Remove(path) }
 
+// RemoveAll implements FS.
+func (OS) RemoveAll(path string) error { return os.RemoveAll(path) }
+
 // SyncFolder implements FS.
 func (OS) SyncFolder(path string) error {
 	d, err := os.Open(path)
