Give up a task that crashes its workers, and run suspects apart

Cause: an end without a report counted for nothing, so no budget applied to a task whose end nobody could report.

The crash score of a task now collects the evidence of crashed workers in the replicated state. A suspect task runs apart from others, so that a further crash ends no other task and is strong evidence; at the limit the job fails, after two to four crashes. A crash is told from a cut-off worker by a later incarnation or by the platform's list; a leader that never heard the worker now also takes a later worker of the same machine for its end.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -101,3 +101,59 @@
 	require.Equal(t, workload.JobRunning, r.state.Workload.Jobs["service"].State)
 	require.Equal(t, 4, r.state.Workload.Jobs["service"].Occurrences[0].Steps[0].OnWorkers())
 }
+
+// Only a crash counts against a task: not the lease of a worker that is cut off, not the end
+// of a worker that drained, and not a run that was never sent to its worker or that had been
+// active for long.
+func TestOnlyCrashesCountAgainstATask(t *testing.T) {
+	cases := map[string]struct {
+		event func(r *rig, w *modelWorker)
+		want  int
+	}{
+		"crash after the report": {func(r *rig, w *modelWorker) { w.heartbeat(0, false); r.crashAndRestart(w) }, workload.CrashScoreReported},
+		"crash before a report":  {func(r *rig, w *modelWorker) { r.crashAndRestart(w) }, workload.CrashScoreUnreported},
+		"active for long": {func(r *rig, w *modelWorker) {
+			r.advance(crashSuspicionMS)
+			w.heartbeat(0, false)
+			r.crashAndRestart(w)
+		}, 0},
+		"lease expired": {func(r *rig, _ *modelWorker) { r.now += rigLease.Milliseconds() * 2 }, 0},
+		"drained": {func(r *rig, w *modelWorker) {
+			w.draining = true
+			w.heartbeat(0, false)
+			r.crashAndRestart(w)
+		}, 0},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(1)
+			w := r.addWorker("a", "r1")
+			ref := startLongTask(t, r, w)
+			tt.event(r, w)
+			r.cycle()
+			_, task, _ := r.state.Workload.Task(ref)
+			require.Equal(t, tt.want, task.CrashScore)
+			require.NotZero(t, task.EndedAt, "the run has ended")
+		})
+	}
+	t.Run("never sent", func(t *testing.T) {
+		r := newRig(1)
+		w := r.addWorker("a", "r1")
+		w.heartbeat(0, false)
+		r.advance(100)
+		r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 3000}})
+		r.cycle()
+		r.crashAndRestart(w)
+		r.cycle()
+		_, task, _ := r.state.Workload.Task(workload.TaskRef{Job: "job"})
+		require.Zero(t, task.CrashScore)
+	})
+}
+
+// crashAndRestart lets the worker crash, start again and report.
+func (r *rig) crashAndRestart(w *modelWorker) {
+	w.crash()
+	r.advance(crashDownMS)
+	w.restart()
+	w.heartbeat(r.leader, false)
+}
--- /dev/null
+++ b/internal/dispatch/crashes.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import "github.com/samphirefork/samphirefork/internal/workload"
+
+// crashSuspicionMS is the time after its placement within which a run may have caused the
+// crash of its worker. A task that crashes its workers does so when it starts.
+const crashSuspicionMS = 3000
+
+// endOfLostRun returns the end of a run whose worker can't be running it any more.
+func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) workload.End {
+	end := workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost}
+	if d.hasCrashed(incarnation, p.Machine) && !d.neverSent(incarnation, ref, p) {
+		end.Outcome = workload.OutcomeCrashed
+		end.CrashScore = d.crashScore(incarnation, ref, p)
+	}
+	return end
+}
+
+// hasCrashed reports whether the incarnation ended although it neither drained nor was
+// moved or maintained under this leadership. A lease that expired proves no crash: the
+// worker may be cut off.
+func (d *Dispatcher) hasCrashed(incarnation workload.WorkerIncarnation, machine string) bool {
+	if w, ok := d.workers[incarnation]; ok {
+		return w.crashed
+	}
+	return d.hasEnded(incarnation, machine)
+}
+
+// neverSent reports whether no response can have carried the start of a run.
+func (d *Dispatcher) neverSent(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) bool {
+	w, ok := d.workers[incarnation]
+	return ok && p.PlacedAt > d.leadingSince && !w.startSent[workload.Run{Task: ref, Run: p.Run}]
+}
+
+// crashScore returns the evidence from the crash of its worker against the task of a run. A
+// leader that never heard the worker knows only when the run was placed: its start may not
+// have reached the worker.
+func (d *Dispatcher) crashScore(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) int {
+	w, ok := d.workers[incarnation]
+	if ok && w.running[ref].Run.Run != p.Run {
+		return workload.CrashScoreUnreported
+	}
+	if d.silentSince(incarnation)-p.PlacedAt >= crashSuspicionMS {
+		return 0
+	}
+	return workload.CrashScoreReported
+}
+
+// clearedRuns returns the runs that have been active for long enough to show that their
+// tasks do not crash their workers.
+func (d *Dispatcher) clearedRuns(s *workload.State) []workload.Run {
+	var cleared []workload.Run
+	for incarnation, runs := range s.RunsByWorker() {
+		w, ok := d.workers[incarnation]
+		if !ok || w.terminated {
+			continue
+		}
+		for ref, p := range runs {
+			if p.CrashScore > 0 && !p.Stopping && w.running[ref].Run.Run == p.Run && w.lastReportAt-p.PlacedAt >= crashSuspicionMS {
+				cleared = append(cleared, workload.Run{Task: ref, Run: p.Run})
+			}
+		}
+	}
+	return cleared
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -145,7 +145,7 @@
 	d.log.Read(func(s *fleet.State) {
 		hearsMajority := d.hearsMajority(s.Workload, now)
 		for incarnation, runs := range s.Workload.RunsByWorker() {
-			if !d.isLost(incarnation, now) {
+			if !d.isLost(incarnation, machineOf(runs), now) {
 				if w, ok := d.workers[incarnation]; ok {
 					if now-w.lastReportAt > heartbeatTimeoutMS {
 						w.revokeUnsent(s.Workload, d.leadingSince)
@@ -158,7 +158,7 @@
 				continue
 			}
 			for ref, p := range runs {
-				ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost})
+				ends = append(ends, d.endOfLostRun(incarnation, ref, p))
 			}
 		}
 	})
@@ -166,24 +166,36 @@
 	return append(ends, abandoned...), upTo
 }
 
-// isLost reports whether the incarnation can't be running anything any more: it is
-// terminated or its lease has expired.
-func (d *Dispatcher) isLost(incarnation workload.WorkerIncarnation, now int64) bool {
-	w, ok := d.workers[incarnation]
-	if !ok {
-		if d.terminatedUnseen[incarnation] {
-			return true
-		}
-		if current, known := d.byID[incarnation.ID]; known && current.Born > incarnation.Born {
-			return true
-		}
-		return now > d.leadingSince+d.leaseBoundMS()
+// isLost reports whether the incarnation can't be running anything any more: it has ended
+// or its lease has expired.
+func (d *Dispatcher) isLost(incarnation workload.WorkerIncarnation, machine string, now int64) bool {
+	if d.hasEnded(incarnation, machine) {
+		return true
+	}
+	if w, ok := d.workers[incarnation]; ok {
+		return now > w.leaseExpiresAt
+	}
+	return now > d.leadingSince+d.leaseBoundMS()
+}
+
+// hasEnded reports whether the incarnation is known to have ended. One that never reported
+// to this leader has ended when a later one reports with its identifier or from its machine.
+func (d *Dispatcher) hasEnded(incarnation workload.WorkerIncarnation, machine string) bool {
+	if w, ok := d.workers[incarnation]; ok {
+		return w.terminated
+	}
+	if d.terminatedUnseen[incarnation] {
+		return true
+	}
+	if current, known := d.byID[incarnation.ID]; known && current.Born > incarnation.Born {
+		return true
 	}
-	return w.terminated || now > w.leaseExpiresAt
+	current, known := d.byMachine[machine]
+	return known && current.Born > incarnation.Born
 }
 
 // requeueEnds keeps reported ends that may not be committed for the next cycle. Applying an
-// end twice has no effect. Lost and abandoned runs are derived from the state again.
+// end twice has no effect. Lost, crashed and abandoned runs are derived from the state again.
 func (d *Dispatcher) requeueEnds(term uint64, ends []workload.End) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -191,7 +203,8 @@
 		return
 	}
 	for _, e := range ends {
-		if w, ok := d.workers[e.Worker]; ok && e.Outcome != workload.OutcomeLost && e.Outcome != workload.OutcomeAbandoned {
+		derived := e.Outcome == workload.OutcomeLost || e.Outcome == workload.OutcomeCrashed || e.Outcome == workload.OutcomeAbandoned
+		if w, ok := d.workers[e.Worker]; ok && !derived {
 			w.pendingEnds = append(w.pendingEnds, e)
 		}
 	}
@@ -257,15 +270,18 @@
 }
 
 func (d *Dispatcher) logEnd(e workload.End) {
-	if e.Outcome == workload.OutcomeLost {
+	switch e.Outcome {
+	case workload.OutcomeLost:
 		d.meters.lost.Inc(1)
+	case workload.OutcomeCrashed:
+		d.meters.crashed.Inc(1)
 	}
 	event := d.logger.Debug()
 	if e.Outcome != workload.OutcomeDone && e.Outcome != workload.OutcomeStopped {
 		event = d.logger.Info()
 	}
 	event.Str("task", e.Task.String()).Int("run", e.Run).Str("worker", e.Worker.ID).
-		Str("outcome", e.Outcome.String()).Msg("run ended")
+		Str("outcome", e.Outcome.String()).Int("crash_score", e.CrashScore).Msg("run ended")
 }
 
 // recordFailure makes the planner prefer other workers for a task that failed, stalled or
@@ -297,6 +313,7 @@
 		}
 		p.Due = d.dueOccurrences(s.Workload, now)
 		p.Stops = d.runsToStop(s.Workload, now)
+		p.Cleared = d.clearedRuns(s.Workload)
 		d.updateLiveWorkers(s.Workload, now)
 		d.updateIdleTimes(s.Workload, now)
 		d.rebalance(s.Workload, now)
@@ -314,7 +331,7 @@
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
-	if len(p.Due)+len(p.Stops)+len(p.Starts) == 0 && p.PruneBefore <= 0 {
+	if len(p.Due)+len(p.Stops)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 {
 		return nil
 	}
 	return p
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -300,7 +300,7 @@
 func (d *Dispatcher) register(w *worker, now int64) {
 	for _, known := range d.knownIncarnations(w.Report) {
 		if other := d.workers[known]; other != nil && !other.terminated {
-			other.terminated = true
+			other.terminateCrashed()
 			d.logger.Info().Str("worker", known.ID).Int64("born", known.Born).Msg("worker incarnation terminated: a later one reports")
 		}
 	}
--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -33,8 +33,8 @@
 	now := int64(d.log.Now())
 	found := false
 	d.log.Read(func(s *fleet.State) {
-		for incarnation := range s.Workload.RunsByWorker() {
-			found = found || now-d.silentSince(incarnation) > heartbeatTimeoutMS && !d.isLost(incarnation, now)
+		for incarnation, runs := range s.Workload.RunsByWorker() {
+			found = found || now-d.silentSince(incarnation) > heartbeatTimeoutMS && !d.isLost(incarnation, machineOf(runs), now)
 		}
 	})
 	return found
@@ -58,7 +58,7 @@
 	list.complete = d.isComplete(list)
 	for incarnation, w := range d.workers {
 		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, list) {
-			w.terminate()
+			w.terminateCrashed()
 			d.Wake()
 		}
 	}
@@ -131,7 +131,8 @@
 // off itself or has just begun to lead.
 //
 // When a data centre is cut off or workers crash without notice, the tasks that run there
-// would otherwise wait for the leases to expire.
+// would otherwise wait for the leases to expire. A task with a crash score gets no copy,
+// which might crash another worker.
 func (d *Dispatcher) abandonedRuns(s *workload.State, incarnation workload.WorkerIncarnation, now int64) []workload.End {
 	silentSince := d.silentSince(incarnation)
 	if _, heard := d.workers[incarnation]; !heard {
@@ -143,7 +144,7 @@
 	var ends []workload.End
 	for ref, p := range s.RunsOn(incarnation) {
 		j, _, ok := s.Task(ref)
-		if ok && !p.Stopping && j.Steps[ref.Step].Speculative && !j.Steps[ref.Step].Gang {
+		if ok && !p.Stopping && p.CrashScore == 0 && j.Steps[ref.Step].Speculative && !j.Steps[ref.Step].Gang {
 			d.recordFailure(ref, incarnation.ID)
 			ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeAbandoned})
 		}
--- a/internal/dispatch/meters.go
+++ b/internal/dispatch/meters.go
@@ -10,6 +10,7 @@
 	stops      metrics.Counter
 	ends       metrics.Counter
 	lost       metrics.Counter
+	crashed    metrics.Counter
 	panics     metrics.Counter
 	cycles     metrics.Timer
 	delays     metrics.Timer
@@ -23,6 +24,7 @@
 		stops:      metrics.GetOrRegisterCounter("dispatch_stop_orders", r),
 		ends:       metrics.GetOrRegisterCounter("dispatch_ends", r),
 		lost:       metrics.GetOrRegisterCounter("dispatch_lost_runs", r),
+		crashed:    metrics.GetOrRegisterCounter("dispatch_crashed_runs", r),
 		panics:     metrics.GetOrRegisterCounter("dispatch_cycle_panics", r),
 		cycles:     metrics.GetOrRegisterTimer("dispatch_cycle_seconds", r),
 		delays:     metrics.GetOrRegisterTimer("dispatch_placement_delay_seconds", r),
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -17,6 +17,9 @@
 	// terminated is true when a later incarnation has reported, or the machine was moved,
 	// maintained or listed as gone.
 	terminated bool
+	// crashed is true when the incarnation was terminated without having drained, and not by
+	// an order of this leadership.
+	crashed bool
 	// recordedEnd and queuedEnd are the numbers up to which ended runs are recorded, and
 	// are taken from the reports.
 	recordedEnd int64
@@ -80,6 +83,12 @@
 	w.notify()
 }
 
+// terminateCrashed marks the incarnation as ended by no order of this leadership.
+func (w *worker) terminateCrashed() {
+	w.crashed = !w.Draining
+	w.terminate()
+}
+
 // notify ends the hold of the worker's heartbeat, if there is one.
 func (w *worker) notify() {
 	select {
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -113,7 +113,7 @@
 		return false
 	}
 	c.feasible = true
-	if mayStillRun(w, c.task) {
+	if mayStillRun(w, c.task) || !w.separates(c.task) {
 		return false
 	}
 	target := &c.best
@@ -121,7 +121,7 @@
 	if avoid {
 		target = &c.avoided
 	}
-	if *target == nil || c.s.ranksHigher(w, *target) {
+	if *target == nil || c.ranksHigher(w, *target) {
 		*target = w
 	}
 	return !avoid
@@ -153,7 +153,7 @@
 // selectWorker returns the best feasible worker for the task, or nil if there is none.
 func (s *selector) selectWorker(ref workload.TaskRef, task *workload.Task) *workerState {
 	c := &choice{s: s, ref: ref, task: task}
-	if s.c.step.LongRunning || s.c.step.FillsIdle {
+	if s.c.step.LongRunning || s.c.step.FillsIdle || task.Suspect() {
 		c.offerAll(s.workers.all)
 	} else {
 		s.offerByFit(c)
@@ -312,6 +312,7 @@
 			return false
 		}
 		p.startTask(c, s, w, ref, run)
+		w.reserveFor(&c.progress.Tasks[i])
 	}
 	return true
 }
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -131,6 +131,8 @@
 	// limit.
 	startsLeft int
 	tasks      int
+	// starts is the number of tasks that this plan starts on the worker.
+	starts int
 	// longRunning counts the long-running tasks. A worker that has one can't be released
 	// from its pool.
 	longRunning int
@@ -173,6 +175,9 @@
 	for _, run := range p.in.State.RunsOn(w.Incarnation) {
 		state.free = state.free.Minus(run.Occupies)
 		state.tasks++
+		if run.Suspect() {
+			state.startsLeft = 0
+		}
 		if run.LongRunning {
 			state.longRunning++
 		} else {
@@ -265,6 +270,7 @@
 			continue
 		}
 		p.startTask(c, s, w, ref, t.Run+1)
+		w.reserveFor(t)
 	}
 	p.recordUnplaced(c, unplaced)
 }
--- a/internal/taskplan/pool.go
+++ b/internal/taskplan/pool.go
@@ -70,6 +70,7 @@
 	w.free = w.free.Minus(step.Occupies())
 	p.freeMilli[w.DataCentre] += w.free.CPUMilli - before
 	w.tasks++
+	w.starts++
 	if step.LongRunning {
 		w.longRunning++
 	}
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -32,12 +32,15 @@
 }
 
 // Progress is a batch of ends of runs and of the leader's decisions. They are applied in
-// the order of the fields: Ends, Stops, Due, Starts, Ordered, Begun, PruneBefore.
+// the order of the fields: Ends, Stops, Due, Cleared, Starts, Ordered, Begun, PruneBefore.
 type Progress struct {
-	Ends   []End           `cbor:"1,keyasint,omitempty"`
-	Stops  []Run           `cbor:"2,keyasint,omitempty"`
-	Due    []DueOccurrence `cbor:"3,keyasint,omitempty"`
-	Starts []Start         `cbor:"4,keyasint,omitempty"`
+	Ends  []End           `cbor:"1,keyasint,omitempty"`
+	Stops []Run           `cbor:"2,keyasint,omitempty"`
+	Due   []DueOccurrence `cbor:"3,keyasint,omitempty"`
+	// Cleared lists runs that have been active for long enough to show that their tasks do
+	// not crash their workers.
+	Cleared []Run   `cbor:"8,keyasint,omitempty"`
+	Starts  []Start `cbor:"4,keyasint,omitempty"`
 	// Ordered lists machines whose maintenance is about to be ordered.
 	Ordered []WaveMachine `cbor:"7,keyasint,omitempty"`
 	// Begun lists machines whose maintenance has begun, or that are gone.
@@ -97,11 +100,13 @@
 	// OutcomeAbandoned does not end a run: its worker is silent, and the speculative task
 	// may start on another worker meanwhile.
 	OutcomeAbandoned
+	// OutcomeCrashed is a run whose worker crashed.
+	OutcomeCrashed
 )
 
 // String returns the name of the outcome, or "unknown".
 func (o Outcome) String() string {
-	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost", "abandoned"}
+	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost", "abandoned", "crashed"}
 	if int(o) < len(names) {
 		return names[o]
 	}
@@ -131,6 +136,8 @@
 	Worker     WorkerIncarnation `cbor:"3,keyasint"`
 	Outcome    Outcome           `cbor:"4,keyasint"`
 	Checkpoint string            `cbor:"5,keyasint,omitempty"`
+	// CrashScore is what the crash adds to the task's score; 0 for any other outcome.
+	CrashScore int `cbor:"6,keyasint,omitempty"`
 }
 
 // WaveMachine identifies a machine of a wave.
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -16,6 +16,7 @@
 			s.beginOccurrence(j, d.Occurrence, d.DueAt)
 		}
 	}
+	s.applyCleared(p.Cleared)
 	for i := range p.Starts {
 		s.applyStart(&p.Starts[i])
 	}
@@ -54,7 +55,7 @@
 	if j.State == JobQueued {
 		j.State = JobRunning
 	}
-	s.addRun(j, c.Task, t.currentRun(), false)
+	s.addRun(j, c.Task, t, t.currentRun(), false)
 }
 
 // applyEnd ends the current run of a task, or an abandoned one. Ends of other runs change
@@ -74,6 +75,7 @@
 		return
 	}
 	s.removeRun(j, c.Task, t.Worker)
+	s.countCrash(t, c)
 	t.EndedAt = s.now
 	next := Waiting
 	if t.DoneByCopy || c.Outcome == OutcomeDone && !step.LongRunning {
@@ -131,6 +133,7 @@
 	case c.Outcome == OutcomeFailed && !t.DoneByCopy:
 		t.Failures++
 	}
+	s.countCrash(t, c)
 	s.updateJob(j, c.Task, &j.Steps[c.Task.Step], progress)
 	return true
 }
@@ -165,7 +168,7 @@
 }
 
 // updateJob ends the job when its last task is done or a task has reached its limit of
-// failures, after the end of a run of the task.
+// failures or of crashes, after the end of a run of the task.
 func (s *State) updateJob(j *Job, ref TaskRef, step *Step, p *StepProgress) {
 	if j.State.Final() {
 		s.dropDetails(j)
@@ -179,6 +182,10 @@
 		s.endJob(j, JobFailed)
 		return
 	}
+	if p.Tasks[ref.Index].CrashScore >= crashScoreLimit {
+		s.endJob(j, JobFailed)
+		return
+	}
 	if !j.Occurrences[ref.Occurrence].finished() {
 		return
 	}
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -18,6 +18,8 @@
 	Machine string
 	// LongRunning is true for a run that ends only when it is stopped.
 	LongRunning bool
+	// CrashScore is that of the run's task.
+	CrashScore int
 }
 
 // State is the replicated state. Only Apply changes it; after decoding it, call Rebuild.
@@ -84,10 +86,10 @@
 		p.addToCount(t.Phase, 1)
 		ref := TaskRef{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
 		for _, a := range t.Abandoned {
-			s.addRun(j, ref, a, true)
+			s.addRun(j, ref, t, a, true)
 		}
 		if t.Phase == Placed || t.Phase == Stopping {
-			s.addRun(j, ref, t.currentRun(), t.Phase == Stopping)
+			s.addRun(j, ref, t, t.currentRun(), t.Phase == Stopping)
 		}
 	}
 }
@@ -116,8 +118,8 @@
 	return PlacedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, Machine: t.Machine}
 }
 
-// addRun adds a run to the indices of its worker and team.
-func (s *State) addRun(j *Job, ref TaskRef, run PlacedRun, stopping bool) {
+// addRun adds a run of the task to the indices of its worker and team.
+func (s *State) addRun(j *Job, ref TaskRef, t *Task, run PlacedRun, stopping bool) {
 	step := &j.Steps[ref.Step]
 	runs := s.runs[run.Worker]
 	if runs == nil {
@@ -127,6 +129,7 @@
 	runs[ref] = &Placement{
 		Run: run.Run, Occupies: step.Occupies(), Team: j.Team, TeamUsage: step.Size,
 		Stopping: stopping, PlacedAt: run.PlacedAt, LongRunning: step.LongRunning, Machine: run.Machine,
+		CrashScore: t.CrashScore,
 	}
 	s.teamUse[j.Team] = s.teamUse[j.Team].Plus(step.Size)
 }
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -229,6 +229,9 @@
 	// Machine is the machine of Worker. It lets a new leader recognise that a worker is
 	// gone which has never reported to it.
 	Machine string `cbor:"11,keyasint,omitempty"`
+	// CrashScore is the evidence that the task crashes the workers that run it; see
+	// CrashScoreUnreported.
+	CrashScore int `cbor:"12,keyasint,omitempty"`
 }
 
 // PlacedRun is a run and the worker that it was placed on.
