Start nothing that no longer fits the capacity a worker reports

A start was planned by the capacity of one report and sent in the response to a later one without a further look. When the capacity had shrunk in between, the start brought a worker over it, unless the worker refuses what exceeds its capacity. The same held for starts that are repeated after a lost response.

The response now carries only starts that fit the capacity of the report it answers; runs that stop count until their end is listed. A start that was never sent is revoked and its task starts elsewhere; one that may be on its way is stopped first.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -385,6 +385,11 @@
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
+		planned := len(o.Starts)
+		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
+		if len(o.Starts) < planned {
+			d.Wake()
+		}
 		w.recordStartsSent(s.Workload, o.Starts)
 		o.Paces = w.paceOrders(s.Workload, receivedAt)
 		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0, held)
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -147,6 +147,7 @@
 		d.startMaintenance()
 	}
 	stops = append(stops, d.drainStops(s, now)...)
+	stops = append(stops, d.withheldRuns(s)...)
 	stops = append(stops, d.stalledRuns(s, now)...)
 	return append(stops, d.stragglers(s, now)...)
 }
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -64,7 +64,7 @@
 		steps := rapid.IntRange(50, 250).Draw(rt, "steps")
 		for range steps {
 			w := r.workers[rapid.IntRange(0, len(r.workers)-1).Draw(rt, "worker")]
-			switch rapid.IntRange(0, 19).Draw(rt, "event") {
+			switch rapid.IntRange(0, 20).Draw(rt, "event") {
 			case 0, 1:
 				if jobs < 8 {
 					jobs++
@@ -93,6 +93,8 @@
 				w.heartbeat(r.leader, false)
 			case 14, 15, 16:
 				r.cycle()
+			case 17:
+				w.capacity = int64(rapid.IntRange(0, rigCPU).Draw(rt, "capacity"))
 			default:
 				r.advance(int64(rapid.IntRange(1, 4000).Draw(rt, "ms")))
 			}
@@ -100,7 +102,7 @@
 		}
 		r.refuse = false
 		for _, w := range r.workers {
-			w.draining = false
+			w.draining, w.capacity = false, rigCPU
 			if !w.up {
 				w.restart()
 			}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -35,6 +35,9 @@
 	// that no response may carry any more.
 	startSent map[workload.Run]bool
 	revoked   map[workload.Run]bool
+	// withheld holds the runs that the last response did not repeat although an earlier one
+	// may have started them, because the worker's capacity has shrunk.
+	withheld map[workload.Run]bool
 	// wake ends the hold of the worker's heartbeat.
 	wake chan struct{}
 	// pendingEnds are ended runs that wait for the next cycle.
@@ -61,7 +64,7 @@
 	return &worker{
 		Report: rep, running: map[workload.TaskRef]RunningTask{},
 		progress: map[workload.Run]runProgress{}, stopSent: map[workload.Run]bool{},
-		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{},
+		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{},
 		wake: make(chan struct{}, 1), pace: newPaceController(),
 	}
 }
