Send the start of a suspect task alone

A task could be given up although its start never arrived. Two tasks were in one response, the first crashed the worker, and both got the score of an unreported run. The second one, a suspect now, was placed on a worker that still had an unsent start of another crashing task from an earlier plan; that one was carried out first, and the score of the innocent task reached the limit.

The planner only looked at the starts of its own plan. The response now holds the start of a suspect back until the worker has reported every other run, and carries one suspect at a time.

TestTaskThatNeverStartedIsNotGivenUp fails before (state 'failed').

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -157,3 +157,35 @@
 	w.restart()
 	w.heartbeat(r.leader, false)
 }
+
+// An innocent task was placed behind one that crashed its worker, and its own start was never
+// carried out. The start of a suspect task must be alone on its way, or it is blamed for the
+// crash of another one.
+func TestTaskThatNeverStartedIsNotGivenUp(t *testing.T) {
+	r := newRig(1)
+	r.crashing = map[workload.TaskRef]bool{{Job: "bad1"}: true, {Job: "bad2"}: true}
+	step := workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1000}}
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	r.advance(100)
+	r.submit("bad1", step)
+	r.submit("good", step)
+	r.cycle()
+	b := r.addWorker("b", "r2")
+	a.heartbeat(0, false)
+	require.False(t, a.up, "bad1 starts before good")
+	r.advance(1500)
+	b.heartbeat(0, false)
+	r.advance(400)
+	r.submit("bad2", step)
+	r.cycle()
+	r.advance(100)
+	a.restart()
+	a.heartbeat(0, false)
+	r.cycle()
+	b.heartbeat(0, false)
+	require.False(t, b.up, "bad2 starts before good")
+	r.runWithRestarts(crashDayMS, func() {})
+	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["good"].State)
+	require.Equal(t, workload.JobFailed, r.state.Workload.Jobs["bad2"].State)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -46,6 +46,24 @@
 	return workload.CrashScoreReported
 }
 
+// separateSuspects returns the starts that may be on their way to a worker together. The
+// start of a suspect task is sent alone, once the worker has reported all other runs: a
+// crash can't tell apart runs of which none was reported.
+func separateSuspects(s *workload.State, starts []StartOrder) []StartOrder {
+	var suspects, others []StartOrder
+	for _, start := range starts {
+		if _, t, ok := s.Task(start.Task); ok && t.Suspect() {
+			suspects = append(suspects, start)
+		} else {
+			others = append(others, start)
+		}
+	}
+	if len(suspects) == 0 || len(others) > 0 {
+		return others
+	}
+	return suspects[:1]
+}
+
 // clearedRuns returns the runs that have been active for long enough to show that their
 // tasks do not crash their workers.
 func (d *Dispatcher) clearedRuns(s *workload.State) []workload.Run {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -385,6 +385,7 @@
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
+		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
 		if len(o.Starts) < planned {
