Place a gang whose suspect members outnumber the workers

One crash under a gang makes suspects of all its members on that worker, and each suspect asked for a worker of its own. A gang with more of them than its pool has workers was never placed again: the job stayed 'running' for good, also when its own task had caused the crash.

Members that can't be kept apart may now share workers; their starts are still sent one at a time. Both cases of TestGangOfSuspectsIsPlacedInASmallPool fail before (state 'running').

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -189,3 +189,35 @@
 	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["good"].State)
 	require.Equal(t, workload.JobFailed, r.state.Workload.Jobs["bad2"].State)
 }
+
+// A crash made suspects of more members of a gang than the pool has workers. They can't all
+// run apart, and the gang must be placed all the same.
+func TestGangOfSuspectsIsPlacedInASmallPool(t *testing.T) {
+	for name, crashing := range map[string]bool{"one crash": false, "each member crashes its workers": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(1)
+			a := r.addWorker("a", "r1")
+			a.heartbeat(0, false)
+			r.advance(100)
+			r.submit("gang", workload.Step{Count: 4, Gang: true, Size: workload.Resources{CPUMilli: 1000}})
+			r.cycle()
+			a.heartbeat(0, false)
+			require.Len(t, a.running, 4)
+			r.addWorker("b", "r2")
+			r.addWorker("c", "r3")
+			a.crash()
+			want := workload.JobCompleted
+			if crashing {
+				r.crashing = map[workload.TaskRef]bool{}
+				for i := range 4 {
+					r.crashing[workload.TaskRef{Job: "gang", Index: i}] = true
+				}
+				want = workload.JobFailed
+			}
+			r.runWithRestarts(crashDayMS, func() {})
+			require.Equal(t, want, r.state.Workload.Jobs["gang"].State)
+			require.LessOrEqual(t, r.startCounts[workload.TaskRef{Job: "gang", Index: 3}], maxCrashStarts)
+			require.Empty(t, r.violation)
+		})
+	}
+}
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -23,6 +23,9 @@
 	// exhausted is true once no worker can take a task of the step any more. Tasks that
 	// the plan starts only take from the workers.
 	exhausted bool
+	// sharesWorkers is true when suspect members of a gang may run beside each other,
+	// because there are not enough workers to keep them apart.
+	sharesWorkers bool
 }
 
 func (p *planner) newSelector(c candidate, tickets map[workload.WorkerIncarnation]string) *selector {
@@ -113,7 +116,7 @@
 		return false
 	}
 	c.feasible = true
-	if mayStillRun(w, c.task) || !w.separates(c.task) {
+	if mayStillRun(w, c.task) || !c.s.separates(w, c.task) {
 		return false
 	}
 	target := &c.best
@@ -272,12 +275,17 @@
 	for i := range c.progress.Tasks {
 		run = max(run, c.progress.Tasks[i].Run+1)
 	}
-	for _, rack := range p.racksFor(c) {
-		if p.placeGangMembers(c, s, run, rack) {
-			return
+	for _, s.sharesWorkers = range []bool{false, true} {
+		for _, rack := range p.racksFor(c) {
+			if p.placeGangMembers(c, s, run, rack) {
+				return
+			}
+			p.restore(before)
+			s.perWorker, s.perRack = map[workload.WorkerIncarnation]int{}, map[string]int{}
+		}
+		if !c.progress.HasSuspect() {
+			break
 		}
-		p.restore(before)
-		s.perWorker, s.perRack = map[workload.WorkerIncarnation]int{}, map[string]int{}
 	}
 	p.recordUnplaced(c, len(c.progress.Tasks))
 }
@@ -312,7 +320,7 @@
 			return false
 		}
 		p.startTask(c, s, w, ref, run)
-		w.reserveFor(&c.progress.Tasks[i])
+		s.reserve(w, &c.progress.Tasks[i])
 	}
 	return true
 }
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -270,7 +270,7 @@
 			continue
 		}
 		p.startTask(c, s, w, ref, t.Run+1)
-		w.reserveFor(t)
+		s.reserve(w, t)
 	}
 	p.recordUnplaced(c, unplaced)
 }
--- a/internal/taskplan/suspect.go
+++ b/internal/taskplan/suspect.go
@@ -4,13 +4,13 @@
 
 // separates reports whether the worker keeps a suspect task apart from others. A crash can't
 // tell two tasks apart that started together.
-func (w *workerState) separates(task *workload.Task) bool {
-	return !task.Suspect() || w.starts == 0
+func (s *selector) separates(w *workerState, task *workload.Task) bool {
+	return !task.Suspect() || w.starts == 0 || s.sharesWorkers
 }
 
-// reserveFor keeps further tasks off a worker that this plan gives to a suspect one.
-func (w *workerState) reserveFor(task *workload.Task) {
-	if task.Suspect() {
+// reserve keeps further tasks off a worker that this plan gives to a suspect one.
+func (s *selector) reserve(w *workerState, task *workload.Task) {
+	if task.Suspect() && !s.sharesWorkers {
 		w.startsLeft = 0
 	}
 }
--- a/internal/workload/crashes.go
+++ b/internal/workload/crashes.go
@@ -1,5 +1,7 @@
 package workload
 
+import "slices"
+
 // A task may crash each worker that runs it. Nothing reports the end of such a run, so it
 // must be told from the runs that were lost with it: a worker runs dozens of tasks at once,
 // and all of them are lost in the same crash. The crash score of a task is the evidence
@@ -23,6 +25,11 @@
 // Suspect reports whether the task of the run may be one that crashes its workers.
 func (p *Placement) Suspect() bool { return p.CrashScore >= suspectScore }
 
+// HasSuspect reports whether a task of the step may be one that crashes its workers.
+func (p *StepProgress) HasSuspect() bool {
+	return slices.ContainsFunc(p.Tasks, func(t Task) bool { return t.Suspect() })
+}
+
 // setCrashScore sets the score of a task and of its current run.
 func (s *State) setCrashScore(ref TaskRef, t *Task, score int) {
 	t.CrashScore = score
