Count a crash that no leader heard against a batch task of any age

When no store led for 3 s or longer after a crash, the next leader took the run for one that had been active for long and counted nothing.

The age of a run proves something only for a worker that this leader heard, or for a task that never ends by itself. Other tasks now get the lower score; a run that ends by itself resets it. TestCrashesCountWhileNoLeaderHearsTheWorker fails before (state 'running').

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -221,3 +221,17 @@
 		})
 	}
 }
+
+// The core is down for some seconds after each crash, so that no leader hears the worker
+// before it has started again. The crashes must count all the same.
+func TestCrashesCountWhileNoLeaderHearsTheWorker(t *testing.T) {
+	r := newCrashRig(workload.Step{})
+	for started := 0; r.now < crashDayMS; started = r.startCounts[crashingTask] {
+		for r.startCounts[crashingTask] == started && r.now < crashDayMS {
+			r.runWithRestarts(100, func() {})
+		}
+		r.advance(crashSuspicionMS + 1000)
+		r.elect(1 - r.leader)
+	}
+	requireGivenUp(t, r)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -32,15 +32,18 @@
 	return ok && p.PlacedAt >= d.leadingSince && !w.startSent[workload.Run{Task: ref, Run: p.Run}]
 }
 
-// crashScore returns the evidence from the crash of its worker against the task of a run. A
-// leader that never heard the worker knows only when the run was placed: its start may not
-// have reached the worker.
+// crashScore returns the evidence from the crash of its worker against the task of a run.
+//
+// A leader that never heard the worker knows neither whether the start reached it nor when
+// the crash came. A task that ends by itself then counts whatever its age: at most one crash
+// is counted for each run, and its next run resets the score.
 func (d *Dispatcher) crashScore(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) int {
-	w, ok := d.workers[incarnation]
-	if ok && w.running[ref].Run.Run != p.Run {
+	w, heard := d.workers[incarnation]
+	if heard && w.running[ref].Run.Run != p.Run {
 		return workload.CrashScoreUnreported
 	}
-	if d.silentSince(incarnation)-p.PlacedAt >= crashSuspicionMS {
+	activeForLong := d.silentSince(incarnation)-p.PlacedAt >= crashSuspicionMS
+	if activeForLong && (heard || p.LongRunning) {
 		return 0
 	}
 	return workload.CrashScoreReported
