Start at most one copy of a task while the end of a run is unknown

A speculative task on a silent worker got a copy after 1.3 s, and that one the next as soon as its worker fell silent, too.

A task now has one abandoned run at most whose end is not known. TestCopiesOfACrashingTaskAreBounded fails before ('6 is not less than or equal to 5').

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -235,3 +235,24 @@
 	}
 	requireGivenUp(t, r)
 }
+
+// Copies of a speculative task must not start one after the other while it is not known yet
+// how the earlier runs ended.
+func TestCopiesOfACrashingTaskAreBounded(t *testing.T) {
+	const slowDownMS = 8000
+	r := newCrashRig(workload.Step{Speculative: true})
+	for i := range 8 {
+		r.addWorker(fmt.Sprintf("spare%d", i), fmt.Sprintf("s%d", i))
+	}
+	for r.now < crashDayMS {
+		r.advance(100)
+		for _, w := range r.workers {
+			if !w.up && r.now-w.downAt >= slowDownMS {
+				w.restart()
+			}
+			w.heartbeat(r.leader, false)
+		}
+		r.cycle()
+	}
+	requireGivenUp(t, r)
+}
--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -12,6 +12,9 @@
 	// minReportingMS is how long a worker must have reported before a list without its
 	// machine counts as incomplete: a machine may be new.
 	minReportingMS = 2000
+	// maxAbandonedRuns is the number of abandoned runs of a task whose ends are unknown from
+	// which on no further copy starts.
+	maxAbandonedRuns = 1
 )
 
 // machineList is one reading of the platform's list of machines.
@@ -131,8 +134,8 @@
 // off itself or has just begun to lead.
 //
 // When a data centre is cut off or workers crash without notice, the tasks that run there
-// would otherwise wait for the leases to expire. A task with a crash score gets no copy,
-// which might crash another worker.
+// would otherwise wait for the leases to expire. A task that may have crashed its worker gets
+// at most one copy until the end of its first run is known.
 func (d *Dispatcher) abandonedRuns(s *workload.State, incarnation workload.WorkerIncarnation, now int64) []workload.End {
 	silentSince := d.silentSince(incarnation)
 	if _, heard := d.workers[incarnation]; !heard {
@@ -143,8 +146,9 @@
 	}
 	var ends []workload.End
 	for ref, p := range s.RunsOn(incarnation) {
-		j, _, ok := s.Task(ref)
-		if ok && !p.Stopping && p.CrashScore == 0 && j.Steps[ref.Step].Speculative && !j.Steps[ref.Step].Gang {
+		j, t, ok := s.Task(ref)
+		mayCopy := ok && !p.Stopping && p.CrashScore == 0 && len(t.Abandoned) < maxAbandonedRuns
+		if mayCopy && j.Steps[ref.Step].Speculative && !j.Steps[ref.Step].Gang {
 			d.recordFailure(ref, incarnation.ID)
 			ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeAbandoned})
 		}
