Keep a worker free for a suspect only until it has reported the run

A worker with a suspect run took no other task until the run was cleared, 3 s after its placement. In a small pool a crash under long-running tasks made all of them suspects: the last of six on two workers was back after 6.4 s, and a task of another job waited for 9.5 s with room for it.

A task that crashes its worker at the start is never reported, so other tasks may start beside a suspect 1 s after its first report. TestSuspectsDoNotCloseASmallPool fails before (over 5 s).

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -256,3 +256,59 @@
 	}
 	requireGivenUp(t, r)
 }
+
+// A crash made suspects of the long-running tasks of a small pool. Each takes a worker for
+// itself only until the worker has reported it for a while: neither the others nor other
+// jobs may wait for long.
+func TestSuspectsDoNotCloseASmallPool(t *testing.T) {
+	const maxWaitMS = 5000
+	r := newRig(1)
+	size := workload.Resources{CPUMilli: 500}
+	for _, id := range []string{"a", "b"} {
+		r.addWorker(id, id).heartbeat(0, false)
+	}
+	r.advance(100)
+	r.submit("service", workload.Step{Count: 6, LongRunning: true, Size: size})
+	r.cycle()
+	for _, w := range r.workers {
+		w.heartbeat(0, false)
+		w.crash()
+	}
+	r.submit("good", workload.Step{Count: 1, Size: size})
+	r.runWithRestarts(crashDownMS, func() {})
+	began := r.now
+	for len(r.workers[0].running)+len(r.workers[1].running) < 6 || r.startCounts[workload.TaskRef{Job: "good"}] == 0 {
+		r.runWithRestarts(100, func() {})
+		require.LessOrEqual(t, r.now-began, int64(maxWaitMS))
+	}
+}
+
+// While a suspect task is fresh on its worker, nothing else may start there.
+func TestWorkerOfAFreshSuspectGetsNoOtherTask(t *testing.T) {
+	r := newRig(1)
+	a := r.addWorker("a", "r1")
+	ref := startLongTask(t, r, a)
+	r.crashAndRestart(a)
+	r.cycle()
+	a.heartbeat(0, false)
+	require.Contains(t, a.running, ref)
+	r.submit("next", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 500}})
+	for range 3 {
+		a.heartbeat(0, false)
+		r.cycle()
+		require.Len(t, r.state.Workload.RunsOn(workload.WorkerIncarnation{ID: "a", Born: a.born}), 1)
+		r.advance(100)
+	}
+	require.True(t, r.runsWithin("next", 2000))
+}
+
+// runsWithin reports whether a task of the job starts within the time.
+func (r *rig) runsWithin(job string, ms int64) bool {
+	for until := r.now + ms; r.now < until; {
+		r.runWithRestarts(100, func() {})
+		if r.startCounts[workload.TaskRef{Job: job}] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,6 +6,10 @@
 // crash of its worker. A task that crashes its workers does so when it starts.
 const crashSuspicionMS = 3000
 
+// suspectAloneMS is the time after the first report of a suspect run for which nothing else
+// starts on its worker.
+const suspectAloneMS = 1000
+
 // endOfLostRun returns the end of a run whose worker can't be running it any more.
 func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) workload.End {
 	end := workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost}
@@ -67,6 +71,18 @@
 	return suspects[:1]
 }
 
+// hasFreshSuspect reports whether the worker is kept free for a suspect run that it has not
+// reported for long enough.
+func (w *worker) hasFreshSuspect(s *workload.State) bool {
+	for ref, p := range s.RunsOn(w.Incarnation) {
+		seen, reported := w.progress[workload.Run{Task: ref, Run: p.Run}]
+		if p.Suspect() && (!reported || w.lastReportAt-seen.firstAt < suspectAloneMS) {
+			return true
+		}
+	}
+	return false
+}
+
 // clearedRuns returns the runs that have been active for long enough to show that their
 // tasks do not crash their workers.
 func (d *Dispatcher) clearedRuns(s *workload.State) []workload.Run {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -55,12 +55,12 @@
 
 // newTaskLimit returns how many new tasks the worker may get, -1 for any number. A slow
 // worker gets none for a while, since a task that waits for another worker completes
-// earlier.
-func (w *worker) newTaskLimit(now int64, occupied int) int {
-	if now < w.slowUntil {
+// earlier, and neither does one that is kept free for a suspect run.
+func (w *worker) newTaskLimit(s *workload.State, now int64) int {
+	if now < w.slowUntil || w.hasFreshSuspect(s) {
 		return 0
 	}
-	return w.health.newTaskLimit(now, occupied)
+	return w.health.newTaskLimit(now, len(s.RunsOn(w.Incarnation)))
 }
 
 // recordEnd updates the health when a run has ended.
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -175,9 +175,6 @@
 	for _, run := range p.in.State.RunsOn(w.Incarnation) {
 		state.free = state.free.Minus(run.Occupies)
 		state.tasks++
-		if run.Suspect() {
-			state.startsLeft = 0
-		}
 		if run.LongRunning {
 			state.longRunning++
 		} else {
