Give up a job that crashes its workers

Cause: nobody reports the end of such an attempt. It ended as lost when the worker announced a new incarnation, and a lost attempt counted for nothing, so no budget applied.

The new incarnation of a worker that was neither lost nor in maintenance now counts as a crash, in the replicated record of the job. Only the attempts that were assigned within 3 s before the last one on the worker are charged. The state does not know when a worker was last heard, and its announcement comes up to seconds after the crash, so the assignments are compared with each other. A crash adds 2 to the score of a sole suspect, and 1 if there were several or the job has crashed this worker before, which may be a bad machine. At 6 the job is given up: after three crashes on three workers, five on one. Of several suspects every second one waits 4 s, longer than the 3 s, so that the next crash has half as many; otherwise jobs that queue again together would be placed together and given up together. A sole suspect is retried at once as before: the backoff draws random numbers, and the state may not.

A job that is given up has failed if a worker ever reported it as running. Else it ends as may_have_run, for a caller takes "failed" to mean that the job has run, and a start may never have reached the workers. Job.Started can't tell this apart, since a lost attempt sets it; Job.Reported can. A job that is not idempotent ends as before.

A worker that takes longer to restart than its lease, 6 s with the margin, is lost first, and its crash still does not count.

--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -283,8 +283,8 @@
 	return observe, ends
 }
 
-// observation returns the reported state of a worker and the jobs that it has newly
-// started, and whether the replicated state differs from them.
+// observation returns the reported state of a worker and the jobs that it is the first to
+// report as started, and whether the replicated state differs from them.
 func observation(s *fleet.State, w *worker) (fleet.Observation, bool) {
 	st := s.Status[w.state.Instance]
 	o := fleet.Observation{
@@ -295,7 +295,7 @@
 	}
 	for _, t := range w.state.Tasks {
 		j := s.Jobs[t.JobID]
-		if t.State == wire.TaskNotStarted || j == nil || j.Started || !assignedTo(j, w, t.Attempt) {
+		if t.State == wire.TaskNotStarted || j == nil || j.Reported || !assignedTo(j, w, t.Attempt) {
 			continue
 		}
 		o.Started = append(o.Started, t.JobID)
--- a/internal/fleet/outcomes.go
+++ b/internal/fleet/outcomes.go
@@ -53,6 +53,7 @@
 	case OutcomeNotStarted:
 		s.endUnstartedAttempt(j, o)
 	case OutcomeFailed:
+		j.Reported = true
 		if !slices.Contains(j.FailedOn, j.Worker) {
 			j.FailedOn = append(slices.Clone(j.FailedOn), j.Worker)
 		}
@@ -91,6 +92,9 @@
 		s.finish(j, JobCancelled, "cancelled", nil)
 	case j.CancelRequested:
 		s.finish(j, JobMayHaveRun, o.reason(), nil)
+	case o.Permanent && o.Kind == OutcomeLost && !j.Reported:
+		// JobFailed would tell the caller that the job has run.
+		s.finish(j, JobMayHaveRun, o.reason(), nil)
 	case o.Permanent:
 		s.finish(j, JobFailed, o.reason(), nil)
 	case j.Spec.Idempotent:
@@ -172,6 +176,7 @@
 	for _, id := range o.Started {
 		if j := s.Jobs[id]; j != nil && j.State == JobAssigned && j.Worker == o.Instance && j.WorkerIncarnation == st.Incarnation {
 			j.Started = true
+			j.Reported = true
 		}
 	}
 }
@@ -179,6 +184,9 @@
 // applyAnnouncement records the state that an instance reports of itself. A new incarnation
 // proves that the tasks of the previous process no longer run, so it ends their attempts.
 func (s *State) applyAnnouncement(st *InstanceStatus, o Observation) {
+	// A worker that was lost may have been shut down, and the attempts that started last
+	// may have ended with its lease. One that drains may be restarted on purpose.
+	crashed := !st.Lost && st.Phase == PhaseActive
 	st.Seen = true
 	st.Lost = false
 	st.Incarnation = o.Incarnation
@@ -188,9 +196,7 @@
 	if o.Capacity != (Resources{}) {
 		st.Capacity = o.Capacity
 	}
-	s.endAttemptsOn(o.Instance, lostOutcome("the worker restarted"), func(j *Job) bool {
-		return j.WorkerIncarnation != o.Incarnation
-	})
+	s.endAttemptsBefore(o.Incarnation, o.Instance, crashed)
 }
 
 // stopsAtLeaseEnd reports whether a partitioned worker stops the job by the end of the
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -232,6 +232,14 @@
 	// OnPartition is the policy of the queue at the latest assignment. The worker acts
 	// on this one, also when the queue changes later.
 	OnPartition PartitionPolicy `cbor:"20,keyasint,omitempty" json:"-"`
+	// CrashScore is the evidence that the job crashes its workers. The job is given up at
+	// crashScoreLimit.
+	CrashScore int `cbor:"21,keyasint,omitempty" json:"crash_score,omitempty"`
+	// CrashedOn lists the distinct workers whose crashes count in CrashScore.
+	CrashedOn []string `cbor:"22,keyasint,omitempty" json:"crashed_on,omitempty"`
+	// Reported is true once a worker reported an attempt as running or failed, so the job
+	// is known to have run.
+	Reported bool `cbor:"23,keyasint,omitempty" json:"-"`
 }
 
 // InstancePhase is the maintenance phase of an instance.
