Count a crash that shows by the reports of an incarnation with an earlier time of birth

When the time of day of a machine falls while its worker is down, the next incarnation looks like an earlier one. It is ignored until the lease of the crashed one has expired, and an expired lease counts for nothing: a task that crashes its workers was started for good.

Three ignored reports before the lease expires now show the crash; a delayed heartbeat of an earlier incarnation is one. TestCrashesCountWhenTheTimeOfBirthFalls fails before (state 'running').

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -312,3 +312,23 @@
 	}
 	return false
 }
+
+// The time of day of a machine fell while its worker was down, so that the next incarnation
+// looks like an earlier one and is ignored until the lease has expired. Its reports show
+// that the worker has crashed.
+func TestCrashesCountWhenTheTimeOfBirthFalls(t *testing.T) {
+	r := newCrashRig(workload.Step{})
+	for r.now < crashDayMS {
+		r.advance(100)
+		r.cycle()
+		for _, w := range r.workers {
+			if !w.up && r.now-w.downAt >= crashDownMS {
+				born := w.born
+				w.restart()
+				w.born = born - 1
+			}
+			w.heartbeat(r.leader, false)
+		}
+	}
+	requireGivenUp(t, r)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -10,6 +10,10 @@
 // starts on its worker.
 const suspectAloneMS = 1000
 
+// minIgnoredReports is the number of ignored reports that show another incarnation at work.
+// A single one may be a heartbeat of an earlier incarnation that was delayed.
+const minIgnoredReports = 3
+
 // endOfLostRun returns the end of a run whose worker can't be running it any more.
 func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) workload.End {
 	end := workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost}
@@ -20,12 +24,13 @@
 	return end
 }
 
-// hasCrashed reports whether the incarnation ended although it neither drained nor was
-// moved or maintained under this leadership. A lease that expired proves no crash: the
-// worker may be cut off.
+// hasCrashed reports whether the incarnation, whose lease has expired or which has ended,
+// did so although it neither drained nor was moved or maintained under this leadership. A
+// lease that expired proves no crash, since the worker may be cut off, unless another
+// incarnation has reported meanwhile.
 func (d *Dispatcher) hasCrashed(incarnation workload.WorkerIncarnation, machine string) bool {
 	if w, ok := d.workers[incarnation]; ok {
-		return w.crashed
+		return w.crashed || !w.Draining && w.ignoredReports >= minIgnoredReports
 	}
 	return d.hasEnded(incarnation, machine)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -269,6 +269,7 @@
 	for _, known := range d.knownIncarnations(rep) {
 		other, ok := d.workers[known]
 		if ok && known.Born > rep.Incarnation.Born && now < other.leaseExpiresAt {
+			other.ignoredReports++
 			return true
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -20,6 +20,9 @@
 	// crashed is true when the incarnation was terminated without having drained, and not by
 	// an order of this leadership.
 	crashed bool
+	// ignoredReports counts the reports of incarnations with an earlier time of birth, which
+	// were ignored.
+	ignoredReports int
 	// recordedEnd and queuedEnd are the numbers up to which ended runs are recorded, and
 	// are taken from the reports.
 	recordedEnd int64
