--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -24,7 +24,8 @@
 	joinTimeout = 700 * time.Millisecond
 	// minSilenceLimit is the least Policy.SilenceLimit. An election takes up to 1 s.
 	minSilenceLimit = time.Second
-	// minVoters is the number of voters from which on none is removed without a successor.
+	// minVoters is the number of voters that are kept whatever the target, so that the log is
+	// on two disks.
 	minVoters = 2
 	// learnerSilenceLimit is the silence after which a learner is removed.
 	learnerSilenceLimit = 30 * time.Second
