Give a task up after three crashes, and let a second of work clear it

A run that was reported for 1 s now counts for nothing and clears its task; the time of the placement is used only for workers that the leader never heard. An unreported run counts fully only if the crash is noticed within 5 s of the last report.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -2,24 +2,29 @@
 
 import "github.com/samphirefork/samphirefork/internal/workload"
 
-// crashSuspicionMS is the time after its placement within which a run may have caused the
-// crash of its worker. A task that crashes its workers does so when it starts.
-const crashSuspicionMS = 3000
-
-// suspectAloneMS is the time after the first report of a suspect run for which nothing else
-// starts on its worker.
-const suspectAloneMS = 1000
+const (
+	// activeProofMS is the time for which a worker must have reported a run to show that its
+	// task does not crash workers: one that does so crashes them when it starts.
+	activeProofMS = 1000
+	// placedProofMS is the same time from the placement of the run, for a worker that this
+	// leader never heard. A start takes up to a heartbeat interval and a held response.
+	placedProofMS = 3000
+	// crashNoticeMS is the time from the last report of a worker within which its crash is
+	// noticed if it came right after that report. After a longer silence it may have come at
+	// any time.
+	crashNoticeMS = 5000
+)
 
 // minIgnoredReports is the number of ignored reports that show another incarnation at work.
 // A single one may be a heartbeat of an earlier incarnation that was delayed.
 const minIgnoredReports = 3
 
 // endOfLostRun returns the end of a run whose worker can't be running it any more.
-func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) workload.End {
+func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement, now int64) workload.End {
 	end := workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost}
 	if d.hasCrashed(incarnation, p.Machine) && !d.neverSent(incarnation, ref, p) {
 		end.Outcome = workload.OutcomeCrashed
-		end.CrashScore = d.crashScore(incarnation, ref, p)
+		end.CrashScore = d.crashScore(incarnation, ref, p, now)
 	}
 	return end
 }
@@ -46,16 +51,33 @@
 // A leader that never heard the worker knows neither whether the start reached it nor when
 // the crash came. A task that ends by itself then counts whatever its age: at most one crash
 // is counted for each run, and its next run resets the score.
-func (d *Dispatcher) crashScore(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) int {
+func (d *Dispatcher) crashScore(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement, now int64) int {
 	w, heard := d.workers[incarnation]
-	if heard && w.running[ref].Run.Run != p.Run {
+	run := workload.Run{Task: ref, Run: p.Run}
+	switch {
+	case !heard && p.LongRunning && d.leadingSince-p.PlacedAt >= placedProofMS:
+		return 0
+	case heard && w.activeMS(run) >= activeProofMS:
+		return 0
+	case heard && !w.hasReported(run) && now-w.lastReportAt <= crashNoticeMS:
 		return workload.CrashScoreUnreported
+	default:
+		return workload.CrashScoreReported
 	}
-	activeForLong := d.silentSince(incarnation)-p.PlacedAt >= crashSuspicionMS
-	if activeForLong && (heard || p.LongRunning) {
+}
+
+// hasReported reports whether the last report lists the run as running.
+func (w *worker) hasReported(run workload.Run) bool {
+	_, reported := w.progress[run]
+	return reported
+}
+
+// activeMS returns the time for which the worker has reported the run, in milliseconds.
+func (w *worker) activeMS(run workload.Run) int64 {
+	if !w.hasReported(run) {
 		return 0
 	}
-	return workload.CrashScoreReported
+	return w.lastReportAt - w.progress[run].firstAt
 }
 
 // separateSuspects returns the starts that may be on their way to a worker together. The
@@ -76,12 +98,10 @@
 	return suspects[:1]
 }
 
-// hasFreshSuspect reports whether the worker is kept free for a suspect run that it has not
-// reported for long enough.
-func (w *worker) hasFreshSuspect(s *workload.State) bool {
-	for ref, p := range s.RunsOn(w.Incarnation) {
-		seen, reported := w.progress[workload.Run{Task: ref, Run: p.Run}]
-		if p.Suspect() && (!reported || w.lastReportAt-seen.firstAt < suspectAloneMS) {
+// hasSuspect reports whether the worker is kept free for the run of a suspect task.
+func (w *worker) hasSuspect(s *workload.State) bool {
+	for _, p := range s.RunsOn(w.Incarnation) {
+		if p.Suspect() {
 			return true
 		}
 	}
@@ -98,8 +118,9 @@
 			continue
 		}
 		for ref, p := range runs {
-			if p.CrashScore > 0 && !p.Stopping && w.running[ref].Run.Run == p.Run && w.lastReportAt-p.PlacedAt >= crashSuspicionMS {
-				cleared = append(cleared, workload.Run{Task: ref, Run: p.Run})
+			run := workload.Run{Task: ref, Run: p.Run}
+			if p.CrashScore > 0 && !p.Stopping && w.activeMS(run) >= activeProofMS {
+				cleared = append(cleared, run)
 			}
 		}
 	}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -158,7 +158,7 @@
 				continue
 			}
 			for ref, p := range runs {
-				ends = append(ends, d.endOfLostRun(incarnation, ref, p))
+				ends = append(ends, d.endOfLostRun(incarnation, ref, p, now))
 			}
 		}
 	})
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -57,7 +57,7 @@
 // worker gets none for a while, since a task that waits for another worker completes
 // earlier, and neither does one that is kept free for a suspect run.
 func (w *worker) newTaskLimit(s *workload.State, now int64) int {
-	if now < w.slowUntil || w.hasFreshSuspect(s) {
+	if now < w.slowUntil || w.hasSuspect(s) {
 		return 0
 	}
 	return w.health.newTaskLimit(now, len(s.RunsOn(w.Incarnation)))
--- a/internal/workload/crashes.go
+++ b/internal/workload/crashes.go
@@ -15,8 +15,8 @@
 	// reported the run or it is not known whether it had.
 	CrashScoreReported = 1
 	suspectScore       = 2
-	// crashScoreLimit takes at least two crashes, and at most four.
-	crashScoreLimit = 4
+	// crashScoreLimit takes at least three crashes, and at most five.
+	crashScoreLimit = 5
 )
 
 // Suspect reports whether the task may be one that crashes its workers.
