--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -134,8 +134,8 @@
 // off itself or has just begun to lead.
 //
 // When a data centre is cut off or workers crash without notice, the tasks that run there
-// would otherwise wait for the leases to expire. A task that may have crashed its worker gets
-// at most one copy until the end of its first run is known.
+// would otherwise wait for the leases to expire. A task gets at most one copy
+// until the end of its first run is known, since it may have crashed its worker.
 func (d *Dispatcher) abandonedRuns(s *workload.State, incarnation workload.WorkerIncarnation, now int64) []workload.End {
 	silentSince := d.silentSince(incarnation)
 	if _, heard := d.workers[incarnation]; !heard {
