--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -22,6 +22,8 @@
 		s.applyProgress(cmd.Progress)
 	case cmd.Wave != nil:
 		return s.applyWave(cmd.Wave)
+	case cmd.Evacuate != nil:
+		return s.applyEvacuate(cmd.Evacuate)
 	}
 	return Result{}
 }
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -9,6 +9,7 @@
 	Cancel    *Cancel   `cbor:"3,keyasint,omitempty"`
 	Progress  *Progress `cbor:"4,keyasint,omitempty"`
 	Wave      *Wave     `cbor:"5,keyasint,omitempty"`
+	Evacuate  *Evacuate `cbor:"6,keyasint,omitempty"`
 }
 
 // Submit submits a job. A repetition with the same ID and equal content changes nothing
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -27,6 +27,8 @@
 	Config Config          `cbor:"1,keyasint"`
 	Jobs   map[string]*Job `cbor:"2,keyasint"`
 	Waves  map[int64]*Wave `cbor:"3,keyasint"`
+	// Evacuations holds the data centres that are evacuated, by name.
+	Evacuations map[string]Evacuation `cbor:"4,keyasint,omitempty"`
 
 	// now is the highest cluster time of a command since the state was decoded.
 	now int64
@@ -55,6 +57,9 @@
 	if s.Waves == nil {
 		s.Waves = map[int64]*Wave{}
 	}
+	if s.Evacuations == nil {
+		s.Evacuations = map[string]Evacuation{}
+	}
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[string]bool{}
