Name an evacuation as the reason of stalled work

Work that only an evacuated data centre has room for was shown as held back or as lacking capacity, and work whose queue needs approvals as waiting for these. It is now shown as evacuated, with the data centres; also after their idle workers have left the pool.

Measured: the cases fail on the former code (go test ./internal/stall) and pass on this one.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -10,8 +10,10 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
@@ -44,6 +46,8 @@
 	DataCentreCutOff Reason = "data_centre_cut_off"
 	// HeldBack means that only workers that are drained, maintained or moved have room.
 	HeldBack Reason = "held_back"
+	// Evacuated means that only workers of evacuated data centres have room.
+	Evacuated Reason = "evacuated"
 	// FailsEverywhere means that a task has failed on each live worker that could run it.
 	FailsEverywhere Reason = "fails_on_each_worker"
 	// WorkerSilent means that the workers of the tasks don't report.
@@ -54,7 +58,7 @@
 
 // Reasons lists all reasons.
 func Reasons() []Reason {
-	return []Reason{NoCapacity, TeamLimit, Gang, DataRackAway, DataCentreCutOff, HeldBack, FailsEverywhere, WorkerSilent, NoApproval}
+	return []Reason{NoCapacity, TeamLimit, Gang, DataRackAway, DataCentreCutOff, HeldBack, Evacuated, FailsEverywhere, WorkerSilent, NoApproval}
 }
 
 var remedies = map[Reason]string{
@@ -64,6 +68,7 @@
 	DataRackAway:     "the rack comes back, or room on another one",
 	DataCentreCutOff: "the data centre is reached again, or the leases of its workers end",
 	HeldBack:         "the drain, maintenance or move of the machines ends",
+	Evacuated:        "the data centre is taken back, or machines of others are added to the pool",
 	FailsEverywhere:  "the cause of the failures is mended, or other workers join",
 	WorkerSilent:     "the workers report again, or their leases end",
 	NoApproval:       "the advice service approves workers",
@@ -110,6 +115,8 @@
 	// moved, and Accepts if it may get new tasks now.
 	Held    bool
 	Accepts bool
+	// Evacuated is true if the worker's data centre is evacuated.
+	Evacuated bool
 }
 
 // Input is the input of Find, which changes none of it.
@@ -168,9 +175,9 @@
 // poolView summarises the live workers of a pool, so that most steps can be judged without a
 // walk over the workers: a full pool has thousands of waiting steps.
 type poolView struct {
-	accepting, held []*Worker
-	workers         int
-	labels, racks   map[string]bool
+	accepting, held, evacuated []*Worker
+	workers                    int
+	labels, racks              map[string]bool
 	// mostFree is the most of each resource that an accepting worker has free.
 	mostFree workload.Resources
 }
@@ -197,6 +204,8 @@
 			CPUMilli: max(p.mostFree.CPUMilli, w.Free.CPUMilli), MemoryMiB: max(p.mostFree.MemoryMiB, w.Free.MemoryMiB),
 			Accelerators: max(p.mostFree.Accelerators, w.Free.Accelerators),
 		}
+	case w.Evacuated:
+		p.evacuated = append(p.evacuated, w)
 	case w.Held:
 		p.held = append(p.held, w)
 	}
@@ -316,13 +325,16 @@
 // keeps the next plan from placing them.
 func (f *finder) classify(j *workload.Job, key Key, p *workload.StepProgress) (Reason, string) {
 	step := &j.Steps[key.Step]
+	workers := f.pool(f.in.State.PoolOf(j))
+	if f.onlyEvacuated(workers) {
+		return Evacuated, f.evacuatedNames()
+	}
 	if f.in.Unapproved[key] {
 		return NoApproval, "queue " + j.Queue
 	}
 	if !f.withinLimit(j, step) {
 		return TeamLimit, "team " + j.Team
 	}
-	workers := f.pool(f.in.State.PoolOf(j))
 	size := step.Occupies()
 	placed := tasksPerWorker(step, p)
 	switch {
@@ -334,6 +346,9 @@
 	case step.DataRack != "" && !workers.racks[step.DataRack]:
 		return DataRackAway, "rack " + step.DataRack
 	}
+	if countRoom(workers.evacuated, step, placed) > 0 {
+		return Evacuated, f.evacuatedNames()
+	}
 	if held := countRoom(workers.held, step, placed); held > 0 {
 		return HeldBack, fmt.Sprintf("%d workers", held)
 	}
@@ -343,6 +358,16 @@
 	return NoCapacity, describeSize(size)
 }
 
+// onlyEvacuated reports whether the pool has no live worker outside of evacuated data centres while
+// there are some. Idle machines of these leave the pool, so it may have none at all.
+func (f *finder) onlyEvacuated(p *poolView) bool {
+	return len(f.in.State.Evacuations) > 0 && p.workers == len(p.evacuated)
+}
+
+func (f *finder) evacuatedNames() string {
+	return "data centre " + strings.Join(slices.Sorted(maps.Keys(f.in.State.Evacuations)), ", ")
+}
+
 // describeSize avoids package fmt, since thousands of steps may wait in a full pool.
 func describeSize(r workload.Resources) string {
 	text := strconv.FormatInt(r.CPUMilli, 10) + " milli-cores and " + strconv.FormatInt(r.MemoryMiB, 10) + " MiB"
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -87,6 +87,11 @@
 			f.workers[0].Free.CPUMilli = 1000
 			f.workers[1].Accepts, f.workers[1].Held = false, true
 		}, "1 workers"},
+		Evacuated: {func(f *fixture, _ *Input) {
+			f.submit("j", "", 1, step(1, 4000))
+			f.workers[0].Free.CPUMilli = 1000
+			f.evacuate(1)
+		}, "data centre dc1"},
 		FailsEverywhere: {func(f *fixture, in *Input) {
 			f.submit("j", "", 1, single)
 			in.FailedOn = map[workload.TaskRef]map[string]bool{{Job: "j"}: {"w0": true, "w1": true}}
@@ -121,6 +126,28 @@
 	}
 }
 
+// evacuate evacuates the data centre of a worker.
+func (f *fixture) evacuate(worker int) {
+	w := &f.workers[worker]
+	w.Accepts, w.Held, w.Evacuated = false, true, true
+	f.state.Apply(&workload.Command{Evacuate: &workload.Evacuate{DataCentre: w.DataCentre}}, 1)
+}
+
+// Guards against an evacuation that is not named because no worker can be approved, or because
+// the idle workers of all data centres have left the pool.
+func TestEvacuationOfAllDataCentresIsTheReason(t *testing.T) {
+	f := newFixture()
+	f.submit("j", "", 1, step(1, 4000))
+	f.evacuate(0)
+	f.evacuate(1)
+	for _, workers := range [][]Worker{f.workers, nil} {
+		stalls := Find(Input{State: f.state, NowMS: now, Workers: workers, Unapproved: map[Key]bool{{Job: "j"}: true}})
+		require.Len(t, stalls, 1)
+		require.Equal(t, Evacuated, stalls[0].Reason)
+		require.Equal(t, "data centre dc0, dc1", stalls[0].Detail)
+	}
+}
+
 // Guards against alarms about work that goes on: steps whose tasks run, whose turn has not
 // come or has just come, and those that the next plan will place.
 func TestProgressIsNoStall(t *testing.T) {
