Start nothing in an evacuated data centre

The leader ignored evacuations. From the commit on, workers there are not available to the plan (retries, gangs, copies, data racks and requests for advice included). Starts that were placed and never sent are revoked; those that may have been sent are stopped first, so that no task runs twice. A later leader finds all of it in the replicated state. Long-running tasks leave within their budgets, as many as have room elsewhere. Once the data centre is taken back, workers that say that they are cold get what no warm one has room for, where the settings bound the load on cold workers. Log lines and metrics follow each evacuation.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -147,7 +147,7 @@
 		for incarnation, runs := range s.Workload.RunsByWorker() {
 			if !d.isLost(incarnation, machineOf(runs), now) {
 				if w, ok := d.workers[incarnation]; ok {
-					if now-w.lastReportAt > heartbeatTimeoutMS {
+					if now-w.lastReportAt > heartbeatTimeoutMS || s.Workload.Evacuated(w.DataCentre) {
 						w.revokeUnsent(s.Workload, d.leadingSince)
 					}
 					ends = append(ends, w.revokedEnds(s.Workload)...)
@@ -317,12 +317,15 @@
 		d.updateLiveWorkers(s.Workload, now)
 		d.updateIdleTimes(s.Workload, now)
 		d.rebalance(s.Workload, now)
+		d.followEvacuations(s.Workload, now)
+		d.dropEvacuatedApprovals(s.Workload)
 		workers := d.availableWorkers(s.Workload, now)
-		plan := taskplan.Compute(taskplan.Input{
+		plan, room := taskplan.ComputeWithRoom(taskplan.Input{
 			State: s.Workload, NowMS: now, Workers: workers,
-			Approvals: d.approvals.validTickets(now), Avoid: d.avoids, MaxStarts: maxStartsPerCycle,
+			Approvals: d.approvals.validTickets(now), Avoid: d.avoids(now), MaxStarts: maxStartsPerCycle,
 		})
 		p.Starts = plan.Starts
+		p.Stops = append(p.Stops, d.evacuationStops(s.Workload, room, p.Stops, now)...)
 		if plan.Truncated {
 			d.Wake()
 		}
@@ -389,7 +392,7 @@
 	var out []taskplan.Worker
 	for incarnation, w := range d.workers {
 		_, inTransfer := d.transfers[w.Machine]
-		if w.Draining || !w.isLive(now) || inTransfer || d.maintenance.isReserved(w.Machine, now) {
+		if w.Draining || !w.isLive(now) || inTransfer || d.maintenance.isReserved(w.Machine, now) || s.Evacuated(w.DataCentre) {
 			continue
 		}
 		out = append(out, taskplan.Worker{
@@ -400,9 +403,18 @@
 	return out
 }
 
-// avoids reports whether the planner should prefer other workers for the task.
-func (d *Dispatcher) avoids(ref workload.TaskRef, incarnation workload.WorkerIncarnation) bool {
-	return d.failedOn[ref][incarnation.ID]
+// avoids returns a function that reports whether the planner should prefer other workers for
+// the task: it failed there, or the worker is cold.
+func (d *Dispatcher) avoids(now int64) func(workload.TaskRef, workload.WorkerIncarnation) bool {
+	cold := map[workload.WorkerIncarnation]bool{}
+	for incarnation, w := range d.workers {
+		if w.isCold(now) {
+			cold[incarnation] = true
+		}
+	}
+	return func(ref workload.TaskRef, incarnation workload.WorkerIncarnation) bool {
+		return cold[incarnation] || d.failedOn[ref][incarnation.ID]
+	}
 }
 
 // releaseHeldReports ends the hold of heartbeats whose ended runs are recorded or whose
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -103,8 +103,9 @@
 	demand         map[string]capacity.Demand
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
-	transfers map[string]transfer
-	stalls    *stallTracker
+	transfers   map[string]transfer
+	stalls      *stallTracker
+	evacuations *evacuations
 	// estimates is kept across leaderships: the ratios that it has learned stay valid.
 	estimates *estimates
 }
@@ -115,7 +116,7 @@
 	d := &Dispatcher{
 		log: log, settings: s, logger: logger, meters: newMeters(registry),
 		advisor: advisor, provider: machines, estimates: newEstimates(), wakeup: make(chan struct{}, 1),
-		stalls: newStallTracker(registry),
+		stalls: newStallTracker(registry), evacuations: newEvacuations(registry),
 	}
 	d.reset(0, 0)
 	return d
@@ -142,6 +143,7 @@
 	d.demand = nil
 	d.transfers = map[string]transfer{}
 	d.stalls.clear()
+	d.evacuations.clear()
 }
 
 // Wake requests a cycle now instead of at the next tick. It does not block.
@@ -389,6 +391,7 @@
 		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
+		o.Starts = w.withholdEvacuated(s.Workload, o.Starts, d.leadingSince)
 		if len(o.Starts) < planned {
 			d.Wake()
 		}
--- /dev/null
+++ b/internal/dispatch/evacuation_test.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/stall"
+	"github.com/samphirefork/samphirefork/internal/taskplan"
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+const rigDataCentre = "dc-a"
+
+// newEvacuationRig returns a rig with workers in rigDataCentre and one in another.
+func newEvacuationRig(stores, workers int) (r *rig, there []*modelWorker, elsewhere *modelWorker) {
+	r = newRig(stores)
+	for i := range workers {
+		w := r.addWorker(fmt.Sprintf("a%d", i), "r1")
+		w.dataCentre = rigDataCentre
+		there = append(there, w)
+	}
+	elsewhere = r.addWorker("b", "r2")
+	elsewhere.dataCentre = "dc-b"
+	return r, there, elsewhere
+}
+
+func (r *rig) evacuate(dataCentre string, end bool) {
+	r.propose(&workload.Command{Evacuate: &workload.Evacuate{DataCentre: dataCentre, End: end}})
+}
+
+// run lets all workers report every 50 ms.
+func (r *rig) runUndisturbed(ms int64) {
+	for end := r.now + ms; r.now < end; {
+		r.advance(settleStepMS)
+		r.cycle()
+		for _, w := range r.workers {
+			w.heartbeat(r.leader, false)
+		}
+	}
+}
+
+func oneTask(cpu int64) workload.Step {
+	return workload.Step{Count: 1, Size: workload.Resources{CPUMilli: cpu}, EstimatedMS: 800}
+}
+
+// Load pattern: tasks arrive all the time while a data centre is evacuated. What was placed
+// there and never sent starts elsewhere; what was sent and is not listed is stopped first.
+func TestNothingStartsInAnEvacuatedDataCentre(t *testing.T) {
+	for name, sent := range map[string]bool{"never sent": false, "sent, response lost": true} {
+		t.Run(name, func(t *testing.T) {
+			r, there, elsewhere := newEvacuationRig(1, 1)
+			there[0].heartbeat(0, false)
+			r.submit("job", oneTask(4000))
+			r.cycle()
+			if sent {
+				there[0].heartbeat(0, true)
+			}
+			r.evacuate(rigDataCentre, false)
+			elsewhere.heartbeat(0, false)
+			r.submit("later", workload.Step{Count: 4, Size: workload.Resources{CPUMilli: 4000}, EstimatedMS: 800, DataRack: "r1"})
+			r.runUndisturbed(6 * rigTaskMS)
+			require.Empty(t, r.violation)
+			require.Empty(t, r.state.Workload.Active(), "all tasks have run in the other data centre")
+		})
+	}
+}
+
+// Load pattern: the leader is killed right after it has acknowledged an evacuation, with starts
+// that it placed and may have sent. The next one must not repeat them.
+func TestNewLeaderObeysAnEvacuationAtOnce(t *testing.T) {
+	r, there, elsewhere := newEvacuationRig(2, 1)
+	there[0].heartbeat(0, false)
+	r.submit("job", workload.Step{Count: 3, Size: workload.Resources{CPUMilli: 1000}, EstimatedMS: 800, Gang: true})
+	r.cycle()
+	there[0].heartbeat(0, true)
+	r.evacuate(rigDataCentre, false)
+	r.elect(1)
+	elsewhere.heartbeat(1, false)
+	r.runUndisturbed(4 * rigTaskMS)
+	require.Empty(t, r.violation)
+	require.Empty(t, r.state.Workload.Active())
+}
+
+// Tasks that run in the data centre when it is evacuated end by themselves.
+func TestRunningTasksMayFinish(t *testing.T) {
+	r, there, _ := newEvacuationRig(1, 1)
+	there[0].heartbeat(0, false)
+	r.submit("job", oneTask(4000))
+	r.cycle()
+	there[0].heartbeat(0, false)
+	r.evacuate(rigDataCentre, false)
+	r.runUndisturbed(2 * rigTaskMS)
+	require.Equal(t, 1, r.startCounts[workload.TaskRef{Job: "job"}])
+	require.Empty(t, r.state.Workload.Active())
+}
+
+// Load pattern: long-running tasks fill an evacuated data centre. They move one after the other, as
+// MaxUnavailable is 1, and only as many as have room elsewhere: the others would only stop.
+func TestLongRunningTasksMoveWhereThereIsRoom(t *testing.T) {
+	r, there, elsewhere := newEvacuationRig(1, 2)
+	for _, w := range there {
+		w.heartbeat(0, false)
+	}
+	r.submit("service", workload.Step{Count: 4, Size: workload.Resources{CPUMilli: 3000}, LongRunning: true})
+	r.runUndisturbed(2 * rigTaskMS)
+	elsewhere.capacity = 7000
+	r.runUndisturbed(rigTaskMS)
+	r.evacuate(rigDataCentre, false)
+	for range 8 {
+		r.runUndisturbed(rigTaskMS / 2)
+		up := 0
+		for _, w := range r.workers {
+			up += len(w.running)
+		}
+		require.GreaterOrEqual(t, up, 3, "one task may be away")
+	}
+	require.Len(t, elsewhere.running, 2)
+	require.Len(t, append(there[0].tasks(), there[1].tasks()...), 2, "there is no room for them elsewhere")
+	require.Empty(t, r.violation)
+	r.evacuate(rigDataCentre, true)
+	r.runUndisturbed(2 * rigTaskMS)
+	require.Len(t, append(there[0].tasks(), there[1].tasks()...), 2)
+}
+
+// All data centres are evacuated: work is accepted and waits, with the reason, and goes on when one
+// is taken back.
+func TestWorkWaitsWhileAllDataCentresAreEvacuated(t *testing.T) {
+	r := newStallRig(t, 2)
+	for _, w := range r.workers {
+		w.dataCentre = rigDataCentre
+	}
+	r.run(stallStepMS)
+	r.evacuate(rigDataCentre, false)
+	r.submit("job", oneTask(1000))
+	r.run(stallBoundMS)
+	require.Equal(t, []stall.Reason{stall.Evacuated}, r.reasons())
+	require.Contains(t, r.log.String(), rigDataCentre)
+	r.evacuate(rigDataCentre, true)
+	r.run(stallBoundMS)
+	require.Empty(t, r.reasons())
+	require.Empty(t, r.violation)
+}
+
+// Load pattern: a data centre with idle, cold workers is taken back. Without the rule their free
+// capacity attracts the next job; they get what finds no room elsewhere.
+func TestColdWorkersGetWorkAfterWarmOnes(t *testing.T) {
+	r, there, elsewhere := newEvacuationRig(1, 1)
+	there[0].cold = time.Second
+	there[0].heartbeat(0, false)
+	elsewhere.heartbeat(0, false)
+	r.submit("a", oneTask(4000))
+	r.submit("b", oneTask(4000))
+	r.submit("c", oneTask(4000))
+	r.cycle()
+	require.Len(t, r.state.Workload.RunsOn(elsewhere.report().Incarnation), 2)
+	require.Len(t, r.state.Workload.RunsOn(there[0].report().Incarnation), 1)
+}
+
+// The approval of workers that are all evacuated must not keep a step from being asked about
+// again.
+func TestApprovalsOfEvacuatedWorkersAreDropped(t *testing.T) {
+	r, there, elsewhere := newEvacuationRig(1, 1)
+	there[0].heartbeat(0, false)
+	elsewhere.heartbeat(0, false)
+	d := r.dispatchers[0]
+	here, other := there[0].report().Incarnation, elsewhere.report().Incarnation
+	only, both := taskplan.StepRef{Job: "only"}, taskplan.StepRef{Job: "both"}
+	refused := taskplan.StepRef{Job: "refused"}
+	d.approvals.steps[only] = approval{tickets: map[workload.WorkerIncarnation]string{here: "t"}, expiresAt: r.now + 10_000}
+	d.approvals.steps[both] = approval{tickets: map[workload.WorkerIncarnation]string{here: "t", other: "t"}, expiresAt: r.now + 10_000}
+	d.approvals.steps[refused] = approval{expiresAt: r.now + 10_000}
+	r.evacuate(rigDataCentre, false)
+	r.cycle()
+	require.NotContains(t, d.approvals.steps, only)
+	require.Contains(t, d.approvals.steps, both)
+	require.Contains(t, d.approvals.steps, refused)
+}
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -301,24 +301,29 @@
 		if !ok || p.Stopping || !j.Steps[ref.Step].LongRunning {
 			continue
 		}
-		step := &j.Steps[ref.Step]
-		key := keyOf(ref)
-		others := unavailable[key]
-		alreadyUnavailable := !d.isFullyActive(ref, incarnation, now)
-		if alreadyUnavailable {
-			others--
-		}
-		if others >= max(step.MaxUnavailable, 1) {
+		allowed, active := d.mayInterrupt(&j.Steps[ref.Step], ref, incarnation, unavailable, now)
+		if !allowed {
 			continue
 		}
-		if !alreadyUnavailable {
-			unavailable[key]++
+		if active {
+			unavailable[keyOf(ref)]++
 		}
 		stops = append(stops, workload.Run{Task: ref, Run: p.Run})
 	}
 	return stops
 }
 
+// mayInterrupt reports whether the MaxUnavailable of the step allows to interrupt a run of its
+// task, and whether the task is fully active. One that isn't counts as unavailable already.
+func (d *Dispatcher) mayInterrupt(step *workload.Step, ref workload.TaskRef, incarnation workload.WorkerIncarnation, unavailable map[stepKey]int, now int64) (allowed, active bool) {
+	others := unavailable[keyOf(ref)]
+	active = d.isFullyActive(ref, incarnation, now)
+	if !active {
+		others--
+	}
+	return others < max(step.MaxUnavailable, 1), active
+}
+
 // stepKey identifies a step of an occurrence.
 type stepKey struct {
 	job              string
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -28,6 +28,8 @@
 	Draining bool  `json:"draining,omitempty"`
 	// DrainRemaining is the least time for which a draining worker goes on running.
 	DrainRemaining time.Duration `json:"drain_remaining_ns,omitempty"`
+	// ColdRemaining is how much longer the worker remains slow after its start.
+	ColdRemaining time.Duration `json:"cold_remaining_ns,omitempty"`
 	// Running lists the runs that the worker is executing, and Ended those that have ended
 	// and are not acknowledged yet.
 	Running []RunningTask `json:"running,omitempty"`
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -167,15 +167,18 @@
 
 // modelWorker behaves as the platform's documentation describes a worker.
 type modelWorker struct {
-	r        *rig
-	id       string
-	born     int64
-	rack     string
-	up       bool
-	downAt   int64
-	draining bool
-	failsAll bool
-	stalls   bool
+	r    *rig
+	id   string
+	born int64
+	rack string
+	// dataCentre is that of the worker; cold is how much longer it says that it is slow.
+	dataCentre string
+	cold       time.Duration
+	up         bool
+	downAt     int64
+	draining   bool
+	failsAll   bool
+	stalls     bool
 	// slowdown multiplies the duration of each task; 0 means the normal duration.
 	slowdown int64
 	// capacity is the processor capacity in millicores. It may shrink and grow.
@@ -212,7 +215,7 @@
 // restart starts a new incarnation, which knows nothing of the earlier one.
 func (w *modelWorker) restart() {
 	*w = modelWorker{
-		r: w.r, id: w.id, rack: w.rack, born: w.r.now, up: true, capacity: rigCPU,
+		r: w.r, id: w.id, rack: w.rack, dataCentre: w.dataCentre, born: w.r.now, up: true, capacity: rigCPU,
 		running: map[workload.TaskRef]*modelRun{}, refused: map[workload.TaskRef]int{},
 	}
 }
@@ -292,9 +295,9 @@
 func (w *modelWorker) report() Report {
 	w.sequence++
 	rep := Report{
-		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: "m-" + w.id, Pool: rigPool, Rack: w.rack,
+		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: "m-" + w.id, Pool: rigPool, Rack: w.rack, DataCentre: w.dataCentre,
 		Capacity: workload.Resources{CPUMilli: w.capacity, MemoryMiB: 1 << 20}, Sequence: w.sequence, Draining: w.draining,
-		DrainRemaining: time.Minute, Ended: append([]EndedTask(nil), w.ended...),
+		DrainRemaining: time.Minute, ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
 	}
 	for _, ref := range w.tasks() {
 		run := w.running[ref]
@@ -373,6 +376,9 @@
 	if _, runs := w.running[ref]; runs || s.Run.Run <= w.refused[ref] {
 		return
 	}
+	if w.r.state.Workload.Evacuated(w.dataCentre) {
+		w.r.recordViolation("%s run %d starts on %s, whose data centre %s is evacuated", ref, s.Run.Run, w.id, w.dataCentre)
+	}
 	job := w.r.state.Workload.Jobs[ref.Job]
 	speculative := job != nil && ref.Step < len(job.Steps) && job.Steps[ref.Step].Speculative
 	if at, done := w.r.firstDoneAt[ref]; done && (!speculative || w.r.now-at > rigLateCopyMS) {
--- a/internal/dispatch/stalled.go
+++ b/internal/dispatch/stalled.go
@@ -119,6 +119,7 @@
 		described := stall.Worker{
 			Incarnation: incarnation, Pool: w.Pool, Rack: w.Rack, DataCentre: w.DataCentre, Labels: w.Labels, Free: w.Capacity,
 			Live: w.isLive(now), SilentSinceMS: w.lastReportAt, Held: !isAvailable, Accepts: isAvailable && starts != 0,
+			Evacuated: s.Evacuated(w.DataCentre) && !w.Draining,
 		}
 		for _, p := range s.RunsOn(incarnation) {
 			described.Free = described.Free.Minus(p.Occupies)
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -140,7 +140,9 @@
 
 // Compute returns the starts of all waiting tasks that fit on a worker, and the demand
 // of the others.
-func Compute(in Input) Plan {
+func Compute(in Input) Plan { return compute(in).plan }
+
+func compute(in Input) *planner {
 	p := newPlanner(in)
 	for _, c := range p.candidates() {
 		if in.MaxStarts > 0 && len(p.plan.Starts) >= in.MaxStarts {
@@ -149,7 +151,7 @@
 		}
 		p.place(c)
 	}
-	return p.plan
+	return p
 }
 
 func newPlanner(in Input) *planner {
