Make up for evacuated machines in other data centres

Machines of an evacuated data centre counted in their pools, which got others only once work was late, and could be given to other pools. They no longer count and aren't given. A pool that has some gets what its load needs at once, ahead of a backlog; idle ones are released; a move that waits for one to become idle is dropped.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -61,6 +61,9 @@
 	// Tasks is the number of tasks on a machine whose tasks all end by themselves, so
 	// that it becomes idle when it gets no new ones. It is 0 for any other machine.
 	Tasks int
+	// Evacuated is true for a machine in an evacuated data centre, on which nothing new starts. It
+	// is not given to a pool and does not count in its own.
+	Evacuated bool
 }
 
 // Demand is the demand for machines in one pool. The dispatcher logs it as JSON under
@@ -127,10 +130,14 @@
 // Decide returns the moves to begin now, at most one for each machine.
 func Decide(in Input) []Move {
 	d := decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
-		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
+		evacuated: map[string]int{}, labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
-		d.poolSizes[m.Pool]++
 		d.racks[m.Name] = m.Rack
+		if m.Evacuated {
+			d.evacuated[m.Pool]++
+			continue
+		}
+		d.poolSizes[m.Pool]++
 		for _, label := range m.Labels {
 			d.labelled[poolLabel{m.Pool, label}]++
 		}
@@ -143,9 +150,11 @@
 
 type decider struct {
 	in Input
-	// poolSizes is the number of machines by pool, without those that this decision moves
-	// out.
+	// poolSizes is the number of machines by pool, without those that are evacuated or that
+	// this decision moves out.
 	poolSizes map[string]int
+	// evacuated is the number of evacuated machines by pool.
+	evacuated map[string]int
 	// moved holds the machines that this decision moves.
 	moved map[string]bool
 	// added is the number of machines that this decision moves into each pool.
@@ -188,9 +197,9 @@
 	present := d.poolSizes[pool] + d.in.Incoming[pool] + d.added[pool]
 	spread := max(demand.Spread, machinesFor(demand.LongRunning, d.in.MachineCapacity)) - d.in.Incoming[pool]
 	if d.backlogMS(pool) <= addBacklogMS {
-		return max(spread, machinesFor(demand.Overdue, d.in.MachineCapacity)-d.in.Incoming[pool])
+		return max(spread, machinesFor(demand.Overdue, d.in.MachineCapacity)-d.in.Incoming[pool], d.lackedByEvacuation(pool))
 	}
-	return max(d.requiredMachines(pool)-present, spread)
+	return max(d.requiredMachines(pool)-present, spread, d.lackedByEvacuation(pool))
 }
 
 // requiredMachines returns the number of machines that run the long-running tasks, serve
@@ -268,7 +277,7 @@
 // is idle then, and without this rule another pool's backlog would keep growing.
 func (d *decider) busyDonor(pool string) (Machine, bool) {
 	eligible := func(m Machine) bool {
-		return m.Tasks > 0 && m.Pool != pool && d.poolSizes[m.Pool] > minPoolMachines && !d.neededForLabel(m) && d.mayDonateBusy(m.Pool, pool)
+		return m.Tasks > 0 && !m.Evacuated && m.Pool != pool && d.poolSizes[m.Pool] > minPoolMachines && !d.neededForLabel(m) && d.mayDonateBusy(m.Pool, pool)
 	}
 	return d.selectMachine(eligible, func(a, b Machine) bool { return a.Tasks < b.Tasks })
 }
@@ -320,7 +329,7 @@
 
 // available reports whether the machine can move to another pool at once.
 func (d *decider) available(m Machine) bool {
-	return m.Off || (m.IdleMS >= reassignIdleMS && d.mayDonateIdle(m.Pool) && !d.neededForLabel(m))
+	return !m.Evacuated && (m.Off || m.IdleMS >= reassignIdleMS && d.mayDonateIdle(m.Pool) && !d.neededForLabel(m))
 }
 
 // mayDonateIdle reports whether the pool can give up an idle machine.
@@ -354,7 +363,7 @@
 		if m.Off || m.Pool == d.in.Spare || d.moved[m.Name] || m.IdleMS < releaseIdleMS {
 			continue
 		}
-		if d.mayDonateIdle(m.Pool) && !d.neededForLabel(m) {
+		if d.mayRelease(m) {
 			d.addMove(m, Move{Machine: m.Name, Pool: d.in.Spare})
 		}
 	}
@@ -365,7 +374,9 @@
 		racks[m.Rack]++
 	}
 	d.moved[m.Name] = true
-	d.poolSizes[m.Pool]--
+	if !m.Evacuated {
+		d.poolSizes[m.Pool]--
+	}
 	d.added[move.Pool]++
 	d.moves = append(d.moves, move)
 }
--- a/internal/capacity/labels.go
+++ b/internal/capacity/labels.go
@@ -95,7 +95,7 @@
 		return true
 	}
 	busy := func(m Machine) bool {
-		return labelled(m) && m.Tasks > 0 && d.poolSizes[m.Pool] > minPoolMachines && !d.neededForLabel(m) && d.hasSurplus(m.Pool)
+		return labelled(m) && m.Tasks > 0 && !m.Evacuated && d.poolSizes[m.Pool] > minPoolMachines && !d.neededForLabel(m) && d.hasSurplus(m.Pool)
 	}
 	if m, ok = d.selectMachine(busy, func(a, b Machine) bool { return a.Tasks < b.Tasks }); ok {
 		d.addMove(m, Move{Machine: m.Name, Pool: n.pool, WaitUntilIdle: true})
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -178,3 +178,27 @@
 	require.Contains(t, d.approvals.steps, both)
 	require.Contains(t, d.approvals.steps, refused)
 }
+
+// A burst must not bring a machine of an evacuated data centre into the pool, and one that was to
+// move there once it is idle gets tasks again where it is when its data centre is taken back.
+func TestMachinesOfAnEvacuatedDataCentreDoNotMove(t *testing.T) {
+	r, o := newRigWithProvider(t)
+	d := r.dispatchers[0]
+	d.machinesByName["off"].DataCentre = rigDataCentre
+	w := r.addWorker("a", "r1")
+	w.dataCentre = rigDataCentre
+	w.heartbeat(0, false)
+	d.transfers["m-a"] = transfer{pool: "other", since: r.now}
+	r.evacuate(rigDataCentre, false)
+	r.submit("burst", workload.Step{Count: 40, Size: workload.Resources{CPUMilli: 2000}, EstimatedMS: 4000})
+	r.runUndisturbed(rigTaskMS / 2)
+	waitForCalls(t, d)
+	require.Empty(t, o.moved)
+	require.Empty(t, d.transfers)
+	r.evacuate(rigDataCentre, true)
+	r.runUndisturbed(rigTaskMS / 2)
+	require.Equal(t, "off>"+rigPool, <-o.moved)
+	waitForCalls(t, d)
+	require.NotEmpty(t, w.running)
+	require.Empty(t, r.violation)
+}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -104,7 +104,9 @@
 	for name, m := range d.machinesByName {
 		total, machines = total.Plus(m.Capacity), machines+1
 		if d.inTransit(m, in.Spare, now) {
-			in.AddIncoming(m.Pool, m.Labels)
+			if !s.Evacuated(m.DataCentre) {
+				in.AddIncoming(m.Pool, m.Labels)
+			}
 			continue
 		}
 		candidate := d.moveCandidate(s, m, name, in.Spare, now)
@@ -142,7 +144,7 @@
 	for name, t := range d.transfers {
 		w, known := d.workerOn(name)
 		switch {
-		case !known || w.terminated || now-t.since > transferTimeoutMS:
+		case !known || w.terminated || now-t.since > transferTimeoutMS || s.Evacuated(w.DataCentre):
 			delete(d.transfers, name)
 		case w.hasRuns(s):
 			in.AddIncoming(t.pool, w.Labels)
@@ -190,7 +192,7 @@
 // moveCandidate describes a machine for the decision about moves. A machine that must not
 // move is neither idle nor off and has no tasks to wait for.
 func (d *Dispatcher) moveCandidate(s *workload.State, m *machine, name, spare string, now int64) capacity.Machine {
-	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, Labels: m.Labels, IdleMS: -1}
+	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, Labels: m.Labels, IdleMS: -1, Evacuated: s.Evacuated(m.DataCentre)}
 	_, inTransfer := d.transfers[name]
 	if inTransfer || d.maintenance.isReserved(name, now) || now < d.maintenance.retryAt[name] {
 		return c
