--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -56,12 +56,12 @@
 	}
 	tasks, unknown := d.tasksByDataCentre(s)
 	for name, evacuation := range s.Evacuations {
+		left := tasks[name] + unknown
 		p, seen := e.progress[name]
 		if !seen {
 			p = evacuationProgress{since: evacuation.Since, tasks: -1}
-			d.logger.Info().Str("evacuated", name).Int64("since_ms", now-p.since).Int("tasks", tasks[name]).Msg("data centre is evacuated")
+			d.logger.Info().Str("evacuated", name).Int64("since_ms", now-p.since).Int("tasks", left).Msg("data centre is evacuated")
 		}
-		left := tasks[name] + unknown
 		// A leader that came later and finds no task does not know when the last one left.
 		observed := p.tasks > 0 || p.tasks < 0 && p.since > d.leadingSince
 		if left == 0 && observed {
@@ -118,7 +118,7 @@
 	return nil
 }
 
-// dropEvacuated removes the approvals that name only workers of evacuated data centres, so that
+// dropEvacuatedApprovals removes the approvals that name only workers of evacuated data centres, so that
 // the advice service is asked about others.
 func (d *Dispatcher) dropEvacuatedApprovals(s *workload.State) {
 	if len(s.Evacuations) == 0 {
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -50,21 +50,21 @@
 	return most
 }
 
-// Under any order of lost responses, changes of leader, crashes, restarts, drains and
-// cancellations: no task may run twice at once or again after a recorded end, no worker may
-// exceed its capacity, no job may be forgotten, and none may fail unless two workers
+// Under any order of lost responses, changes of leader, crashes, restarts, drains, evacuations and
+// cancellations: no task may run twice at once or again after a recorded end, nothing may start
+// in an evacuated data centre, no worker may exceed its capacity, no job may be forgotten, and none may fail unless two workers
 // crashed under one of its tasks.
 func TestNoTaskRunsTwiceUnderRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(3)
 		for i := range 3 {
-			r.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i%2))
+			r.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i%2)).dataCentre = fmt.Sprintf("dc%d", i%2)
 		}
 		jobs := 0
 		steps := rapid.IntRange(50, 250).Draw(rt, "steps")
 		for range steps {
 			w := r.workers[rapid.IntRange(0, len(r.workers)-1).Draw(rt, "worker")]
-			switch rapid.IntRange(0, 20).Draw(rt, "event") {
+			switch rapid.IntRange(0, 21).Draw(rt, "event") {
 			case 0, 1:
 				if jobs < 8 {
 					jobs++
@@ -93,6 +93,8 @@
 				w.heartbeat(r.leader, false)
 			case 14, 15, 16:
 				r.cycle()
+			case 18:
+				r.evacuate(fmt.Sprintf("dc%d", rapid.IntRange(0, 1).Draw(rt, "data centre")), rapid.Bool().Draw(rt, "taken back"))
 			case 17:
 				w.capacity = int64(rapid.IntRange(0, rigCPU).Draw(rt, "capacity"))
 			default:
@@ -101,6 +103,8 @@
 			require.Empty(rt, r.violation)
 		}
 		r.refuse = false
+		r.evacuate("dc0", true)
+		r.evacuate("dc1", true)
 		for _, w := range r.workers {
 			w.draining, w.capacity = false, rigCPU
 			if !w.up {
