Keep workers in the data centre that they report first

Where data centres are evacuated, a report without one got its worker tasks, and one from another writer could name another data centre for a worker of an evacuated one.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -231,17 +231,18 @@
 
 // acceptReport registers or updates the worker of a report. It returns nil for a report
 // that is out of date: its incarnation is terminated or has sent a later report, or a later
-// incarnation is known. It also returns nil if the report names another pool or machine
-// than the earlier ones of its incarnation, which only another writer can send. The caller
-// holds mu.
+// incarnation is known. It also returns nil if the report names another pool, machine or
+// data centre than the earlier ones of its incarnation, which only another writer can send. The
+// caller holds mu.
 func (d *Dispatcher) acceptReport(rep Report, now int64) *worker {
 	w, ok := d.workers[rep.Incarnation]
 	if ok && (w.terminated || rep.Sequence <= w.Sequence) {
 		return nil
 	}
-	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine) {
+	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine || rep.DataCentre != w.DataCentre) {
 		d.logger.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
-			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Msg("report ignored: it names another pool or machine than its worker")
+			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Str("reported_data_centre", rep.DataCentre).Str("known_data_centre", w.DataCentre).
+			Msg("report ignored: it names another pool, machine or data centre than its worker")
 		return nil
 	}
 	if !ok {
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -128,9 +128,9 @@
 // All data centres are evacuated: work is accepted and waits, with the reason, and goes on when one
 // is taken back.
 func TestWorkWaitsWhileAllDataCentresAreEvacuated(t *testing.T) {
-	r := newStallRig(t, 2)
-	for _, w := range r.workers {
-		w.dataCentre = rigDataCentre
+	r := newStallRig(t, 0)
+	for _, id := range []string{"a", "b"} {
+		r.addWorker(id, "r1").dataCentre = rigDataCentre
 	}
 	r.run(stallStepMS)
 	r.evacuate(rigDataCentre, false)
@@ -202,3 +202,18 @@
 	require.NotEmpty(t, w.running)
 	require.Empty(t, r.violation)
 }
+
+// Guards against a report from another writer that names another data centre for a worker of an
+// evacuated one, which would then get starts.
+func TestReportsDoNotMoveAWorkerOutOfAnEvacuation(t *testing.T) {
+	r, there, _ := newEvacuationRig(1, 1)
+	there[0].heartbeat(0, false)
+	r.evacuate(rigDataCentre, false)
+	forged := there[0].report()
+	forged.DataCentre = "dc-b"
+	_, err := r.dispatchers[0].HandleReport(t.Context(), forged)
+	require.NoError(t, err)
+	r.submit("job", oneTask(1000))
+	r.cycle()
+	require.Empty(t, r.state.Workload.RunsOn(forged.Incarnation))
+}
