Move long-running tasks out of an evacuated data centre only into ample room

They took room elsewhere that the jobs of a burst needed, while they would have gone on undisturbed where they were. They now leave while no task of their pool waits and 30 percent of its processor time elsewhere is free.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -159,7 +159,7 @@
 	for _, run := range leaving {
 		j, t, _ := s.Task(run.Task)
 		allowed, active := d.mayInterrupt(&j.Steps[run.Task.Step], run.Task, t.Worker, unavailable, now)
-		if !allowed || stopped[run] || !room.Take(run.Task) {
+		if !allowed || stopped[run] || !room.IsAmple(s.PoolOf(j)) || !room.Take(run.Task) {
 			continue
 		}
 		if active {
--- a/internal/taskplan/room.go
+++ b/internal/taskplan/room.go
@@ -16,6 +16,28 @@
 	return p.plan, &Room{p}
 }
 
+// spareRoomPercent is the part of a pool's processor time that must be free for tasks to move
+// within it.
+const spareRoomPercent = 30
+
+// IsAmple reports whether the pool has room that nothing else needs soon: no task of it waits, and
+// a good part of its processor time is free.
+//
+// Load pattern: long-running tasks could leave a data centre during a burst. What they take elsewhere
+// makes jobs late, while they would go on undisturbed where they are.
+func (r *Room) IsAmple(pool string) bool {
+	workers := r.p.pools[pool]
+	if _, waits := r.p.plan.Unplaced[pool]; waits || workers == nil {
+		return false
+	}
+	free, capacity := int64(0), int64(0)
+	for _, w := range workers.all {
+		free += w.free.CPUMilli
+		capacity += w.Capacity.CPUMilli
+	}
+	return free*100 >= capacity*spareRoomPercent
+}
+
 // Take reports whether a worker has room for the placed task beside its other tasks, and takes the room.
 // The worker that the task is on must not be one of the input.
 func (r *Room) Take(ref workload.TaskRef) bool {
--- a/internal/taskplan/room_test.go
+++ b/internal/taskplan/room_test.go
@@ -32,3 +32,22 @@
 	require.True(t, p.Truncated)
 	require.False(t, room.Take(ref(0)), "the rest of the work comes first")
 }
+
+// Load pattern: a burst fills a pool while long-running tasks could move within it.
+func TestRoomIsAmpleOnlyIfNothingNeedsIt(t *testing.T) {
+	f := newFixture(2, workload.Team{})
+	ample := func() bool {
+		_, room := ComputeWithRoom(Input{State: f.state, NowMS: now, Workers: f.workers})
+		return room.IsAmple("pool")
+	}
+	require.True(t, ample())
+	f.submit("half", "batch", "", now, step(2, 4000))
+	require.True(t, ample())
+	f.submit("gang", "batch", "", now, workload.Step{Count: 3, Gang: true, Size: workload.Resources{CPUMilli: 4000}})
+	require.False(t, ample(), "work waits")
+	f.state.Apply(&workload.Command{Cancel: &workload.Cancel{ID: "gang", Queue: "batch"}}, now)
+	f.submit("more", "batch", "", now, step(1, 4000))
+	require.False(t, ample(), "a quarter is free")
+	f.workers = nil
+	require.False(t, ample())
+}
