--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -103,8 +103,9 @@
 	demand         map[string]capacity.Demand
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
-	transfers map[string]transfer
-	stalls    *stallTracker
+	transfers   map[string]transfer
+	stalls      *stallTracker
+	evacuations *evacuations
 	// estimates is kept across leaderships: the ratios that it has learned stay valid.
 	estimates *estimates
 }
@@ -115,7 +116,7 @@
 	d := &Dispatcher{
 		log: log, settings: s, logger: logger, meters: newMeters(registry),
 		advisor: advisor, provider: machines, estimates: newEstimates(), wakeup: make(chan struct{}, 1),
-		stalls: newStallTracker(registry),
+		stalls: newStallTracker(registry), evacuations: newEvacuations(registry),
 	}
 	d.reset(0, 0)
 	return d
@@ -142,6 +143,7 @@
 	d.demand = nil
 	d.transfers = map[string]transfer{}
 	d.stalls.clear()
+	d.evacuations.clear()
 }
 
 // Wake requests a cycle now instead of at the next tick. It does not block.
@@ -229,17 +231,18 @@
 
 // acceptReport registers or updates the worker of a report. It returns nil for a report
 // that is out of date: its incarnation is terminated or has sent a later report, or a later
-// incarnation is known. It also returns nil if the report names another pool or machine
-// than the earlier ones of its incarnation, which only another writer can send. The caller
-// holds mu.
+// incarnation is known. It also returns nil if the report names another pool, machine or
+// data centre than the earlier ones of its incarnation, which only another writer can send. The
+// caller holds mu.
 func (d *Dispatcher) acceptReport(rep Report, now int64) *worker {
 	w, ok := d.workers[rep.Incarnation]
 	if ok && (w.terminated || rep.Sequence <= w.Sequence) {
 		return nil
 	}
-	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine) {
+	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine || rep.DataCentre != w.DataCentre) {
 		d.logger.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
-			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Msg("report ignored: it names another pool or machine than its worker")
+			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Str("reported_data_centre", rep.DataCentre).Str("known_data_centre", w.DataCentre).
+			Msg("report ignored: it names another pool, machine or data centre than its worker")
 		return nil
 	}
 	if !ok {
@@ -389,6 +392,7 @@
 		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
+		o.Starts = w.withholdEvacuated(s.Workload, o.Starts, d.leadingSince)
 		if len(o.Starts) < planned {
 			d.Wake()
 		}
