Learn the run times of tasks from finished runs

Declared run times are off by up to a factor of ten, and one ratio a pool, held by the leading process alone, was used for machines only.

Histograms by queue, declared time and size are replicated in the state of the jobs and answer State.ExpectedRun with quantiles; machines and lateness use it in place of the ratio. Runs on slow workers, resumed runs and runs across a change of leader don't count. -run-times declared and the setting run_times turn it off.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -143,6 +143,7 @@
 	}
 	var abandoned []workload.End
 	d.log.Read(func(s *fleet.State) {
+		d.markTimed(s.Workload, ends, now)
 		hearsMajority := d.hearsMajority(s.Workload, now)
 		for incarnation, runs := range s.Workload.RunsByWorker() {
 			if !d.isLost(incarnation, machineOf(runs), now) {
@@ -234,7 +235,7 @@
 	}
 }
 
-// noteEnds updates metrics, estimates and the health of workers after ends were committed,
+// noteEnds updates metrics and the health of workers after ends were committed,
 // and logs them.
 func (d *Dispatcher) noteEnds(ends []workload.End, now int64) {
 	d.mu.Lock()
@@ -253,22 +254,10 @@
 		}
 	}
 	d.log.Read(func(s *fleet.State) {
-		d.recordRunTimes(s.Workload, ends)
 		d.logFinished(s.Workload, ends, now)
 	})
 }
 
-// recordRunTimes adds the run times of completed tasks to the estimates.
-func (d *Dispatcher) recordRunTimes(s *workload.State, ends []workload.End) {
-	for _, e := range ends {
-		j, t, ok := s.Task(e.Task)
-		if !ok || e.Outcome != workload.OutcomeDone || t.Run != e.Run || e.Task.Step >= len(j.Steps) {
-			continue
-		}
-		d.estimates.record(s.PoolOf(j), j.Steps[e.Task.Step].EstimatedMS, t.EndedAt-t.PlacedAt)
-	}
-}
-
 func (d *Dispatcher) logEnd(e workload.End) {
 	switch e.Outcome {
 	case workload.OutcomeLost:
@@ -311,6 +300,7 @@
 		if p.PruneBefore != 0 {
 			d.pruneRecords(s.Workload)
 		}
+		p.ForgetRunTimes = !d.settings.LearnRunTimes && !s.Workload.RunTimes.Empty()
 		p.Due = d.dueOccurrences(s.Workload, now)
 		p.Stops = d.runsToStop(s.Workload, now)
 		p.Cleared = d.clearedRuns(s.Workload)
@@ -331,7 +321,7 @@
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
-	if len(p.Due)+len(p.Stops)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 {
+	if len(p.Due)+len(p.Stops)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 && !p.ForgetRunTimes {
 		return nil
 	}
 	return p
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,6 +48,8 @@
 	MaintenanceDuration time.Duration
 	// MoveDuration is how long a machine takes to move between pools.
 	MoveDuration time.Duration
+	// LearnRunTimes is false when only declared run times are used.
+	LearnRunTimes bool
 	// Holder identifies this instance in the calls to the MachineProvider.
 	Holder string
 }
@@ -105,8 +107,6 @@
 	// pool.
 	transfers map[string]transfer
 	stalls    *stallTracker
-	// estimates is kept across leaderships: the ratios that it has learned stay valid.
-	estimates *estimates
 }
 
 // New returns a Dispatcher, whose cycles begin with Run. advisor and machines may be nil:
@@ -114,14 +114,14 @@
 func New(log fleet.Log, s Settings, advisor Advisor, machines MachineProvider, registry metrics.Registry, logger zerolog.Logger) *Dispatcher {
 	d := &Dispatcher{
 		log: log, settings: s, logger: logger, meters: newMeters(registry),
-		advisor: advisor, provider: machines, estimates: newEstimates(), wakeup: make(chan struct{}, 1),
+		advisor: advisor, provider: machines, wakeup: make(chan struct{}, 1),
 		stalls: newStallTracker(registry),
 	}
 	d.reset(0, 0)
 	return d
 }
 
-// reset discards what is known from an earlier leadership, except for the estimates.
+// reset discards what is known from an earlier leadership.
 func (d *Dispatcher) reset(term uint64, now int64) {
 	for _, w := range d.workers {
 		w.notify()
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -274,7 +274,7 @@
 		poolDemand := demand[pool]
 		poolDemand.HeldMilli += heldMilli(j)
 		if now-j.AcceptedAt < arrivalWindowMS {
-			poolDemand.RateMilli += d.estimates.jobWork(j) / arrivalWindowMS
+			poolDemand.RateMilli += jobWork(s, j) / arrivalWindowMS
 		}
 		demand[pool] = poolDemand
 	}
@@ -288,23 +288,12 @@
 	for pool, u := range plan.Unplaced {
 		busy[pool] = true
 		poolDemand := demand[pool]
-		poolDemand.UnmetDemand = d.correctNeed(pool, u.UnmetDemand)
-		poolDemand.Labels = map[string]capacity.UnmetDemand{}
-		for label, need := range u.Labels {
-			poolDemand.Labels[label] = d.correctNeed(pool, need)
-		}
+		poolDemand.UnmetDemand, poolDemand.Labels = u.UnmetDemand, u.Labels
 		demand[pool] = poolDemand
 	}
 	d.demand, d.busyPools = demand, busy
 }
 
-// correctNeed corrects the work that found no room by the pool's ratio of actual to
-// declared run times.
-func (d *Dispatcher) correctNeed(pool string, n capacity.UnmetDemand) capacity.UnmetDemand {
-	n.WorkMilliMS = d.estimates.scale(pool, n.WorkMilliMS)
-	return n
-}
-
 func hasLongRunningStep(j *workload.Job) bool {
 	return slices.ContainsFunc(j.Steps, func(step workload.Step) bool { return step.LongRunning })
 }
--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -29,6 +29,8 @@
 	slowPauseMS = 3000
 	// A task whose run number has reached moveRunLimit is no longer moved for slowness.
 	moveRunLimit = 4
+
+	percent = 100
 )
 
 // measuredRun is a run whose speed is known.
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
+	"github.com/samphirefork/samphirefork/internal/runtimes"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -97,6 +98,8 @@
 	// deadline is the cluster time, in milliseconds, by which the occurrence should be
 	// complete.
 	deadline int64
+	// expected is the expected run time of one task.
+	expected runtimes.Estimate
 	// overShare is true when the team uses at least its share of the pool.
 	overShare bool
 }
@@ -203,7 +206,7 @@
 func (p *planner) candidate(j *workload.Job, k int, o *workload.Occurrence, step int) candidate {
 	c := candidate{
 		job: j, occurrence: o, step: &j.Steps[step], progress: &o.Steps[step],
-		ref: StepRef{Job: j.ID, Occurrence: k, Step: step}, pool: p.in.State.PoolOf(j),
+		ref: StepRef{Job: j.ID, Occurrence: k, Step: step}, pool: p.in.State.PoolOf(j), expected: p.in.State.ExpectedRun(j, step),
 	}
 	c.deadline = o.DueAt + j.ObjectiveMS
 	c.class = classOnTime
@@ -212,7 +215,7 @@
 		c.class = classFillIdle
 	case c.step.LongRunning:
 		c.class = classLongRunning
-	case p.in.NowMS+c.step.EstimatedMS > c.deadline:
+	case p.in.NowMS+c.expected.MedianMS > c.deadline:
 		c.class = classLate
 	}
 	return c
@@ -309,7 +312,7 @@
 			u.LongRunning = u.LongRunning.Plus(c.step.Occupies())
 		}
 	} else {
-		u.WorkMilliMS += int64(tasks) * c.step.WorkMilliMS()
+		u.WorkMilliMS += int64(tasks) * c.step.WorkMilliMS(c.expected.MeanMS)
 	}
 	if c.step.Label == "" {
 		all.UnmetDemand = u
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -33,7 +33,8 @@
 }
 
 // Progress is a batch of ends of runs and of the leader's decisions. They are applied in
-// the order of the fields: Ends, Stops, Due, Cleared, Starts, Ordered, Begun, PruneBefore.
+// the order of the fields: Ends, Stops, Due, Cleared, Starts, Ordered, Begun,
+// ForgetRunTimes, PruneBefore.
 type Progress struct {
 	Ends  []End           `cbor:"1,keyasint,omitempty"`
 	Stops []Run           `cbor:"2,keyasint,omitempty"`
@@ -48,6 +49,8 @@
 	Begun []WaveMachine `cbor:"5,keyasint,omitempty"`
 	// PruneBefore is a cluster time; jobs that ended before it are removed. 0 removes none.
 	PruneBefore int64 `cbor:"6,keyasint,omitempty"`
+	// ForgetRunTimes clears the run times that were learned.
+	ForgetRunTimes bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Run identifies one run of a task.
@@ -139,6 +142,9 @@
 	Checkpoint string            `cbor:"5,keyasint,omitempty"`
 	// CrashScore is what the crash adds to the task's score; 0 for any other outcome.
 	CrashScore int `cbor:"6,keyasint,omitempty"`
+	// Timed is true when the time since the run was placed is the run time of the task, so
+	// that estimates may rest on it.
+	Timed bool `cbor:"7,keyasint,omitempty"`
 }
 
 // WaveMachine identifies a machine of a wave.
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -1,6 +1,10 @@
 package workload
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/samphirefork/samphirefork/internal/runtimes"
+)
 
 func (s *State) applyProgress(p *Progress) {
 	for i := range p.Ends {
@@ -30,6 +34,9 @@
 			w.Begun[m.Machine] = true
 		}
 	}
+	if p.ForgetRunTimes {
+		s.RunTimes = &runtimes.Table{}
+	}
 	if p.PruneBefore > 0 {
 		s.pruneJobs(p.PruneBefore)
 	}
@@ -77,6 +84,7 @@
 	s.removeRun(j, c.Task, t.Worker)
 	s.countCrash(t, c)
 	t.EndedAt = s.now
+	s.recordRunTime(j, t, progress, c)
 	next := Waiting
 	if t.DoneByCopy || c.Outcome == OutcomeDone && !step.LongRunning {
 		next = Done
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -1,5 +1,7 @@
 package workload
 
+import "github.com/samphirefork/samphirefork/internal/runtimes"
+
 // Placement is a run that occupies a worker.
 type Placement struct {
 	// Run is the number of the run.
@@ -29,6 +31,8 @@
 	Waves  map[int64]*Wave `cbor:"3,keyasint"`
 	// Evacuations holds the data centres that are evacuated, by name.
 	Evacuations map[string]Evacuation `cbor:"4,keyasint,omitempty"`
+	// RunTimes holds what was learned of the run times of tasks. It is not nil.
+	RunTimes *runtimes.Table `cbor:"5,keyasint,omitempty"`
 
 	// now is the highest cluster time of a command since the state was decoded.
 	now int64
@@ -60,6 +64,10 @@
 	if s.Evacuations == nil {
 		s.Evacuations = map[string]Evacuation{}
 	}
+	if s.RunTimes == nil {
+		s.RunTimes = &runtimes.Table{}
+	}
+	s.RunTimes.Rebuild()
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[string]bool{}
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -158,14 +158,14 @@
 	return r
 }
 
-// maxTaskWorkMilliMS bounds the declared work of one task, so that sums over all tasks do
+// maxTaskWorkMilliMS bounds the work of one task, so that sums over all tasks do
 // not overflow. It is 32 cores for eight hours.
 const maxTaskWorkMilliMS = 1_000_000_000_000
 
-// WorkMilliMS returns the declared work of one task, in thousandths of a core times
-// milliseconds, at most 10^12.
-func (s *Step) WorkMilliMS() int64 {
-	return min(s.Size.CPUMilli*max(s.EstimatedMS, 0), maxTaskWorkMilliMS)
+// WorkMilliMS returns the work of one task that runs for runMS milliseconds, in thousandths
+// of a core times milliseconds, at most 10^12.
+func (s *Step) WorkMilliMS(runMS int64) int64 {
+	return min(s.Size.CPUMilli*max(runMS, 0), maxTaskWorkMilliMS)
 }
 
 // TaskRef identifies one task of one occurrence of a job. Occurrence, Step and Index count
