Elect a leader at once after all stores were restarted

Cause: a store that starts waits for the shortest election timeout, since a leader may rely on what its previous process acknowledged, and then for a random one. After a loss of power of all stores that was 0.63 s without a leader although no process of a leader was left.

Change: a started voter asks the other voters whether they lead a term up to its own. Once all have denied it, no lease is left and the first elections are ordered by rank. One silent voter keeps the former wait.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,8 +1,12 @@
 package raft
 
 // randomizeElectionTimeout draws a new election timeout, so that candidates seldom
-// start at the same time and split the votes.
+// start at the same time and split the votes. It is short while no leader can be known.
 func (c *Core) randomizeElectionTimeout() {
+	if c.electsFast() {
+		c.electionTimeout = c.fastElectionTimeout()
+		return
+	}
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand.IntN(c.cfg.ElectionTicks)
 }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -38,6 +38,12 @@
 	// was restarted.
 	leaderHeardAt int64
 	electedAt     int64
+	startedAt     int64
+	// heardLeader is true once a leader has sent a message to this process.
+	heardLeader bool
+	// guard is nil once it is lifted or has expired. guardLifted is true from the first.
+	guard       *restartGuard
+	guardLifted bool
 
 	votes          map[uint64]bool
 	peers          map[uint64]*progress
@@ -63,10 +69,12 @@
 		snapshot:      state.Snapshot,
 		now:           cfg.Now,
 		leaderHeardAt: cfg.Now,
+		startedAt:     cfg.Now,
 		durable:       state.HardState,
 	}
 	c.refreshMembers()
 	c.randomizeElectionTimeout()
+	c.guard = newRestartGuard(c)
 	return c
 }
 
@@ -81,6 +89,7 @@
 		c.tickLeader()
 		return
 	}
+	c.tickRestartGuard()
 	if c.elapsed >= c.electionTimeout && c.isVoter(c.cfg.ID) && !c.supportsLeader() {
 		c.campaign(PreCandidate, false)
 	}
@@ -98,6 +107,10 @@
 	if m.Term > c.term && !c.handleHigherTerm(m) {
 		return
 	}
+	if m.Kind == MsgLeaderQuery {
+		c.answerLeaderQuery(m)
+		return
+	}
 	if m.Term < c.term {
 		c.rejectStaleTerm(m)
 		return
@@ -151,6 +164,8 @@
 		c.handleFromLeader(m)
 	case MsgAppendReply, MsgHeartbeatReply, MsgSnapshotReply:
 		c.handleReply(m)
+	case MsgNotLeading:
+		c.noteNotLeading(m)
 	case MsgTimeoutNow:
 		if c.isVoter(c.cfg.ID) && c.role != Leader {
 			c.campaign(Candidate, true)
@@ -165,7 +180,7 @@
 	c.role = Follower
 	c.leader = m.From
 	c.elapsed = 0
-	c.leaderHeardAt = c.now
+	c.leaderHeardAt, c.heardLeader, c.guard = c.now, true, nil
 	switch m.Kind {
 	case MsgAppend:
 		c.handleAppend(m)
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -80,13 +80,15 @@
 	terms         map[uint64]uint64
 	firstSeenTerm map[uint64]uint64
 	leaseTicks    int
+	// minElection is the minimum election timeout in ticks.
+	minElection int
 }
 
 func newSimulation(t *testing.T, seed uint64, size int) *simulation {
 	s := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[uint64]*simNode{}, cut: map[[2]uint64]bool{},
 		leaders: map[uint64]uint64{}, committed: map[uint64]uint64{}, terms: map[uint64]uint64{},
-		firstSeenTerm: map[uint64]uint64{},
+		firstSeenTerm: map[uint64]uint64{}, minElection: 10,
 	}
 	var members []Member
 	for id := uint64(1); id <= uint64(size); id++ {
@@ -117,7 +119,9 @@
 func (s *simulation) restart(id uint64) {
 	n := s.nodes[id]
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), id))
-	n.core = New(simConfig(id, s.now, rng), PersistedState{HardState: n.disk.hard, Snapshot: n.disk.snap, Entries: n.disk.entriesAfterSnapshot()})
+	cfg := simConfig(id, s.now, rng)
+	cfg.ElectionTicks, cfg.MinElectionTimeout = s.minElection, int64(s.minElection)
+	n.core = New(cfg, PersistedState{HardState: n.disk.hard, Snapshot: n.disk.snap, Entries: n.disk.entriesAfterSnapshot()})
 	n.pending = nil
 	n.applied, n.state = n.disk.snap.Index, stateOf(n.disk.snap.Data)
 }
@@ -262,7 +266,7 @@
 			require.Equal(s.t, first, id, "one leader in term %d", n.core.term)
 		}
 		s.leaders[n.core.term] = id
-		if st := n.core.Status(); st.Ready && s.now-st.QuorumContact < 10 {
+		if st := n.core.Status(); st.Ready && s.now-st.QuorumContact < int64(s.minElection) {
 			leasing++
 		}
 		s.checkComplete(n)
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -88,7 +88,8 @@
 type MessageKind uint8
 
 // Message kinds. MsgTimeoutNow asks a voter to start an election at once, to transfer
-// the leadership to it.
+// the leadership to it. MsgLeaderQuery asks a voter whether it may lead a term up to the
+// sender's, and MsgNotLeading answers that it does not and never will.
 const (
 	MsgPreVote MessageKind = iota + 1
 	MsgPreVoteReply
@@ -101,6 +102,8 @@
 	MsgSnapshot
 	MsgSnapshotReply
 	MsgTimeoutNow
+	MsgLeaderQuery
+	MsgNotLeading
 )
 
 // Message is a request or reply between two members. The sender, receiver, term and
