Probe all stores for a leader, and let calls wait while no store answers

Cause: after a loss of power of all stores, entries asked one store at a time for 0.7 s each and found a leader of 5.14 s at 5.60 s. From 2.5 s without a leader on they refused calls at once, and callers used up their attempts: those of 28 jobs that were first sent between 2.2 s and 3 s ended with attempts after 5 s.

Change: an entry without a leader asks all stores at once, in rounds of 0.2 s. WaitForLeader, a pure function, lets a call wait for a third of its caller's time and at most 0.7 s, unless stores answer and have elected nobody for 1.5 s: then the data centre is cut off and waiting can't help. At most 200 calls wait. The fake of TestCallsEndOnceTheLeaderIsOutOfReach now answers as a store of a minority does; its bounds are the same.

--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// pollInterval is the time between an entry's polls of the leader; after a failed poll
-	// it is a fifth of this.
+	// pollInterval is the time between an entry's polls of the leader. After a failed poll
+	// it probes all stores.
 	pollInterval = 500 * time.Millisecond
 	pollTimeout  = 700 * time.Millisecond
 	// readyTimeout is the time without an answer from a leader after which an entry is not
@@ -26,13 +27,8 @@
 	// sent. Two polls have failed by then.
 	sendTimeout          = 1100 * time.Millisecond
 	contactCheckInterval = 20 * time.Millisecond
-	// outOfReachTimeout is the time without an answer from a leader after which calls are
-	// refused at once: elections take at most half of it, so the entry is cut off.
-	outOfReachTimeout = 2500 * time.Millisecond
-	// leaderWaitTimeout bounds the time for which a call that no store has accepted waits
-	// for a leader. It is a fifth of the shortest latency target, so that callers still
-	// have time to try another entry.
-	leaderWaitTimeout = 700 * time.Millisecond
+	// maxRemaining stands for the time that a caller without a deadline waits.
+	maxRemaining = time.Minute
 )
 
 // ErrNotRun means that no store has accepted the call, which has not run.
@@ -44,6 +40,7 @@
 // Client forwards callers' requests from an entry to the leader. It is safe for concurrent
 // use.
 type Client struct {
+	pool   *wire.Pool
 	leader *leader.Client
 	seeds  func() []string
 	logger zerolog.Logger
@@ -51,18 +48,29 @@
 	// started.
 	lastContact atomic.Int64
 	started     time.Time
+	// leaderlessSince is the time, in nanoseconds since started, from which on stores have
+	// answered that they know no leader, or 0.
+	leaderlessSince atomic.Int64
+	// waiting is the number of calls that wait for a leader.
+	waiting atomic.Int64
+	// leaderLost is true after a failed poll, and probes the number of rounds of probes. Only
+	// Run uses them.
+	leaderLost bool
+	probes     int
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// members are the addresses of the stores that the last answer listed.
+	// members are the addresses of the stores that the last answer listed, and hints those
+	// that stores have named as the leader since.
 	members     []string
+	hints       []string
 	contactLost bool
 }
 
 // NewClient returns a client that discovers the stores from the addresses that seeds
 // returns. It finds no leader until Run is called.
 func NewClient(pool *wire.Pool, seeds func() []string, logger zerolog.Logger) *Client {
-	c := &Client{leader: leader.NewClient(pool, seeds()), seeds: seeds, logger: logger, started: time.Now()}
+	c := &Client{pool: pool, leader: leader.NewClient(pool, seeds()), seeds: seeds, logger: logger, started: time.Now()}
 	c.lastContact.Store(int64(-readyTimeout))
 	return c
 }
@@ -74,25 +82,55 @@
 	return nil
 }
 
-// poll asks the leader for the list of stores once, and returns the time until the next poll.
+// poll asks the leader for the list of stores once, or all stores for the leader if the last
+// poll failed, and returns the time until the next poll.
 func (c *Client) poll(ctx context.Context) time.Duration {
+	ask := c.askLeader
+	if c.leaderLost {
+		ask = c.probe
+	}
+	err := ask(ctx)
+	c.leaderLost = err != nil
+	c.recordPoll(err)
+	c.leader.SetStores(c.storeAddresses())
+	if err != nil {
+		return probeInterval
+	}
+	return pollInterval
+}
+
+func (c *Client) askLeader(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var info wire.LeaderInfo
-	err := c.leader.Call(ctx, wire.TypeLeader, struct{}{}, &info, 0)
-	c.recordPoll(err)
-	if err != nil {
-		c.leader.SetStores(c.storeAddresses())
-		return pollInterval / 5
+	if err := c.leader.Call(ctx, wire.TypeLeader, struct{}{}, &info, 0); err != nil {
+		return err
 	}
+	c.setMembers(info.Members)
+	return nil
+}
+
+// setMembers records the stores that a leader has listed.
+func (c *Client) setMembers(members []wire.MemberInfo) {
+	c.leaderlessSince.Store(0)
 	c.mu.Lock()
-	c.members = nil
-	for _, m := range info.Members {
+	defer c.mu.Unlock()
+	c.members, c.hints = nil, nil
+	for _, m := range members {
 		c.members = append(c.members, m.Address)
 	}
-	c.mu.Unlock()
-	c.leader.SetStores(c.storeAddresses())
-	return pollInterval
+}
+
+// maxHints bounds the addresses that stores have named as the leader.
+const maxHints = 5
+
+// addHint records a leader that a store has named and that may be no known store.
+func (c *Client) addHint(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address != "" && len(c.hints) < maxHints && !slices.Contains(c.hints, address) {
+		c.hints = append(c.hints, address)
+	}
 }
 
 // recordPoll records the result of a poll, and logs when contact with the leader is lost or
@@ -110,11 +148,11 @@
 	}
 }
 
-// storeAddresses returns the addresses that the last answer listed, and the seeds.
+// storeAddresses returns the addresses that the last answers listed, and the seeds.
 func (c *Client) storeAddresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := append([]string(nil), c.members...)
+	out := append(slices.Clone(c.members), c.hints...)
 	return append(out, c.seeds()...)
 }
 
@@ -124,17 +162,17 @@
 }
 
 // Call forwards a call to the leader and returns its reply. It waits at most
-// leaderWaitTimeout, 700 ms, for a leader. Once a store may have accepted a submission or
+// leaderWaitTimeout, 700 ms, for a leader, and as long for its answer. Once a store may have accepted a submission or
 // cancellation, Call repeats it until ctx ends or no leader has answered for readyTimeout,
 // 1.5 s, which is safe since the call is idempotent by the job's identifier. Errors wrap
 // ErrNotRun or ErrMayHaveRun.
 func (c *Client) Call(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
 	var reply wire.JobCallReply
-	firstCtx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
-	defer cancel()
-	if !c.awaitContact(firstCtx) {
+	if !c.awaitContact(ctx) {
 		return reply, errors.Wrap(ErrNotRun, "no contact with a leader")
 	}
+	firstCtx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
+	defer cancel()
 	err := c.leader.Call(firstCtx, wire.TypeJobCall, call, &reply, 0)
 	if err == nil {
 		return reply, nil
@@ -171,12 +209,23 @@
 	return wire.JobCallReply{}, errors.Wrap(ErrMayHaveRun, last.Error())
 }
 
-// awaitContact waits until a leader has answered within sendTimeout, and returns false if
-// ctx ends before or the leader is out of reach. A call that is sent without contact may end
-// with an unknown outcome; one that is not sent has certainly not run.
+// awaitContact waits until a leader has answered within sendTimeout, as long as
+// WaitForLeader says, and reports whether one has. A call that is sent without contact may
+// end with an unknown outcome; one that is not sent has certainly not run.
 func (c *Client) awaitContact(ctx context.Context) bool {
+	if c.inContact(sendTimeout) {
+		return true
+	}
+	start := time.Now()
+	remaining := maxRemaining
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = deadline.Sub(start)
+	}
+	waiting := int(c.waiting.Add(1))
+	defer c.waiting.Add(-1)
 	for !c.inContact(sendTimeout) {
-		if !c.inContact(outOfReachTimeout) || !wait.For(ctx, contactCheckInterval) {
+		limit := WaitForLeader(Outlook{LeaderlessFor: c.leaderlessFor(), Remaining: remaining, Waiting: waiting - 1})
+		if time.Since(start) >= limit || !wait.For(ctx, contactCheckInterval) {
 			return false
 		}
 	}
--- a/internal/intake/client_test.go
+++ b/internal/intake/client_test.go
@@ -16,11 +16,12 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
-// fakeLeader is a store that leads and can be cut off: it then accepts calls and answers
-// nothing.
+// fakeLeader is a store that leads. Cut off from the other stores, it accepts calls and
+// answers none, and says that it knows no leader. A silent one answers nothing at all.
 type fakeLeader struct {
 	address  string
 	cutOff   atomic.Bool
+	silent   atomic.Bool
 	accepted atomic.Int64
 }
 
@@ -32,6 +33,9 @@
 			if req.Type == wire.TypeJobCall {
 				l.accepted.Add(1)
 			}
+			if l.cutOff.Load() && req.Type == wire.TypeLeader && !l.silent.Load() {
+				return nil, &wire.ErrorBody{Code: wire.CodeNotLeader}
+			}
 			if l.cutOff.Load() {
 				<-ctx.Done()
 				return nil, ctx.Err()
@@ -82,9 +86,57 @@
 	require.Less(t, time.Since(start), 2*leaderWaitTimeout)
 	require.Equal(t, accepted, l.accepted.Load(), "a call that is refused as not run was not sent")
 
-	require.Eventually(t, func() bool { return !c.inContact(outOfReachTimeout) }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.leaderlessFor() > electionTimeout }, 10*time.Second, time.Millisecond)
 	start = time.Now()
 	_, err = c.Call(ctx, submit)
 	require.ErrorIs(t, err, ErrNotRun)
 	require.Less(t, time.Since(start), leaderWaitTimeout/2, "it is known that waiting does not help")
 }
+
+// Guards against refusing callers at once while all stores are without power, which may end
+// at any moment: a call waits a bounded part of its caller's time, and is sent once a leader
+// answers.
+func TestCallsWaitForStoresWithoutPower(t *testing.T) {
+	creds := wire.Credentials{Instance: "entry", Secret: []byte("secret of the fleet")}
+	l := newFakeLeader(t, creds)
+	l.cutOff.Store(true)
+	l.silent.Store(true)
+	pool := wire.NewPool(creds, wire.Mux{}.Handle)
+	t.Cleanup(pool.Close)
+	c := NewClient(pool, func() []string { return []string{l.address} }, zerolog.Nop())
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	submit := wire.JobCall{Op: wire.JobSubmit, Content: &workload.Submit{}}
+	start := time.Now()
+	_, err := c.Call(ctx, submit)
+	require.ErrorIs(t, err, ErrNotRun)
+	require.GreaterOrEqual(t, time.Since(start), leaderWaitTimeout)
+	require.Zero(t, l.accepted.Load())
+
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Call(ctx, submit)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return c.waiting.Load() == 1 }, 10*time.Second, time.Millisecond)
+	l.cutOff.Store(false)
+	require.NoError(t, <-done)
+}
+
+func TestWaitForLeader(t *testing.T) {
+	tests := map[string]struct {
+		outlook Outlook
+		want    time.Duration
+	}{
+		"no store answers":              {Outlook{Remaining: 3 * time.Second}, leaderWaitTimeout},
+		"an election may be under way":  {Outlook{LeaderlessFor: time.Second, Remaining: 3 * time.Second}, leaderWaitTimeout},
+		"the stores elect nobody":       {Outlook{LeaderlessFor: 2 * time.Second, Remaining: 3 * time.Second}, 0},
+		"time is left for one more try": {Outlook{Remaining: 600 * time.Millisecond}, 200 * time.Millisecond},
+		"the deadline has passed":       {Outlook{Remaining: -time.Second}, 0},
+		"too many calls wait":           {Outlook{Remaining: 3 * time.Second, Waiting: maxWaitingCalls}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, WaitForLeader(tt.outlook)) })
+	}
+}
--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// Use makes addr the target of the next attempts: the store there has said that it leads.
+func (c *Client) Use(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = addr
+}
+
 // SetStores replaces the peer addresses of the stores that are asked while the leader
 // is not known. An empty list is ignored.
 func (c *Client) SetStores(stores []string) {
