Move machines for a backlog that no unheard machine can hold

Cause: a new leader moved no machine into a pool before nine tenths of its machines had reported.

Change: machines that have not reported count with their listed capacity less what the replicated state shows on them. Waiting work that fits nowhere is demand from the first list of machines on, which is asked for within 50 ms. What such pools may give away is unchanged.

--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -14,7 +14,7 @@
 	listInterval      = 5 * time.Second
 	listTimeout       = 4 * time.Second
 	listRetryInterval = 500 * time.Millisecond
-	listPollInterval  = 250 * time.Millisecond
+	listPollInterval  = 50 * time.Millisecond
 	// silentListInterval is the time between readings while a worker with tasks is silent:
 	// a tenth of the longest lease, and 6 calls for 500 machines.
 	silentListInterval = time.Second
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -98,7 +98,7 @@
 		return
 	}
 	reporting := d.reportingPools(s, now)
-	in := capacity.Input{Demand: onlyPools(d.demand, reporting), Spare: sparePool(s)}
+	in := capacity.Input{Demand: d.knownDemand(s, reporting), Spare: sparePool(s)}
 	d.completeTransfers(s, &in, now)
 	total, machines := workload.Resources{}, int64(0)
 	for name, m := range d.machinesByName {
--- a/internal/intake/waiting.go
+++ b/internal/intake/waiting.go
@@ -7,9 +7,10 @@
 	// for a leader. It is a fifth of the shortest latency target, so that callers still
 	// have time to try another entry.
 	leaderWaitTimeout = 700 * time.Millisecond
-	// leaderWaitShare is the part of a caller's remaining time for which its call may wait:
-	// one over this.
-	leaderWaitShare = 3
+	// leaderWaitPercent is the part of a caller's remaining time for which its call may wait,
+	// and electionWaitPercent that part while stores answer and may be electing a leader.
+	leaderWaitPercent   = 33
+	electionWaitPercent = 67
 	// electionTimeout is the time after which stores that answer have elected a leader
 	// unless they are a minority. Elections take up to 1.2 s.
 	electionTimeout = 1500 * time.Millisecond
@@ -42,5 +43,9 @@
 	if o.LeaderlessFor > electionTimeout || o.Waiting >= maxWaitingCalls {
 		return 0
 	}
-	return max(min(leaderWaitTimeout, o.Remaining/leaderWaitShare), 0)
+	share := time.Duration(leaderWaitPercent)
+	if o.LeaderlessFor > 0 {
+		share = electionWaitPercent
+	}
+	return max(min(leaderWaitTimeout, o.Remaining*share/100), 0)
 }
