Count the time without a leader for the waiting work

Cause: cluster time stands still without a leader, so jobs that were accepted before a loss of all stores look younger by the outage. On the return they got the first room although they were late, before jobs that could be on time.

Change: entries say how long they had no leader. From three reports on, the leader of a new term commits the least one as the length of the outage, and what was due before is moved back by it.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -81,6 +81,7 @@
 		return
 	}
 	now, upTo := c.now, c.upTo
+	d.recordOutage(ctx, now)
 	if !d.recordEnds(ctx, c) {
 		return
 	}
