--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -81,7 +81,6 @@
 		return
 	}
 	now, upTo := c.now, c.upTo
-	d.recordOutage(ctx, now)
 	if !d.recordEnds(ctx, c) {
 		return
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -75,7 +75,6 @@
 	term uint64
 	// leadingSince is the cluster time, in milliseconds, at which this leadership began.
 	leadingSince int64
-	outage       outage
 	workers      map[workload.WorkerIncarnation]*worker
 	// liveWorkers is the number of workers whose last heartbeat is recent.
 	liveWorkers int
@@ -129,7 +128,6 @@
 	}
 	d.term = term
 	d.leadingSince = now
-	d.outage = outage{}
 	d.workers = map[workload.WorkerIncarnation]*worker{}
 	d.byID = map[string]workload.WorkerIncarnation{}
 	d.byMachine = map[string]workload.WorkerIncarnation{}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -103,22 +103,13 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var info wire.LeaderInfo
-	if err := c.leader.Call(ctx, wire.TypeLeader, c.leaderRequest(), &info, 0); err != nil {
+	if err := c.leader.Call(ctx, wire.TypeLeader, struct{}{}, &info, 0); err != nil {
 		return err
 	}
 	c.setMembers(info.Members)
 	return nil
 }
 
-// leaderRequest returns the request for the leader. It says how long none has answered.
-func (c *Client) leaderRequest() wire.LeaderRequest {
-	last := time.Duration(c.lastContact.Load())
-	if last < 0 {
-		return wire.LeaderRequest{}
-	}
-	return wire.LeaderRequest{SilentMS: (time.Since(c.started) - last).Milliseconds()}
-}
-
 // setMembers records the stores that a leader has listed.
 func (c *Client) setMembers(members []wire.MemberInfo) {
 	c.leaderlessSince.Store(0)
--- a/internal/intake/discovery.go
+++ b/internal/intake/discovery.go
@@ -35,12 +35,11 @@
 	addresses := c.storeAddresses()
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	request := c.leaderRequest()
 	results := make(chan probeResult, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			r := probeResult{address: address}
-			r.err = c.pool.Call(ctx, address, wire.TypeLeader, request, &r.info)
+			r.err = c.pool.Call(ctx, address, wire.TypeLeader, struct{}{}, &r.info)
 			results <- r
 		}()
 	}
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -40,13 +40,12 @@
 // removes members; on a store that knows no leader it sends join requests. It is a
 // store.Component.
 type Manager struct {
-	node      *store.Node
-	self      wire.MemberInfo
-	policy    Policy
-	pool      *wire.Pool
-	seeds     func() []string
-	onSilence func(time.Duration)
-	logger    zerolog.Logger
+	node   *store.Node
+	self   wire.MemberInfo
+	policy Policy
+	pool   *wire.Pool
+	seeds  func() []string
+	logger zerolog.Logger
 	// leader is the address of the last known leader, empty for none.
 	leader string
 }
@@ -71,17 +70,14 @@
 	// Pool holds the connections to other stores.
 	Pool *wire.Pool
 	// Seeds returns addresses of other stores, which are tried after those of the members.
-	Seeds func() []string
-	// OnSilence is called on the leader with the time for which an entry had none. It may be
-	// nil.
-	OnSilence func(time.Duration)
-	Logger    zerolog.Logger
+	Seeds  func() []string
+	Logger zerolog.Logger
 }
 
 // NewManager returns a manager, which takes no action until Run is called.
 func NewManager(o Options) *Manager {
 	o.Policy.SilenceLimit = max(o.Policy.SilenceLimit, minSilenceLimit)
-	return &Manager{node: o.Node, self: o.Self, policy: o.Policy, pool: o.Pool, seeds: o.Seeds, onSilence: o.OnSilence, logger: o.Logger}
+	return &Manager{node: o.Node, self: o.Self, policy: o.Policy, pool: o.Pool, seeds: o.Seeds, logger: o.Logger}
 }
 
 // Register implements store.Component.
@@ -326,17 +322,10 @@
 	return err
 }
 
-func (mgr *Manager) serveLeader(_ context.Context, req wire.Request) (any, error) {
-	var msg wire.LeaderRequest
-	if err := req.Decode(&msg); err != nil {
-		return nil, err
-	}
+func (mgr *Manager) serveLeader(context.Context, wire.Request) (any, error) {
 	l := mgr.node.Leadership()
 	if !l.Leading {
 		return nil, &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: l.Leader}
 	}
-	if mgr.onSilence != nil && msg.SilentMS > 0 {
-		mgr.onSilence(time.Duration(msg.SilentMS) * time.Millisecond)
-	}
 	return wire.LeaderInfo{Term: l.Term, Members: mgr.node.Members()}, nil
 }
--- a/internal/wire/jobcall.go
+++ b/internal/wire/jobcall.go
@@ -121,13 +121,6 @@
 	Members []MemberInfo `cbor:"3,keyasint,omitempty"`
 }
 
-// LeaderRequest asks for the leader.
-type LeaderRequest struct {
-	// SilentMS is the time, in milliseconds, since a leader last answered the sender. It is
-	// 0 if none ever did.
-	SilentMS int64 `cbor:"1,keyasint,omitempty"`
-}
-
 // LeaderInfo is the leader's term and the members of the log. It is the reply to
 // TypeLeader.
 type LeaderInfo struct {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -27,7 +27,7 @@
 	TypeMembership                     // MembershipChange, answered by StatusReply
 	TypeJobCall                        // JobCall, answered by JobCallReply
 	TypeJoin                           // JoinRequest, answered by JoinReply
-	TypeLeader                         // LeaderRequest, answered by LeaderInfo
+	TypeLeader                         // no body, answered by LeaderInfo
 	TypeStepReport                     // StepReport, answered by StepOrders
 	TypeStepLeave                      // StepReport without a body, answered by empty StepOrders
 	TypeStalled                        // StalledRequest, answered by StalledReply
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -24,8 +24,6 @@
 		return s.applyWave(cmd.Wave)
 	case cmd.Evacuate != nil:
 		return s.applyEvacuate(cmd.Evacuate)
-	case cmd.Outage != nil:
-		s.applyOutage(cmd.Outage)
 	}
 	return Result{}
 }
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -10,7 +10,6 @@
 	Progress  *Progress `cbor:"4,keyasint,omitempty"`
 	Wave      *Wave     `cbor:"5,keyasint,omitempty"`
 	Evacuate  *Evacuate `cbor:"6,keyasint,omitempty"`
-	Outage    *Outage   `cbor:"9,keyasint,omitempty"`
 }
 
 // Submit submits a job. A repetition with the same ID and equal content changes nothing
