Empty the machines that a pool doesn't need after a burst

Cause: after its burst a pool kept several times the machines that its work needed; each had to be idle for a second before it left, and pools in a burst took machines that were off before idle ones of other pools. Change: capacity.Emptying names the machines beyond the pool's need; they get new tasks only if no other worker can take them, and leave after 0.2 s without work, directly to another pool if one lacks machines.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -30,6 +30,11 @@
 	// two moves of a release and a return cost as much as 2.3 s of a machine, and after a
 	// burst a pool has little work for longer than that.
 	releaseIdleMS = 1000
+	// emptiedIdleMS is the idle time after which a machine that its pool does not need moves
+	// to the spare pool.
+	emptiedIdleMS = 200
+	// keptUsePercent is the part of the machines that a pool keeps which its work uses.
+	keptUsePercent = 70
 	// reassignIdleMS is the idle time after which a machine may move to another pool that
 	// needs it.
 	reassignIdleMS = 300
@@ -126,7 +131,15 @@
 
 // Decide returns the moves to begin now, at most one for each machine.
 func Decide(in Input) []Move {
-	d := decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
+	d := newDecider(in)
+	d.addLabelledMachines()
+	d.shareMachines()
+	d.releaseIdle()
+	return d.moves
+}
+
+func newDecider(in Input) *decider {
+	d := &decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
 		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.poolSizes[m.Pool]++
@@ -135,10 +148,7 @@
 			d.labelled[poolLabel{m.Pool, label}]++
 		}
 	}
-	d.addLabelledMachines()
-	d.shareMachines()
-	d.releaseIdle()
-	return d.moves
+	return d
 }
 
 type decider struct {
@@ -329,12 +339,13 @@
 	return idle && d.poolSizes[pool] > max(minPoolMachines, d.requiredMachines(pool))
 }
 
-// ranksHigher reports whether machine a is preferred to machine b. Machines that are off
-// come first, then machines in racks in which the receiving pool has fewer machines,
+// ranksHigher reports whether machine a is preferred to machine b. Idle machines of other
+// pools come before those that are off: a direct move replaces a release and a return. Then
+// come machines in racks in which the receiving pool has fewer machines,
 // then the machine that has been idle for longer.
 func ranksHigher(a, b Machine, racks map[string]int) bool {
 	if a.Off != b.Off {
-		return a.Off
+		return b.Off
 	}
 	if racks[a.Rack] != racks[b.Rack] {
 		return racks[a.Rack] < racks[b.Rack]
@@ -351,7 +362,7 @@
 		return
 	}
 	for _, m := range d.in.Machines {
-		if m.Off || m.Pool == d.in.Spare || d.moved[m.Name] || m.IdleMS < releaseIdleMS {
+		if m.Off || m.Pool == d.in.Spare || d.moved[m.Name] || m.IdleMS < d.pauseBeforeReleaseMS(m.Pool) {
 			continue
 		}
 		if d.mayDonateIdle(m.Pool) && !d.neededForLabel(m) {
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -394,7 +394,7 @@
 		}
 		out = append(out, taskplan.Worker{
 			Incarnation: incarnation, Machine: w.Machine, Pool: w.Pool, Rack: w.Rack, DataCentre: w.DataCentre, Labels: w.Labels,
-			Capacity: w.Capacity, MaxStarts: w.newTaskLimit(s, now),
+			Capacity: w.Capacity, MaxStarts: w.newTaskLimit(s, now), Emptying: d.emptying[w.Machine],
 		})
 	}
 	return out
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -104,7 +104,9 @@
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
 	transfers map[string]transfer
-	stalls    *stallTracker
+	// emptying holds the machines that get new tasks only if no other can take them.
+	emptying map[string]bool
+	stalls   *stallTracker
 	// estimates is kept across leaderships: the ratios that it has learned stay valid.
 	estimates *estimates
 }
@@ -141,6 +143,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
+	d.emptying = nil
 	d.stalls.clear()
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -119,6 +119,7 @@
 	in.MachineCapacity = workload.Resources{
 		CPUMilli: total.CPUMilli / machines, MemoryMiB: total.MemoryMiB / machines, Accelerators: total.Accelerators / machines,
 	}
+	d.emptying = nameSet(capacity.Emptying(in))
 	for _, move := range capacity.Decide(in) {
 		if move.WaitUntilIdle {
 			d.transfers[move.Machine] = transfer{pool: move.Pool, since: now}
@@ -129,6 +130,14 @@
 	}
 }
 
+func nameSet(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
 // transfer is a machine that gets no new tasks and moves to another pool once it runs
 // nothing.
 type transfer struct {
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -176,20 +176,22 @@
 		}
 	}
 	need := s.c.step.Occupies().CPUMilli
-	for _, longRunning := range []bool{true, false} {
-		c.offerFirst(s.workers.fitting(groupKey{s.preferredDataCentre, longRunning}, need))
-		if c.best != nil {
-			return
-		}
-	}
-	for _, longRunning := range []bool{true, false} {
-		for _, centre := range s.workers.dataCentres {
-			if centre != s.preferredDataCentre {
-				c.offerFirst(s.workers.fitting(groupKey{centre, longRunning}, need))
+	for _, tiers := range [][]tier{{holdsLongRunning, becomesIdle}, {emptying}} {
+		for _, tier := range tiers {
+			c.offerFirst(s.workers.fitting(groupKey{s.preferredDataCentre, tier}, need))
+			if c.best != nil {
+				return
 			}
 		}
-		if c.best != nil {
-			return
+		for _, tier := range tiers {
+			for _, centre := range s.workers.dataCentres {
+				if centre != s.preferredDataCentre {
+					c.offerFirst(s.workers.fitting(groupKey{centre, tier}, need))
+				}
+			}
+			if c.best != nil {
+				return
+			}
 		}
 	}
 }
@@ -234,6 +236,7 @@
 // order:
 //
 //   - the rack that holds the step's data;
+//   - workers that aren't emptying;
 //   - for a long-running step, the rack with the fewest of its tasks, to limit how
 //     many tasks the failure of one rack ends;
 //   - for other steps, the preferred data centre of the occurrence;
@@ -246,14 +249,17 @@
 	if rack := s.c.step.DataRack; rack != "" && (a.Rack == rack) != (b.Rack == rack) {
 		return a.Rack == rack
 	}
+	if a.Emptying != b.Emptying {
+		return b.Emptying
+	}
 	if s.c.step.LongRunning && s.perRack[a.Rack] != s.perRack[b.Rack] {
 		return s.perRack[a.Rack] < s.perRack[b.Rack]
 	}
 	if s.preferredDataCentre != "" && a.DataCentre != b.DataCentre && (a.DataCentre == s.preferredDataCentre) != (b.DataCentre == s.preferredDataCentre) {
 		return a.DataCentre == s.preferredDataCentre
 	}
-	if (a.longRunning > 0) != (b.longRunning > 0) {
-		return a.longRunning > 0
+	if a.tier() != b.tier() {
+		return a.tier() < b.tier()
 	}
 	if s.c.step.FillsIdle && a.tasks != b.tasks {
 		return a.tasks < b.tasks
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -28,6 +28,8 @@
 	// MaxStarts is the largest number of tasks that the plan may start on the worker; -1
 	// means no limit. Workers that are slow or whose latest runs failed have a limit.
 	MaxStarts int
+	// Emptying workers get a task only if no other worker can take it.
+	Emptying bool
 }
 
 // StepRef identifies one step of an occurrence of a job.
--- a/internal/taskplan/pool.go
+++ b/internal/taskplan/pool.go
@@ -14,21 +14,33 @@
 // election timeout then; a sorted group finds the tightest fit by binary search.
 type poolWorkers struct {
 	all []*workerState
-	// groups holds the workers by data centre, and within it those with and without
-	// long-running tasks. Each group is sorted by compareFit.
+	// groups holds the workers by data centre and tier. Each group is sorted by compareFit.
 	groups map[groupKey][]*workerState
 	// dataCentres are the data centres of the workers, sorted.
 	dataCentres []string
 	byRack      map[string][]*workerState
-	// freeMilli is the free processor time by data centre, in thousandths of a core.
+	// freeMilli is the free processor time by data centre, in thousandths of a core, without
+	// that of emptying workers.
 	freeMilli map[string]int64
 }
 
 type groupKey struct {
-	dataCentre  string
-	longRunning bool
+	dataCentre string
+	tier       tier
 }
 
+// tier orders workers by how long they stay in the pool; the lowest is filled first.
+type tier int
+
+const (
+	// holdsLongRunning workers stay in the pool anyway.
+	holdsLongRunning tier = iota
+	// becomesIdle workers can be released once they run nothing.
+	becomesIdle
+	// emptying workers are to run nothing soon.
+	emptying
+)
+
 func newPoolWorkers(workers []*workerState) *poolWorkers {
 	p := &poolWorkers{all: workers, byRack: map[string][]*workerState{}}
 	for _, w := range workers {
@@ -45,7 +57,7 @@
 		if _, known := p.freeMilli[w.DataCentre]; !known {
 			p.dataCentres = append(p.dataCentres, w.DataCentre)
 		}
-		p.freeMilli[w.DataCentre] += w.free.CPUMilli
+		p.freeMilli[w.DataCentre] += w.countedFreeMilli()
 		key := w.group()
 		p.groups[key] = append(p.groups[key], w)
 	}
@@ -61,14 +73,32 @@
 	return cmp.Or(cmp.Compare(a.free.CPUMilli, b.free.CPUMilli), cmp.Compare(a.Incarnation.ID, b.Incarnation.ID), cmp.Compare(a.Incarnation.Born, b.Incarnation.Born))
 }
 
-func (w *workerState) group() groupKey { return groupKey{w.DataCentre, w.longRunning > 0} }
+func (w *workerState) group() groupKey { return groupKey{w.DataCentre, w.tier()} }
+
+func (w *workerState) tier() tier {
+	switch {
+	case w.Emptying:
+		return emptying
+	case w.longRunning > 0:
+		return holdsLongRunning
+	}
+	return becomesIdle
+}
+
+// countedFreeMilli is the free processor time that counts for the worker's data centre.
+func (w *workerState) countedFreeMilli() int64 {
+	if w.Emptying {
+		return 0
+	}
+	return w.free.CPUMilli
+}
 
 // occupy takes the resources of one more task of the step from the worker.
 func (p *poolWorkers) occupy(w *workerState, step *workload.Step) {
 	p.remove(w)
-	before := w.free.CPUMilli
+	before := w.countedFreeMilli()
 	w.free = w.free.Minus(step.Occupies())
-	p.freeMilli[w.DataCentre] += w.free.CPUMilli - before
+	p.freeMilli[w.DataCentre] += w.countedFreeMilli() - before
 	w.tasks++
 	w.starts++
 	if step.LongRunning {
--- a/internal/taskplan/pool_test.go
+++ b/internal/taskplan/pool_test.go
@@ -39,6 +39,7 @@
 		for i := range f.workers {
 			f.workers[i].DataCentre = fmt.Sprintf("dc%d", rapid.IntRange(0, 2).Draw(rt, "dc"))
 			f.workers[i].MaxStarts = rapid.SampledFrom([]int{-1, -1, 0, 1, 3}).Draw(rt, "starts")
+			f.workers[i].Emptying = rapid.IntRange(0, 3).Draw(rt, "emptying") == 0
 			f.workers[i].Capacity.CPUMilli = rapid.Int64Range(2, 8).Draw(rt, "capacity") * 1000
 		}
 		avoided := rapid.SampledFrom(f.workers).Draw(rt, "avoided").Incarnation
