Don't count machines that are off in the number drained for a wave

Cause: the concurrency of a wave came from all its machines. Change: only machines that may run tasks count.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -174,7 +174,7 @@
 	limit := max(w.MaxDown, 1)
 	d.selectOffMachines(s, w, now)
 	if d.allPoolsReporting(s, now) {
-		d.selectMachines(s, w, min(limit, waveConcurrency(w, now)), now)
+		d.selectMachines(s, w, min(limit, waveConcurrency(w, d.machinesToDrain(s, w, now), now)), now)
 	}
 	down := d.downCount(s, w, now)
 	var stops []workload.Run
@@ -203,13 +203,24 @@
 	return stops
 }
 
-// waveConcurrency returns the number of machines to drain or maintain at once so that the
-// wave ends in time. It is as low as possible: a wave may be due while the queues need more
+// waveConcurrency returns the number of machines to drain at once so that the given number is
+// done when the wave ends. It is as low as possible: a wave may be due while the queues need more
 // than their pools have, and then each machine taken too early costs work.
-func waveConcurrency(w *workload.Wave, now int64) int {
-	remaining := int64(len(w.Machines) - len(w.Begun))
+func waveConcurrency(w *workload.Wave, machines int, now int64) int {
 	end := w.StartedAt + w.DurationMS*waveTimePercent/100
-	return int((remaining*machineTurnaroundMS + max(end-now, machineTurnaroundMS) - 1) / max(end-now, machineTurnaroundMS))
+	return int((int64(machines)*machineTurnaroundMS + max(end-now, machineTurnaroundMS) - 1) / max(end-now, machineTurnaroundMS))
+}
+
+// machinesToDrain returns the number of machines of the wave that may run tasks and whose
+// maintenance has not begun. Those that are off take no part in a pool's work.
+func (d *Dispatcher) machinesToDrain(s *workload.State, w *workload.Wave, now int64) int {
+	n := 0
+	for _, m := range w.Machines {
+		if !w.Begun[m] && !d.isOff(s, m, now) {
+			n++
+		}
+	}
+	return n
 }
 
 // selectOffMachines selects the machines that are off: their maintenance costs no work.
