--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -105,7 +105,9 @@
 	demand         map[string]capacity.Demand
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
-	transfers   map[string]transfer
+	transfers map[string]transfer
+	// emptying holds the machines that get new tasks only if no other can take them.
+	emptying    map[string]bool
 	stalls      *stallTracker
 	evacuations *evacuations
 }
@@ -142,6 +144,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
+	d.emptying = nil
 	d.stalls.clear()
 	d.evacuations.clear()
 }
