--- a/internal/membership/replace_test.go
+++ b/internal/membership/replace_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -164,14 +165,34 @@
 // removed: it would empty its folder, which may hold the only further copy of an entry.
 func TestUncommittedRemovalEmptiesNoStore(t *testing.T) {
 	stores, _ := startVoters(t)
-	leading := slices.IndexFunc(stores, func(s managedStore) bool { return s.node.Leadership().Leading })
-	leader, removed, stalled := stores[leading], stores[(leading+1)%3], stores[(leading+2)%3]
 	require.Eventually(t, func() bool { return commits(stores) }, replaceWait, 10*time.Millisecond)
-	require.Eventually(t, func() bool { return stalled.node.Applied() == leader.node.Applied() }, replaceWait, 10*time.Millisecond)
-	stalled.fs.Lock()
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	require.ErrorIs(t, leader.node.ChangeMembers(ctx, wire.MembershipChange{Remove: removed.id}), fleet.ErrUncertain)
+	var leader, removed, stalled managedStore
+	// A store that no longer leads refuses the change, and nothing has happened.
+	proposed := func() bool {
+		leading := slices.IndexFunc(stores, func(s managedStore) bool { return s.node.Leadership().Leading })
+		if leading < 0 {
+			return false
+		}
+		leader, removed, stalled = stores[leading], stores[(leading+1)%3], stores[(leading+2)%3]
+		if stalled.node.Applied() != leader.node.Applied() {
+			return false
+		}
+		stalled.fs.Lock()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		err := leader.node.ChangeMembers(ctx, wire.MembershipChange{Remove: removed.id})
+		if errors.Is(err, fleet.ErrNotLeader) {
+			stalled.fs.Unlock()
+			return false
+		}
+		require.ErrorIs(t, err, fleet.ErrUncertain)
+		return true
+	}
+	begin := time.Now()
+	for !proposed() {
+		require.Less(t, time.Since(begin), replaceWait)
+		time.Sleep(10 * time.Millisecond)
+	}
 	select {
 	case err := <-removed.done:
 		stalled.fs.Unlock()
