Let operators evacuate a data centre

Cause: nobody could tell the fleet that a data centre is to be emptied; a drain of each instance exceeds the availability budgets. Change: a configuration change has an item Evacuate, kept in Config.Evacuations beside the declared entities, in the deltas to entries and mirrored to the jobs of steps on commit. JobAssign and PoolMove are refused for instances there. Operator.Evacuate carries it; StatusResponse lists the evacuations. The generated code comes from the buf compiler with the generators of make generate: apart from the additions only the comment on the compiler's version differs.

--- a/gen/samphirefork/v1/samphireforkv1connect/operator.connect.go
+++ b/gen/samphirefork/v1/samphireforkv1connect/operator.connect.go
@@ -61,6 +61,8 @@
 	OperatorSetMaintenanceStateProcedure = "/samphirefork.v1.Operator/SetMaintenanceState"
 	// OperatorDeclareLostProcedure is the fully-qualified name of the Operator's DeclareLost RPC.
 	OperatorDeclareLostProcedure = "/samphirefork.v1.Operator/DeclareLost"
+	// OperatorEvacuateProcedure is the fully-qualified name of the Operator's Evacuate RPC.
+	OperatorEvacuateProcedure = "/samphirefork.v1.Operator/Evacuate"
 	// OperatorMembershipProcedure is the fully-qualified name of the Operator's Membership RPC.
 	OperatorMembershipProcedure = "/samphirefork.v1.Operator/Membership"
 	// OperatorSnapshotProcedure is the fully-qualified name of the Operator's Snapshot RPC.
@@ -86,6 +88,9 @@
 	// DeclareLost states that an instance and its tasks have stopped for good, so
 	// that the capacity counted for them is freed.
 	DeclareLost(context.Context, *connect.Request[v1.DeclareLostRequest]) (*connect.Response[v1.DeclareLostResponse], error)
+	// Evacuate lets no new work start in a data centre, or takes it back with end. It
+	// succeeds without effect when the data centre is in that state already.
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	// Membership lists or changes the members of the replicated log.
 	Membership(context.Context, *connect.Request[v1.MembershipRequest]) (*connect.Response[v1.MembershipResponse], error)
 	// Snapshot streams the configuration, instance states, plans, audit trail and
@@ -167,6 +172,12 @@
 			connect.WithSchema(operatorMethods.ByName("DeclareLost")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[v1.EvacuateRequest, v1.EvacuateResponse](
+			httpClient,
+			baseURL+OperatorEvacuateProcedure,
+			connect.WithSchema(operatorMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 		membership: connect.NewClient[v1.MembershipRequest, v1.MembershipResponse](
 			httpClient,
 			baseURL+OperatorMembershipProcedure,
@@ -194,6 +205,7 @@
 	startMaintenance    *connect.Client[v1.StartMaintenanceRequest, v1.StartMaintenanceResponse]
 	setMaintenanceState *connect.Client[v1.SetMaintenanceStateRequest, v1.SetMaintenanceStateResponse]
 	declareLost         *connect.Client[v1.DeclareLostRequest, v1.DeclareLostResponse]
+	evacuate            *connect.Client[v1.EvacuateRequest, v1.EvacuateResponse]
 	membership          *connect.Client[v1.MembershipRequest, v1.MembershipResponse]
 	snapshot            *connect.Client[v1.SnapshotRequest, v1.SnapshotChunk]
 }
@@ -248,6 +260,11 @@
 	return c.declareLost.CallUnary(ctx, req)
 }
 
+// Evacuate calls samphirefork.v1.Operator.Evacuate.
+func (c *operatorClient) Evacuate(ctx context.Context, req *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
 // Membership calls samphirefork.v1.Operator.Membership.
 func (c *operatorClient) Membership(ctx context.Context, req *connect.Request[v1.MembershipRequest]) (*connect.Response[v1.MembershipResponse], error) {
 	return c.membership.CallUnary(ctx, req)
@@ -277,6 +294,9 @@
 	// DeclareLost states that an instance and its tasks have stopped for good, so
 	// that the capacity counted for them is freed.
 	DeclareLost(context.Context, *connect.Request[v1.DeclareLostRequest]) (*connect.Response[v1.DeclareLostResponse], error)
+	// Evacuate lets no new work start in a data centre, or takes it back with end. It
+	// succeeds without effect when the data centre is in that state already.
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	// Membership lists or changes the members of the replicated log.
 	Membership(context.Context, *connect.Request[v1.MembershipRequest]) (*connect.Response[v1.MembershipResponse], error)
 	// Snapshot streams the configuration, instance states, plans, audit trail and
@@ -354,6 +374,12 @@
 		connect.WithSchema(operatorMethods.ByName("DeclareLost")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorEvacuateHandler := connect.NewUnaryHandler(
+		OperatorEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorMembershipHandler := connect.NewUnaryHandler(
 		OperatorMembershipProcedure,
 		svc.Membership,
@@ -388,6 +414,8 @@
 			operatorSetMaintenanceStateHandler.ServeHTTP(w, r)
 		case OperatorDeclareLostProcedure:
 			operatorDeclareLostHandler.ServeHTTP(w, r)
+		case OperatorEvacuateProcedure:
+			operatorEvacuateHandler.ServeHTTP(w, r)
 		case OperatorMembershipProcedure:
 			operatorMembershipHandler.ServeHTTP(w, r)
 		case OperatorSnapshotProcedure:
@@ -441,6 +469,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("samphirefork.v1.Operator.DeclareLost is not implemented"))
 }
 
+func (UnimplementedOperatorHandler) Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("samphirefork.v1.Operator.Evacuate is not implemented"))
+}
+
 func (UnimplementedOperatorHandler) Membership(context.Context, *connect.Request[v1.MembershipRequest]) (*connect.Response[v1.MembershipResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("samphirefork.v1.Operator.Membership is not implemented"))
 }
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -51,7 +51,8 @@
 	SetPlanState *PlanStateChange `cbor:"12,keyasint,omitempty" json:"set_plan_state,omitempty"`
 	// DeclareLost is the name of an instance that runs nothing any more. The outcome of
 	// its attempts becomes OutcomeLost.
-	DeclareLost string `cbor:"13,keyasint,omitempty" json:"declare_lost,omitempty"`
+	DeclareLost string             `cbor:"13,keyasint,omitempty" json:"declare_lost,omitempty"`
+	Evacuate    *EvacuationRequest `cbor:"14,keyasint,omitempty" json:"evacuate,omitempty"`
 }
 
 // EntityKind is a kind of declared entity.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -107,6 +107,7 @@
 	tx.cfg.Revision = from + 1
 	s.Config = *tx.cfg
 	s.Workload.Config = stepConfig(tx.cfg)
+	s.mirrorEvacuations(tx.changed)
 	s.Status = tx.status
 	s.Plans = tx.plans
 	for _, name := range tx.lost {
--- a/internal/fleet/config_items.go
+++ b/internal/fleet/config_items.go
@@ -38,6 +38,8 @@
 		return tx.startPlan(*it.StartPlan)
 	case it.SetPlanState != nil:
 		return tx.setPlanState(*it.SetPlanState)
+	case it.Evacuate != nil:
+		return tx.evacuate(*it.Evacuate)
 	default:
 		return tx.declareLost(it.DeclareLost)
 	}
@@ -48,6 +50,7 @@
 		it.PutDataCentre != nil, it.PutInstance != nil, it.PutPool != nil, it.PutTeam != nil,
 		it.PutQueue != nil, it.PutService != nil, it.IssueKey != nil, it.WithdrawKey != "", it.Delete != nil,
 		it.Drain != nil, it.StartPlan != nil, it.SetPlanState != nil, it.DeclareLost != "",
+		it.Evacuate != nil,
 	}
 	n := 0
 	for _, b := range set {
--- a/internal/fleet/config_refs.go
+++ b/internal/fleet/config_refs.go
@@ -13,6 +13,9 @@
 		tx.ownStatus()
 		delete(tx.status, ref.Name)
 	}
+	if ref.Kind == EntityDataCentre && tx.cfg.Evacuated(ref.Name) {
+		tx.endEvacuation(ref.Name)
+	}
 	tx.markChanged(ref.Kind, ref.Name)
 	tx.deleted = append(tx.deleted, ref)
 	tx.addSummary("delete %s %s", ref.Kind, ref.Name)
--- a/internal/fleet/delta.go
+++ b/internal/fleet/delta.go
@@ -23,6 +23,7 @@
 	Queues      []Queue      `cbor:"8,keyasint,omitempty"`
 	Services    []Service    `cbor:"9,keyasint,omitempty"`
 	Deleted     []EntityRef  `cbor:"10,keyasint,omitempty"`
+	Evacuations []Evacuation `cbor:"11,keyasint,omitempty"`
 }
 
 // changeFeed lists the entities that changed, by ascending revision.
@@ -93,6 +94,8 @@
 		found = appendValue(&d.Queues, c.Queues, ref.Name)
 	case EntityService:
 		found = appendValue(&d.Services, c.Services, ref.Name)
+	case entityEvacuation:
+		found = appendValue(&d.Evacuations, c.Evacuations, ref.Name)
 	}
 	if !found {
 		d.Deleted = append(d.Deleted, ref)
@@ -118,6 +121,7 @@
 		Keys:        maps.Clone(c.Keys),
 		Queues:      maps.Clone(c.Queues),
 		Services:    maps.Clone(c.Services),
+		Evacuations: maps.Clone(c.Evacuations),
 	}
 }
 
@@ -141,8 +145,9 @@
 	putAll(n.Keys, d.Keys, func(v Key) string { return v.ID })
 	putAll(n.Queues, d.Queues, func(v Queue) string { return v.Name })
 	putAll(n.Services, d.Services, func(v Service) string { return v.Name })
+	putAll(n.Evacuations, d.Evacuations, func(v Evacuation) string { return v.DataCentre })
 	for _, ref := range d.Deleted {
-		n.remove(ref)
+		n.removeChanged(ref)
 	}
 	return n, true
 }
@@ -153,7 +158,16 @@
 	}
 }
 
-// remove deletes an entity and reports whether it existed.
+// removeChanged deletes what a delta names as deleted: a declared entity or an evacuation.
+func (c *Config) removeChanged(ref EntityRef) {
+	if ref.Kind == entityEvacuation {
+		delete(c.Evacuations, ref.Name)
+		return
+	}
+	c.remove(ref)
+}
+
+// remove deletes a declared entity and reports whether it existed.
 func (c *Config) remove(ref EntityRef) bool {
 	switch ref.Kind {
 	case EntityDataCentre:
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -250,6 +250,9 @@
 	if in.Pool != s.Config.Queues[j.Queue].Pool {
 		return refusal(CodeStale, "worker %s is in pool %s", a.Worker, in.Pool)
 	}
+	if s.Config.Evacuated(in.DataCentre) {
+		return refusal(CodeStale, "worker %s is in the evacuated data centre %s", a.Worker, in.DataCentre)
+	}
 	if !s.Used(a.Worker).Plus(j.Spec.Size).Fits(st.Capacity.overcommitted()) {
 		return refusal(CodeStale, "worker %s has no room for job %s", a.Worker, j.ID)
 	}
--- a/internal/fleet/phases.go
+++ b/internal/fleet/phases.go
@@ -135,6 +135,9 @@
 	if s.Status[m.Instance].Lost {
 		return refuse(CodeInUse, "instance %s is lost", m.Instance)
 	}
+	if s.Config.Evacuated(in.DataCentre) {
+		return refuse(CodeStale, "instance %s is in the evacuated data centre %s", m.Instance, in.DataCentre)
+	}
 	tx := s.beginChange()
 	in.Pool = m.To
 	if refused := tx.putInstance(in); refused != nil {
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -127,6 +127,7 @@
 		{Delete: &EntityRef{EntityPool, "spare"}},
 		{PutPool: &Pool{Name: "spare", MaxUnavailable: n}},
 		{DeclareLost: worker},
+		{Evacuate: &EvacuationRequest{DataCentre: "dc", End: n%2 == 0}},
 	}
 	cmd := h.change(rapid.SampledFrom(items).Draw(rt, "item"), rapid.SampledFrom(items).Draw(rt, "second"))
 	if n == 3 {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -14,6 +14,8 @@
 	Keys        map[string]Key        `cbor:"6,keyasint" json:"keys"`
 	Queues      map[string]Queue      `cbor:"7,keyasint" json:"queues"`
 	Services    map[string]Service    `cbor:"8,keyasint" json:"services"`
+	// Evacuations holds the data centres in which no new work starts, by name.
+	Evacuations map[string]Evacuation `cbor:"9,keyasint,omitempty" json:"evacuations,omitempty"`
 }
 
 // State is the whole replicated state. Only Apply changes it, and only the apply loop
@@ -94,6 +96,7 @@
 	initMap(&c.Keys)
 	initMap(&c.Queues)
 	initMap(&c.Services)
+	initMap(&c.Evacuations)
 }
 
 func initMap[K comparable, V any](m *map[K]V) {
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -184,3 +184,16 @@
 	}
 	return connect.NewResponse(&samphireforkv1.DeclareLostResponse{Outcome: out}), nil
 }
+
+// Evacuate begins the evacuation of a data centre, or ends it when the request sets end.
+func (s *service) Evacuate(ctx context.Context, req *connect.Request[samphireforkv1.EvacuateRequest]) (*connect.Response[samphireforkv1.EvacuateResponse], error) {
+	if err := checkName("data_centre", req.Msg.GetDataCentre()); err != nil {
+		return nil, err
+	}
+	order := &fleet.EvacuationRequest{DataCentre: req.Msg.GetDataCentre(), End: req.Msg.GetEnd()}
+	out, err := s.propose(ctx, req.Msg.GetChange(), fleet.ChangeItem{Evacuate: order})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&samphireforkv1.EvacuateResponse{Outcome: out}), nil
+}
--- a/internal/operator/operatortest/leader.go
+++ b/internal/operator/operatortest/leader.go
@@ -218,6 +218,11 @@
 			PresentRevision: l.config.Revision,
 		}}
 	}
+	for _, it := range c.Items {
+		if refused := l.checkItem(it); refused != nil {
+			return fleet.Result{Refusal: refused}
+		}
+	}
 	for _, it := range c.Items {
 		l.applyItem(it)
 	}
@@ -230,6 +235,17 @@
 	return fleet.Result{Revision: l.config.Revision}
 }
 
+// checkItem refuses an item that names an unknown data centre.
+func (l *Leader) checkItem(it fleet.ChangeItem) *fleet.Refusal {
+	if it.Evacuate == nil {
+		return nil
+	}
+	if _, ok := l.config.DataCentres[it.Evacuate.DataCentre]; !ok {
+		return &fleet.Refusal{Code: fleet.CodeNotFound, Message: "no such data centre"}
+	}
+	return nil
+}
+
 func (l *Leader) applyItem(it fleet.ChangeItem) {
 	switch {
 	case it.PutDataCentre != nil:
@@ -258,6 +274,10 @@
 		plan := l.plans[it.SetPlanState.Plan]
 		plan.State = it.SetPlanState.State
 		l.plans[it.SetPlanState.Plan] = plan
+	case it.Evacuate != nil && it.Evacuate.End:
+		delete(l.config.Evacuations, it.Evacuate.DataCentre)
+	case it.Evacuate != nil:
+		l.config.Evacuations[it.Evacuate.DataCentre] = fleet.Evacuation{DataCentre: it.Evacuate.DataCentre, Since: 60_000}
 	}
 }
 
@@ -305,6 +325,7 @@
 	c.Queues = maps.Clone(c.Queues)
 	c.Services = maps.Clone(c.Services)
 	c.Keys = maps.Clone(c.Keys)
+	c.Evacuations = maps.Clone(c.Evacuations)
 	return &c
 }
 
--- a/internal/operator/schema/status.go
+++ b/internal/operator/schema/status.go
@@ -9,20 +9,30 @@
 // FromStatus converts a detailed status reply to the schema.
 func FromStatus(s wire.StatusReply) *samphireforkv1.StatusResponse {
 	return &samphireforkv1.StatusResponse{
-		Leader:    s.Leader,
-		Term:      s.Term,
-		Applied:   s.Applied,
-		Revision:  uint64(s.Revision),
-		NowMs:     int64(s.Now),
-		Members:   FromMembers(s.Members),
-		Entries:   fromSlice(s.Entries, fromEntry),
-		Instances: fromInstances(s),
-		Plans:     fromPlans(s),
-		Jobs:      fromCounts(s.Jobs),
-		Usage:     fromCounts(s.Usage),
+		Leader:      s.Leader,
+		Term:        s.Term,
+		Applied:     s.Applied,
+		Revision:    uint64(s.Revision),
+		NowMs:       int64(s.Now),
+		Members:     FromMembers(s.Members),
+		Entries:     fromSlice(s.Entries, fromEntry),
+		Instances:   fromInstances(s),
+		Plans:       fromPlans(s),
+		Jobs:        fromCounts(s.Jobs),
+		Usage:       fromCounts(s.Usage),
+		Evacuations: fromEvacuations(s.Config),
 	}
 }
 
+func fromEvacuations(c *fleet.Config) []*samphireforkv1.Evacuation {
+	if c == nil {
+		return nil
+	}
+	return fromMap(c.Evacuations, func(e fleet.Evacuation) *samphireforkv1.Evacuation {
+		return &samphireforkv1.Evacuation{DataCentre: e.DataCentre, SinceMs: int64(e.Since)}
+	})
+}
+
 // FromMembers converts members of the replicated log to the schema, in the same order.
 func FromMembers(members []wire.MemberInfo) []*samphireforkv1.Member {
 	return fromSlice(members, fromMember)
