Add samphirectl evacuate

Cause: operators had no command for the evacuation of a data centre. Change: evacuate start, end and status; status lists evacuations and marks the instances there.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -90,6 +90,7 @@
 			a.auditCommand(),
 			a.drainCommand(),
 			a.maintenanceCommand(),
+			a.evacuateCommand(),
 			a.keyCommand(),
 			a.jobCommand(),
 			a.stepsCommand(),
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -104,6 +104,15 @@
 		{"status", []string{"status"}, ExitOK},
 		{"status_json", []string{"status", "-o", "json"}, ExitOK},
 		{"audit", []string{"audit", "-limit", "3"}, ExitOK},
+		{"help_evacuate", []string{"evacuate", "-h"}, ExitOK},
+		{"evacuate_unknown", []string{"evacuate", "start", "dc9"}, ExitRefused},
+		{"evacuate_start", []string{"evacuate", "start", "dc1"}, ExitOK},
+		{"evacuate_status", []string{"evacuate", "status"}, ExitOK},
+		{"evacuate_status_json", []string{"evacuate", "status", "-o", "json", "dc1"}, ExitOK},
+		{"evacuate_status_unknown", []string{"evacuate", "status", "dc9"}, ExitRefused},
+		{"status_evacuated", []string{"status"}, ExitOK},
+		{"evacuate_end", []string{"evacuate", "end", "dc1"}, ExitOK},
+		{"evacuate_status_ended", []string{"evacuate", "status", "dc1"}, ExitOK},
 		{"audit_bad_limit", []string{"audit", "-limit", "1001"}, ExitRefused},
 	}
 	g := goldie.New(t)
@@ -133,6 +142,10 @@
 		{"member", "promote", "0"},
 		{"maintenance", "start", "-plan", "p"},
 		{"job", "submit"},
+		{"evacuate"},
+		{"evacuate", "start"},
+		{"evacuate", "end", "dc1", "dc2"},
+		{"evacuate", "status", "dc1", "dc2"},
 	} {
 		require.Equal(t, ExitUsage, te.run(t, args...).exit, "%v", args)
 	}
@@ -192,6 +205,24 @@
 	require.Equal(t, ExitUnavailable, r.exit)
 }
 
+// An evacuation whose answer was lost must be repeated with the same request identifier,
+// so that it is made once, and the exit code must tell when its outcome stays open.
+func TestEvacuationIsResent(t *testing.T) {
+	te := newTestEnv(t)
+	te.ok(t, "apply", "-f", smallFleet)
+	te.fakeLeader.DropReplies(2)
+	te.fakeLeader.DelayInForce(2)
+	r := te.ok(t, "evacuate", "start", "dc1")
+	require.Contains(t, r.stdout, "revision 2 in force")
+	require.Equal(t, 2, te.fakeLeader.Accepted())
+	te.fakeLeader.DropAllReplies()
+	r = te.run(t, "-timeout", "2s", "evacuate", "end", "dc1")
+	require.Equal(t, ExitMayHaveRun, r.exit)
+	require.Contains(t, r.stderr, "repeat the command with -request-id evacuate-2-")
+	require.Equal(t, 3, te.fakeLeader.Accepted())
+	require.Empty(t, te.fakeLeader.Config().Evacuations)
+}
+
 func closedAddress(t *testing.T) string {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	srv.Close()
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -20,7 +20,7 @@
 	return &ffcli.Command{
 		Name:       "status",
 		ShortUsage: "samphirectl status [-o json]",
-		ShortHelp:  "Shows the leader, members, entry instances, instances, plans and jobs.",
+		ShortHelp:  "Shows the leader, members, entry instances, instances, plans, evacuations and jobs.",
 		LongHelp:   "EXAMPLE\n  samphirectl -entry 127.0.0.1:8080 status",
 		FlagSet:    a.flagSet("status"),
 		Exec: func(ctx context.Context, args []string) error {
@@ -68,13 +68,19 @@
 		a.printf("\n")
 		a.printPlans(st.GetPlans())
 	}
+	if len(st.GetEvacuations()) > 0 {
+		a.printf("\n")
+		a.printEvacuations(st, slices.Sorted(maps.Keys(evacuatedSince(st))))
+	}
 	return nil
 }
 
 func (a *app) printInstances(st *samphireforkv1.StatusResponse) {
+	since := evacuatedSince(st)
 	var rows [][]string
 	for _, in := range st.GetInstances() {
-		rows = append(rows, []string{in.GetInstance(), in.GetRole(), in.GetPool(), in.GetDataCentre(), in.GetPhase(), tasks(in), remarks(in, st.GetNowMs())})
+		_, evacuated := since[in.GetDataCentre()]
+		rows = append(rows, []string{in.GetInstance(), in.GetRole(), in.GetPool(), in.GetDataCentre(), in.GetPhase(), tasks(in), remarks(in, st.GetNowMs(), evacuated)})
 	}
 	a.table([]string{"INSTANCE", "ROLE", "POOL", "DATA CENTRE", "PHASE", "TASKS", "REMARKS"}, rows)
 }
@@ -86,7 +92,7 @@
 	return strconv.FormatInt(in.GetTasks(), 10)
 }
 
-func remarks(in *samphireforkv1.InstanceState, now int64) string {
+func remarks(in *samphireforkv1.InstanceState, now int64, evacuated bool) string {
 	var out []string
 	if in.GetPlan() != "" {
 		out = append(out, "plan "+in.GetPlan())
@@ -100,6 +106,9 @@
 	if in.GetQuarantinedUntilMs() > now {
 		out = append(out, "quarantined")
 	}
+	if evacuated {
+		out = append(out, "evacuated")
+	}
 	return strings.Join(out, ", ")
 }
 
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -212,3 +212,42 @@
 	_, err = schema.DecodeSnapshot([]byte(strings.Replace(string(doc), `"term":0`, `"term":1`, 1)))
 	require.ErrorIs(t, err, schema.ErrSnapshot)
 }
+
+// An evacuation must reach the log as one change and show in the status until it is ended.
+// An unknown data centre must be refused with a typed error, and a missing name must not
+// reach the log.
+func TestEvacuate(t *testing.T) {
+	fakeLeader, clients := start(t, 10*time.Second)
+	item := &samphireforkv1.ChangeItem{Item: &samphireforkv1.ChangeItem_PutDataCentre{PutDataCentre: &samphireforkv1.DataCentre{Name: "dc1"}}}
+	_, err := clients[0].Apply(t.Context(), connect.NewRequest(&samphireforkv1.ApplyRequest{Change: header("a", 0), Items: []*samphireforkv1.ChangeItem{item}}))
+	require.NoError(t, err)
+	order := func(client int, id string, revision uint64, dataCentre string, end bool) (*samphireforkv1.ChangeOutcome, error) {
+		req := &samphireforkv1.EvacuateRequest{Change: header(id, revision), DataCentre: dataCentre, End: end}
+		resp, err := clients[client].Evacuate(t.Context(), connect.NewRequest(req))
+		if err != nil {
+			return nil, err
+		}
+		return resp.Msg.GetOutcome(), nil
+	}
+	_, err = order(0, "x", 1, "dc9", false)
+	require.Equal(t, connect.CodeNotFound, connect.CodeOf(err))
+	require.Equal(t, samphireforkv1.Verdict_VERDICT_NOT_RUN, errorDetail(t, err).GetVerdict())
+	_, err = order(0, "y", 1, "", false)
+	require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err))
+
+	fakeLeader.DropReplies(1)
+	for client := range clients {
+		out, err := order(client, "b", 1, "dc1", false)
+		require.NoError(t, err)
+		require.True(t, out.GetResent())
+	}
+	status, err := clients[1].Status(t.Context(), connect.NewRequest(&samphireforkv1.StatusRequest{}))
+	require.NoError(t, err)
+	require.Len(t, status.Msg.GetEvacuations(), 1)
+	require.Equal(t, "dc1", status.Msg.GetEvacuations()[0].GetDataCentre())
+	require.Positive(t, status.Msg.GetEvacuations()[0].GetSinceMs())
+	_, err = order(1, "c", 2, "dc1", true)
+	require.NoError(t, err)
+	require.Empty(t, fakeLeader.Config().Evacuations)
+	require.Equal(t, 3, fakeLeader.Accepted())
+}
