Empty the workers of an evacuated data centre

Cause: the order of an evacuation had no effect on simple jobs, watch tasks, pools and maintenance. Change: planning leaves the workers out. Pool moves treat evacuated workers as missing capacity instead of trouble of their pool. Maintenance counts them as unavailable.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,6 +1,6 @@
 // Package controller runs the control loops of the leading store on the replicated
 // log. It turns the reports on workers into commands, answers them with orders, and
-// runs placement, maintenance, quarantine and pool moves.
+// runs placement, maintenance, evacuations, quarantine and pool moves.
 //
 // A controller acts only while its store leads. It keeps what workers report in
 // memory and discards it when the leader changes.
@@ -47,8 +47,8 @@
 	idleInterval = 100 * time.Millisecond
 	// maxPassPause is the longest pause that follows from passPauseRatio.
 	maxPassPause = 250 * time.Millisecond
-	// upkeepInterval is the time between two runs of maintenance, quarantine and
-	// pool moves.
+	// upkeepInterval is the time between two runs of maintenance, evacuations,
+	// quarantine and pool moves.
 	upkeepInterval = 500 * time.Millisecond
 	// expireInterval is the time between two checks for expired records.
 	expireInterval = 5 * time.Second
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -101,7 +101,7 @@
 		w := c.workers[name]
 		usable := w != nil && w.reportsRecently(now) && !w.state.Leaving && st.Seen && !st.Lost &&
 			st.Phase == fleet.PhaseActive && st.QuarantinedUntil <= now &&
-			st.Incarnation == w.state.Incarnation
+			st.Incarnation == w.state.Incarnation && !s.Config.Evacuated(in.DataCentre)
 		workers = append(workers, placement.Worker{
 			Name: name, Incarnation: st.Incarnation, Pool: in.Pool, Rack: in.Rack,
 			DataCentre: in.DataCentre, Capacity: st.Capacity, Usable: usable,
--- a/internal/controller/upkeep.go
+++ b/internal/controller/upkeep.go
@@ -11,7 +11,7 @@
 	"github.com/samphirefork/samphirefork/internal/share"
 )
 
-// upkeep runs maintenance, quarantines and pool moves when they are due.
+// upkeep runs maintenance, evacuations, quarantines and pool moves when they are due.
 func (c *Controller) upkeep(ctx context.Context) error {
 	c.mu.Lock()
 	now := c.log.Now()
@@ -23,7 +23,7 @@
 	if !due {
 		return nil
 	}
-	for _, step := range []func(context.Context) error{c.maintain, c.quarantine, c.movePools} {
+	for _, step := range []func(context.Context) error{c.maintain, c.evacuate, c.quarantine, c.movePools} {
 		if err := step(ctx); err != nil {
 			return err
 		}
@@ -123,7 +123,8 @@
 			Name: name, Pool: in.Pool, Rack: in.Rack, DataCentre: in.DataCentre,
 			Backend: in.Kind == fleet.KindBackend,
 			Phase:   st.Phase, PhaseSince: st.PhaseSince, Plan: st.Plan, Lost: st.Lost,
-			Down: st.QuarantinedUntil > now || (in.Kind == fleet.KindWorker && !st.Seen),
+			Down: st.QuarantinedUntil > now || (in.Kind == fleet.KindWorker && !st.Seen) ||
+				s.Config.Evacuated(in.DataCentre),
 		}
 		if w := c.workers[name]; w != nil {
 			i.Healthy = w.reportsRecently(now)
@@ -234,6 +235,11 @@
 	}
 	members := map[string][]string{}
 	for _, w := range c.placementWorkers(s, now) {
+		// Workers of an evacuated data centre are missing capacity, for which other pools
+		// make up, and no sign that their pool is in trouble.
+		if s.Config.Evacuated(w.DataCentre) {
+			continue
+		}
 		p := pools[w.Pool]
 		members[w.Pool] = append(members[w.Pool], w.Name)
 		if !w.Usable {
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -131,6 +131,9 @@
 // Plus returns the sum of r and o.
 func (r Resources) Plus(o Resources) Resources { return r.plus(o, 1) }
 
+// Minus returns r less o.
+func (r Resources) Minus(o Resources) Resources { return r.plus(o, -1) }
+
 // Fits reports whether r is at most o in every kind.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPUMilli <= o.CPUMilli && r.MemoryMiB <= o.MemoryMiB && r.Accelerators <= o.Accelerators
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -59,8 +59,8 @@
 	// Lost is true when the leader has declared the instance lost. Lost instances
 	// count as unavailable.
 	Lost bool
-	// Down is true for an instance that is quarantined, and for a worker that has
-	// never reported. Such instances count as unavailable.
+	// Down is true for an instance that is quarantined or in an evacuated data centre,
+	// and for a worker that has never reported. Such instances count as unavailable.
 	Down bool
 	// Healthy is true while the instance reports regularly.
 	Healthy bool
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -33,7 +33,8 @@
 	DataCentre  string
 	Capacity    fleet.Resources
 	// Usable is true when the worker may get new tasks. It is false for workers that
-	// are draining, lost, quarantined, leaving or not heard from.
+	// are draining, lost, quarantined, leaving, not heard from, or in an evacuated data
+	// centre.
 	Usable bool
 }
 
