Send no new calls to an evacuated data centre

Cause: direct calls went to backend servers of an evacuated data centre, from entries there and elsewhere. Change: routing leaves evacuated backend servers out, by the copy of the configuration whose revision the renewals state. Entries there forward calls, wait while the slots elsewhere are in use, and refuse waiting and new calls at once when no backend server is left. A target is checked again before each attempt; a call whose target left may try another one.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -115,7 +115,7 @@
 			e.sched.releaseTarget(req.service, target, routing.Unused, 0)
 			return weakenIfUncertain(mayHaveRun, refusalToAnswer(refusal))
 		}
-		result := e.waitForUnit(req, e.runAttempt(ctx, req, target, number), number)
+		result := e.waitForUnit(req, e.runIfUsable(ctx, req, target, number), number)
 		if result.status == attemptAnswered {
 			return result.answer
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,7 +115,7 @@
 	e.pool = wire.NewPool(e.creds, e.mux.Handle)
 	e.leader = leader.NewClient(e.pool, cfg.Stores)
 	rnd := rand.New(rand.NewPCG(opts.Seed, 1))
-	e.sched = newScheduler(e.clock, cfg.Instance, admission.Policy(cfg.Policies["admission"]), e.lease, rnd)
+	e.sched = newScheduler(e.clock, cfg.Instance, cfg.DataCentre, admission.Policy(cfg.Policies["admission"]), e.lease, rnd)
 	e.renew = newRenewer(e)
 	e.sched.requestRenewal = e.renew.renewNow
 	e.mesh = newMesh(e)
--- a/internal/entry/mesh.go
+++ b/internal/entry/mesh.go
@@ -118,7 +118,7 @@
 		m.entry.sched.registerBackends(msg.Backends)
 		return nil, nil
 	}
-	m.entry.sched.updateRemoteCapacity(msg.Entry.PeerAddress, msg.FreeSlots, msg.Draining)
+	m.entry.sched.updateRemoteCapacity(msg.Entry.PeerAddress, msg.Entry.DataCentre, msg.FreeSlots, msg.Draining)
 	return nil, nil
 }
 
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -96,11 +96,7 @@
 func (e *Entry) dispatchAtMostOnce(ctx context.Context, req *callRequest, target callTarget) attemptResult {
 	tried := map[string]bool{}
 	for number := 1; ; number++ {
-		if !e.sched.isUsable(target) {
-			e.sched.releaseTarget(req.service, target, routing.Unused, 0)
-			return notRunResult(routing.Unused, api.CodeNoBackend, "the backend server left")
-		}
-		result := e.runAttempt(ctx, req, target, number)
+		result := e.runIfUsable(ctx, req, target, number)
 		if result.status != attemptNotRun {
 			return result
 		}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
@@ -106,12 +109,26 @@
 		e.log.Debug().Err(err).Msg("lease renewal failed")
 		return false
 	}
+	before, _ := e.lease.view(sent)
 	if !e.lease.endRenewal(msg.Sequence, sent, &reply) {
 		return false
 	}
 	e.mesh.updateFromLeader(reply.Entries)
 	if config, _ := e.lease.view(e.clock()); config != nil {
 		e.sched.applyRenewal(config, e.lease.teamCalls(), reply.Draining)
+		r.logEvacuations(before, config)
 	}
 	return true
 }
+
+// logEvacuations logs the evacuated data centres when they differ from those before. Two
+// renewals at the same time may both log a change.
+func (r *renewer) logEvacuations(before, now *fleet.Config) {
+	if before == nil {
+		before = &fleet.Config{}
+	}
+	if !maps.Equal(before.Evacuations, now.Evacuations) {
+		r.entry.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(now.Evacuations))).Uint64("revision", uint64(now.Revision)).
+			Msg("evacuated data centres have changed")
+	}
+}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -8,14 +8,11 @@
 
 	"github.com/samphirefork/samphirefork/internal/admission"
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/routing"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
-// summaryMaxAge is the time for which the free slots that an entry of another data
-// centre reported are used.
-const summaryMaxAge = 1500 * time.Millisecond
-
 // callTarget is where a call runs: a slot of a local backend server or, if
 // forwardAddr is set, the entry of another data centre at that peer address.
 type callTarget struct {
@@ -29,18 +26,13 @@
 	refused *admission.Refusal
 }
 
-// remoteCapacity is the latest report of an entry of another data centre.
-type remoteCapacity struct {
-	receivedAt time.Time
-	// free holds the free slots by service.
-	free map[string]int
-}
-
 // scheduler combines the call queues, the backend servers and the limit grants. A
 // call is matched with a slot under its lock alone.
 type scheduler struct {
 	clock func() time.Time
 	lease *leaseState
+	// dataCentre is the data centre of this entry.
+	dataCentre string
 	// requestRenewal asks for a renewal because a team wants more units than the
 	// last one requested. It is called with mu held and must not block.
 	requestRenewal func()
@@ -59,13 +51,16 @@
 	waiting map[*admission.Request]chan decision
 	// remotes is keyed by peer address.
 	remotes map[string]*remoteCapacity
+	// config is the configuration whose evacuations routing follows.
+	config *fleet.Config
 }
 
-func newScheduler(clock func() time.Time, self string, policy admission.Policy, lease *leaseState, rnd *rand.Rand) *scheduler {
+func newScheduler(clock func() time.Time, self, dataCentre string, policy admission.Policy, lease *leaseState, rnd *rand.Rand) *scheduler {
 	now := clock()
 	return &scheduler{
 		clock:          clock,
 		lease:          lease,
+		dataCentre:     dataCentre,
 		requestRenewal: func() {},
 		admit:          admission.NewController(policy, rnd),
 		seen:           admission.NewRecentIDs(now),
@@ -106,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	if s.updateSlots(now, req.Service) == 0 && !s.routes.HasBackend(now, req.Service) {
+	if s.updateSlots(now, req.Service) == 0 && !s.mayServe(now, req.Service) {
 		return nil, s.admit.Refusal(now, api.CodeNoBackend, req)
 	}
 	if req.Team != "" {
@@ -189,12 +184,13 @@
 // findTarget takes a local slot or, if there is none, a free slot of another data
 // centre, at the entry that reported most free slots. The caller holds s.mu.
 func (s *scheduler) findTarget(now time.Time, service string, exclude map[string]bool) (callTarget, bool) {
+	s.followConfig(now)
 	if slot, ok := s.routes.Pick(now, service, exclude); ok {
 		return callTarget{slot: slot}, true
 	}
 	best := ""
 	for addr, r := range s.remotes {
-		if now.Sub(r.receivedAt) >= summaryMaxAge || r.free[service] <= 0 || exclude[addr] {
+		if !s.takesForwards(now, r) || r.free[service] <= 0 || exclude[addr] {
 			continue
 		}
 		if best == "" || r.free[service] > s.remotes[best].free[service] {
@@ -315,11 +311,18 @@
 }
 
 // isUsable reports whether a call may still be started on an acquired target: a
-// local backend server has not left, expired or restarted since.
+// local backend server has not left, expired or restarted since, and the data centre of
+// the target was not evacuated.
 func (s *scheduler) isUsable(target callTarget) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return target.forwardAddr != "" || s.routes.SlotValid(s.clock(), target.slot)
+	now := s.clock()
+	s.followConfig(now)
+	if target.forwardAddr == "" {
+		return s.routes.SlotValid(now, target.slot)
+	}
+	r, ok := s.remotes[target.forwardAddr]
+	return !ok || s.config == nil || !s.config.Evacuated(r.dataCentre)
 }
 
 // acquireLocalSlot takes a local slot without waiting, for a call that another data
@@ -327,15 +330,18 @@
 func (s *scheduler) acquireLocalSlot(service string) (routing.Slot, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes.Pick(s.clock(), service, nil)
+	now := s.clock()
+	s.followConfig(now)
+	return s.routes.Pick(now, service, nil)
 }
 
 // updateSlots passes the present number of slots of a service to admission and
 // returns it. The caller holds s.mu.
 func (s *scheduler) updateSlots(now time.Time, service string) int {
+	s.followConfig(now)
 	total, _ := s.routes.Capacity(now, service)
 	for _, r := range s.remotes {
-		if now.Sub(r.receivedAt) < summaryMaxAge {
+		if s.takesForwards(now, r) {
 			total += max(r.free[service], 0)
 		}
 	}
@@ -343,8 +349,9 @@
 	return total
 }
 
-// tick refuses waiting calls that can no longer finish within their time limit, and
-// calls with a key while there is no valid lease. It matches the other waiting
+// tick refuses waiting calls that can no longer finish within their time limit, those
+// that an evacuation left without a backend server, and calls with a key while there is
+// no valid lease. It matches the other waiting
 // calls with targets that became free by the passage of time.
 func (s *scheduler) tick() {
 	s.mu.Lock()
@@ -361,6 +368,7 @@
 	}
 	for service := range services {
 		s.updateSlots(now, service)
+		s.refuseUnserved(now, service)
 		s.matchWaiting(now, service)
 	}
 }
--- a/internal/entry/scheduler_view.go
+++ b/internal/entry/scheduler_view.go
@@ -21,20 +21,17 @@
 	return s.routes.Settled(s.clock())
 }
 
-// updateRemoteCapacity stores the free slots by service that an entry of another
-// data centre reports. A draining entry is removed.
-func (s *scheduler) updateRemoteCapacity(addr string, free map[string]int, draining bool) {
+// updateRemoteCapacity stores the free slots by service that the entry of another data
+// centre at a peer address reports. A draining entry is removed.
+func (s *scheduler) updateRemoteCapacity(addr, dataCentre string, free map[string]int, draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if draining {
 		delete(s.remotes, addr)
 		return
 	}
-	if free == nil {
-		free = map[string]int{}
-	}
 	now := s.clock()
-	s.remotes[addr] = &remoteCapacity{receivedAt: now, free: free}
+	s.remotes[addr] = s.remotes[addr].report(now, dataCentre, free)
 	for service := range free {
 		s.updateSlots(now, service)
 		s.matchWaiting(now, service)
@@ -47,6 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.followConfig(now)
 	free = map[string]int{}
 	for _, service := range s.routes.Services() {
 		_, n := s.routes.Capacity(now, service)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// runIfUsable is runAttempt unless the target may no longer be called: a call that waited
+// for its unit or ledger since then was not run, and may try another target.
+func (e *Entry) runIfUsable(ctx context.Context, req *callRequest, target callTarget, number int) attemptResult {
+	if !e.sched.isUsable(target) {
+		e.sched.releaseTarget(req.service, target, routing.Unused, 0)
+		return notRunResult(routing.Unused, api.CodeNoBackend, "the backend server left")
+	}
+	return e.runAttempt(ctx, req, target, number)
+}
+
 // finish marks the attempt as finished and reports whether it holds a unit of its
 // own. An attempt that lost its connection while the call may still be running
 // takes one.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -109,8 +109,8 @@
 }
 
 // SlotValid reports whether a call may still be started with the slot. It may not
-// when the backend server is leaving or draining, its registration has expired, or
-// it has restarted since Pick.
+// when the backend server is leaving, draining or evacuated, its registration has
+// expired, or it has restarted since Pick.
 func (r *Registry) SlotValid(now time.Time, slot Slot) bool {
 	b, ok := r.backends[slot.Instance]
 	return ok && b.info.Incarnation == slot.Incarnation && r.usable(b, now)
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -31,6 +31,8 @@
 	backends map[string]*backend
 	// draining holds the instances that operators or maintenance plans drain.
 	draining map[string]bool
+	// evacuated reports whether the data centre of an instance is evacuated.
+	evacuated func(instance string) bool
 }
 
 type backend struct {
@@ -54,6 +56,7 @@
 		currentSplit:   newSplit(self, nil),
 		previousSplits: []split{{until: now.Add(SplitTransition)}},
 		backends:       map[string]*backend{},
+		evacuated:      func(string) bool { return false },
 	}
 }
 
@@ -180,10 +183,14 @@
 	}
 }
 
+// SetEvacuated sets the function that tells the instances whose data centre is evacuated.
+// They get no new calls and no probes; calls that run there are not affected.
+func (r *Registry) SetEvacuated(evacuated func(instance string) bool) { r.evacuated = evacuated }
+
 // usable reports whether new calls may be sent to b, regardless of its health and free
 // slots.
 func (r *Registry) usable(b *backend, now time.Time) bool {
-	return !b.info.Leaving && !r.draining[b.info.Instance] && now.Sub(b.receivedAt) < Lease
+	return !b.info.Leaving && !r.draining[b.info.Instance] && !r.evacuated(b.info.Instance) && now.Sub(b.receivedAt) < Lease
 }
 
 // limit returns the number of calls that this entry may run on b at once. It is the
--- a/internal/routing/registry_test.go
+++ b/internal/routing/registry_test.go
@@ -197,3 +197,40 @@
 	r.SetDraining(nil)
 	require.True(t, r.usable(b, now))
 }
+
+// Evacuated backend servers must get neither calls nor probes, a slot that was taken before
+// must not start a call any more, and the others must take over. Once they are taken back
+// they serve again.
+func TestEvacuatedBackendsGetNoCalls(t *testing.T) {
+	r, now := settled("a", "b")
+	taken := map[string]Slot{}
+	for len(taken) < 2 {
+		slot, ok := r.Pick(now, "s", nil)
+		require.True(t, ok)
+		taken[slot.Instance] = slot
+	}
+	r.SetEvacuated(func(instance string) bool { return instance == "a" })
+	for {
+		slot, ok := r.Pick(now, "s", nil)
+		if !ok {
+			break
+		}
+		require.Equal(t, "b", slot.Instance)
+	}
+	require.False(t, r.SlotValid(now, taken["a"]))
+	require.True(t, r.SlotValid(now, taken["b"]))
+	require.True(t, r.HasBackend(now, "s"))
+	total, _ := r.Capacity(now, "s")
+	require.Equal(t, 8, total)
+	r.SetEvacuated(func(string) bool { return true })
+	require.False(t, r.HasBackend(now, "s"))
+	for range ejectThreshold {
+		r.Release(now, taken["a"], Failed)
+	}
+	_, ok := r.Pick(now.Add(2*initialEjection), "s", nil)
+	require.False(t, ok, "an evacuated backend server was probed")
+	r.SetEvacuated(func(string) bool { return false })
+	slot, ok := r.Pick(now.Add(2*initialEjection), "s", nil)
+	require.True(t, ok)
+	require.True(t, slot.Probe)
+}
