--- a/internal/entry/remotes.go
+++ b/internal/entry/remotes.go
@@ -55,6 +55,10 @@
 		return
 	}
 	s.config = config
+	if !s.evacuating() {
+		s.routes.SetEvacuated(func(string) bool { return false })
+		return
+	}
 	s.routes.SetEvacuated(func(instance string) bool {
 		declared, ok := config.Instances[instance]
 		if !ok {
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -64,7 +64,7 @@
 
 // Compute returns the jobs whose tasks move now, by checkpoint: those for which another
 // worker of the pool has room after all watch jobs that wait or move already, on as many
-// workers at a time as the availability budgets leave. It sorts the lists of s in place.
+// workers at a time as the availability budgets leave. It changes the lists of s.
 func Compute(s Snapshot) []string {
 	slices.SortFunc(s.Instances, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(s.Tasks, func(a, b Task) int { return cmp.Compare(a.JobID, b.JobID) })
