--- a/internal/harness/operator.go
+++ b/internal/harness/operator.go
@@ -250,6 +250,17 @@
 	})
 }
 
+// Evacuate begins the evacuation of a data centre, or ends it with end.
+func (o *Operator) Evacuate(ctx context.Context, dataCentre string, end bool) error {
+	return o.change(ctx, func(ctx context.Context, c samphireforkv1connect.OperatorClient, h *samphireforkv1.ChangeHeader) (*samphireforkv1.ChangeOutcome, error) {
+		resp, err := c.Evacuate(ctx, connect.NewRequest(&samphireforkv1.EvacuateRequest{Change: h, DataCentre: dataCentre, End: end}))
+		if err != nil {
+			return nil, err
+		}
+		return resp.Msg.GetOutcome(), nil
+	})
+}
+
 // retry runs f against random entries until it succeeds, returns a final error, or
 // operatorRetryTimeout has passed.
 func (o *Operator) retry(ctx context.Context, f func(context.Context, samphireforkv1connect.OperatorClient) error) error {
