--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -217,3 +217,25 @@
 	r.cycle()
 	require.Empty(t, r.state.Workload.RunsOn(forged.Incarnation))
 }
+
+// A worker drains and a data centre is evacuated in the same cycle: the budget of a step that has a
+// task on each holds for both together.
+func TestEvacuationSharesTheBudgetWithADrain(t *testing.T) {
+	r, there, elsewhere := newEvacuationRig(1, 1)
+	drained := r.addWorker("c", "r3")
+	elsewhere.capacity = 0
+	r.submit("service", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}, LongRunning: true, MaxPerWorker: 1})
+	r.runUndisturbed(2 * rigTaskMS)
+	elsewhere.capacity, drained.draining = rigCPU, true
+	elsewhere.heartbeat(0, false)
+	drained.heartbeat(0, false)
+	r.evacuate(rigDataCentre, false)
+	r.cycle()
+	_, onDrained, _ := r.state.Workload.Task(drained.tasks()[0])
+	_, evacuated, _ := r.state.Workload.Task(there[0].tasks()[0])
+	require.Equal(t, workload.Stopping, onDrained.Phase)
+	require.Equal(t, workload.Placed, evacuated.Phase)
+	r.runUndisturbed(4 * rigTaskMS)
+	require.Len(t, elsewhere.running, 1, "a worker may have one of them")
+	require.Len(t, there[0].running, 1)
+}
