Keep no empty map of evacuations

Change: the map is nil when nothing is evacuated, so a configuration equals its decoded copy; the test waits for a leader first.

--- a/internal/fleet/delta.go
+++ b/internal/fleet/delta.go
@@ -145,7 +145,9 @@
 	putAll(n.Keys, d.Keys, func(v Key) string { return v.ID })
 	putAll(n.Queues, d.Queues, func(v Queue) string { return v.Name })
 	putAll(n.Services, d.Services, func(v Service) string { return v.Name })
-	putAll(n.Evacuations, d.Evacuations, func(v Evacuation) string { return v.DataCentre })
+	for _, e := range d.Evacuations {
+		n.putEvacuation(e)
+	}
 	for _, ref := range d.Deleted {
 		n.removeChanged(ref)
 	}
@@ -161,7 +163,7 @@
 // removeChanged deletes what a delta names as deleted: a declared entity or an evacuation.
 func (c *Config) removeChanged(ref EntityRef) {
 	if ref.Kind == entityEvacuation {
-		delete(c.Evacuations, ref.Name)
+		c.removeEvacuation(ref.Name)
 		return
 	}
 	c.remove(ref)
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -25,6 +25,19 @@
 	return ok
 }
 
+func (c *Config) putEvacuation(e Evacuation) {
+	initMap(&c.Evacuations)
+	c.Evacuations[e.DataCentre] = e
+}
+
+// removeEvacuation leaves no empty map, so that a configuration equals its decoded copy.
+func (c *Config) removeEvacuation(dataCentre string) {
+	delete(c.Evacuations, dataCentre)
+	if len(c.Evacuations) == 0 {
+		c.Evacuations = nil
+	}
+}
+
 // evacuate begins or ends an evacuation. It succeeds without effect when the data centre is
 // in the requested state already.
 func (tx *changeTx) evacuate(r EvacuationRequest) *Refusal {
@@ -40,7 +53,7 @@
 	case evacuated:
 		tx.addSummary("data centre %s is evacuated already", r.DataCentre)
 	default:
-		tx.cfg.Evacuations[r.DataCentre] = Evacuation{DataCentre: r.DataCentre, Since: tx.s.Now}
+		tx.cfg.putEvacuation(Evacuation{DataCentre: r.DataCentre, Since: tx.s.Now})
 		tx.markChanged(entityEvacuation, r.DataCentre)
 		tx.addSummary("evacuate data centre %s", r.DataCentre)
 	}
@@ -48,7 +61,7 @@
 }
 
 func (tx *changeTx) endEvacuation(dataCentre string) {
-	delete(tx.cfg.Evacuations, dataCentre)
+	tx.cfg.removeEvacuation(dataCentre)
 	tx.markChanged(entityEvacuation, dataCentre)
 	tx.addSummary("end the evacuation of data centre %s", dataCentre)
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -14,7 +14,8 @@
 	Keys        map[string]Key        `cbor:"6,keyasint" json:"keys"`
 	Queues      map[string]Queue      `cbor:"7,keyasint" json:"queues"`
 	Services    map[string]Service    `cbor:"8,keyasint" json:"services"`
-	// Evacuations holds the data centres in which no new work starts, by name.
+	// Evacuations holds the data centres in which no new work starts, by name. It is nil
+	// when there are none.
 	Evacuations map[string]Evacuation `cbor:"9,keyasint,omitempty" json:"evacuations,omitempty"`
 }
 
@@ -96,7 +97,6 @@
 	initMap(&c.Keys)
 	initMap(&c.Queues)
 	initMap(&c.Services)
-	initMap(&c.Evacuations)
 }
 
 func initMap[K comparable, V any](m *map[K]V) {
--- a/internal/integration/evacuation_test.go
+++ b/internal/integration/evacuation_test.go
@@ -24,6 +24,7 @@
 	for _, s := range e.fleet.Stores {
 		require.NoError(t, s.Start())
 	}
+	e.leader() // a change counts as accepted from its first attempt, which needs a leader
 	require.NoError(t, e.op.Evacuate(e.ctx, "dc3", false))
 	e.run(settleTime)
 	endedAt := time.Now().UnixNano()
--- a/internal/operator/operatortest/leader.go
+++ b/internal/operator/operatortest/leader.go
@@ -277,6 +277,9 @@
 	case it.Evacuate != nil && it.Evacuate.End:
 		delete(l.config.Evacuations, it.Evacuate.DataCentre)
 	case it.Evacuate != nil:
+		if l.config.Evacuations == nil {
+			l.config.Evacuations = map[string]fleet.Evacuation{}
+		}
 		l.config.Evacuations[it.Evacuate.DataCentre] = fleet.Evacuation{DataCentre: it.Evacuate.DataCentre, Since: 60_000}
 	}
 }
