Hold teams to their share of the stores, and let refused callers return in order

Cause: jobs were refused by two bounds alone, with one Retry-After of 2 s. A team that fills the stores kept all others out, and whoever came first when a job ended was accepted, however long others had waited.

Change: Decide, a pure function of the backlog and the request. From three quarters of the bounds on, a team is held to its share of them; room is kept for callers that were refused before; Retry-After is the time in which the work ahead in the pool frees the caller's place. Below that, nothing changes and nothing is computed. Refusing in overload that the stores can hold was weighed and left (docs/design/admission-under-load.md).

--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -1,38 +1,127 @@
 package intake
 
-import "github.com/samphirefork/samphirefork/internal/workload"
+import "math"
 
 const (
 	// maxActiveJobs and maxActiveTasks bound the jobs that have not ended, and so the memory
 	// of a store: a task takes about 0.3 KiB, and twice that while a snapshot is written.
 	maxActiveJobs  = 20_000
 	maxActiveTasks = 200_000
-	// overloadRetryMS is the time after which a caller may retry when there are too many
-	// jobs. At 25 jobs a second, 50 jobs end in this time.
-	overloadRetryMS = 2000
+	// crowdedPercent is the part of either bound from which on each team is held to its share
+	// of them.
+	crowdedPercent = 75
+	// minRetryMS and maxRetryMS bound the time after which a refused caller may return.
+	minRetryMS = 1_000
+	maxRetryMS = 30_000
 	// electionRetryMS is the time after which a caller may retry when the leader has
 	// changed. A change of leader takes 0.5 to 1.2 s.
 	electionRetryMS = 1000
 )
 
+// RefusalReason says why a submission is refused. It is part of the log and of the answer.
+type RefusalReason string
+
+// Refusal reasons.
+const (
+	RefusedTooManyJobs  RefusalReason = "too many jobs are under way"
+	RefusedTooManyTasks RefusalReason = "too many tasks are under way"
+	RefusedOverShare    RefusalReason = "the team has more than its share of the jobs under way"
+	RefusedOutOfTurn    RefusalReason = "the room is kept for callers that were refused before"
+)
+
 // Admission is the decision on whether to accept a job.
 type Admission struct {
 	// RetryAfterMS is the time, in milliseconds, after which the caller may retry. It is 0
 	// when the job is accepted, and positive when it is refused.
 	RetryAfterMS int64
 	// Reason says why the job is refused.
-	Reason string
+	Reason RefusalReason
+}
+
+// Backlog is what a decision needs to know of the jobs under way.
+type Backlog struct {
+	// Jobs and Tasks are those that have not ended.
+	Jobs, Tasks int
+	// TeamJobs and TeamTasks are those of the submitting team.
+	TeamJobs, TeamTasks int
+	// Weight is that of the team, and Weights the sum over the teams with jobs under way or
+	// refused, and this one. Both are at least 1.
+	Weight, Weights int64
+	// DrainMS is the time in milliseconds in which the pool of the job completes the work
+	// ahead of it, or 0 if nothing runs there.
+	DrainMS float64
 }
 
-// Admit decides whether to accept a new job. A job that is already stored needs no
-// decision.
-func Admit(s *workload.State) Admission {
+// Request is what a decision needs to know of a submission.
+type Request struct {
+	// Tasks is the number of tasks of the job.
+	Tasks int
+	// Ahead is the number of callers within their teams' shares that were refused before this
+	// one and are due back, and AheadOverShare that of callers beyond them.
+	Ahead, AheadOverShare int
+}
+
+// Decide decides whether to accept a new job. A job that is already stored needs no decision.
+//
+// Load pattern: one team submits far more than all pools can run. Without shares it would
+// fill the stores, and every other team would be refused until its jobs have ended. Callers
+// that are refused return beside newcomers; without an order, whoever happens to come when a
+// job ends is accepted, however long others have waited.
+func Decide(b Backlog, r Request) Admission {
+	reason, excess := refusal(b, r)
+	if reason == "" {
+		return Admission{}
+	}
+	ahead := r.Ahead
+	if reason == RefusedOverShare {
+		ahead = r.AheadOverShare
+	}
+	return Admission{RetryAfterMS: retryAfterMS(b, excess+ahead), Reason: reason}
+}
+
+// refusal returns why the job is refused, or "", and the number of jobs that have to end
+// before it can be accepted.
+func refusal(b Backlog, r Request) (RefusalReason, int) {
+	freeJobs, freeTasks := maxActiveJobs-b.Jobs, maxActiveTasks-b.Tasks-r.Tasks
+	crowded := isCrowded(b.Jobs, b.Tasks)
 	switch {
-	case len(s.Active()) >= maxActiveJobs:
-		return Admission{RetryAfterMS: overloadRetryMS, Reason: "too many jobs are under way"}
-	case s.ActiveTasks() >= maxActiveTasks:
-		return Admission{RetryAfterMS: overloadRetryMS, Reason: "too many tasks are under way"}
+	case crowded && overShare(b.TeamJobs, maxActiveJobs, b):
+		return RefusedOverShare, 1 + b.TeamJobs - int(shareOf(maxActiveJobs, b))
+	case crowded && overShare(b.TeamTasks, maxActiveTasks, b):
+		return RefusedOverShare, 1
+	case freeJobs <= 0:
+		return RefusedTooManyJobs, 1 - freeJobs
+	case freeTasks < 0:
+		return RefusedTooManyTasks, 1 + b.Jobs*-freeTasks/max(b.Tasks, 1)
+	case !crowded:
+		return "", 0
+	case r.Ahead >= freeJobs:
+		return RefusedOutOfTurn, 1
 	default:
-		return Admission{}
+		return "", 0
+	}
+}
+
+// isCrowded reports whether teams are held to their shares of the bounds.
+func isCrowded(jobs, tasks int) bool {
+	return jobs*100 >= maxActiveJobs*crowdedPercent || tasks*100 >= maxActiveTasks*crowdedPercent
+}
+
+// overShare reports whether one more would give the team more than its share of a bound.
+func overShare(has, bound int, b Backlog) bool {
+	return float64(has+1) > shareOf(bound, b)
+}
+
+// shareOf returns the team's share of a bound.
+func shareOf(bound int, b Backlog) float64 {
+	return float64(bound) * float64(b.Weight) / float64(b.Weights)
+}
+
+// retryAfterMS returns the time in which the given number of the jobs under way end.
+func retryAfterMS(b Backlog, jobs int) int64 {
+	if b.DrainMS <= 0 || b.Jobs == 0 {
+		return maxRetryMS
 	}
+	ms := math.Ceil(b.DrainMS * float64(jobs) / float64(b.Jobs))
+	return int64(min(max(ms, minRetryMS), maxRetryMS))
 }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -28,6 +28,8 @@
 	routes         atomic.Pointer[Routes]
 	buildingRoutes sync.Mutex
 	calls          metrics.Timer
+	refused        metrics.Counter
+	gate           gate
 	// unresolved holds the submissions whose outcome is not known.
 	unresolved *recentIDs
 }
@@ -37,7 +39,8 @@
 func NewServer(log fleet.Log, changed func(), registry metrics.Registry, logger zerolog.Logger) *Server {
 	return &Server{
 		log: log, changed: changed, logger: logger, unresolved: newRecentIDs(unresolvedRetention),
-		calls: metrics.GetOrRegisterTimer("intake_call_seconds", registry),
+		calls:   metrics.GetOrRegisterTimer("intake_call_seconds", registry),
+		refused: metrics.GetOrRegisterCounter("intake_refused_jobs_total", registry),
 	}
 }
 
@@ -241,15 +244,18 @@
 	known := false
 	var admission Admission
 	s.log.Read(func(st *fleet.State) {
-		_, known = st.Workload.Jobs[id]
-		admission = Admit(st.Workload)
+		if _, known = st.Workload.Jobs[id]; !known {
+			admission = s.gate.decide(st.Workload, submission{id: id, team: team, queue: q, content: call.Content}, time.Now())
+		}
 	})
-	if !known && admission.RetryAfterMS > 0 {
+	if admission.Reason != "" {
 		if s.unresolved.contains(id, time.Now()) {
 			return wire.JobCallReply{}, errors.Wrap(fleet.ErrUncertain, "intake: an earlier attempt may still be committed")
 		}
-		s.logger.Info().Str("job", id).Str("queue", q.Name).Str("reason", admission.Reason).Msg("job refused, not run")
-		return wire.JobCallReply{Verdict: wire.VerdictOverloaded, RetryAfterMS: admission.RetryAfterMS, Detail: admission.Reason}, nil
+		s.refused.Inc(1)
+		s.logger.Info().Str("job", id).Str("queue", q.Name).Str("team", team).Str("reason", string(admission.Reason)).
+			Int64("retry_after_ms", admission.RetryAfterMS).Msg("job refused, not run")
+		return wire.JobCallReply{Verdict: wire.VerdictOverloaded, RetryAfterMS: admission.RetryAfterMS, Detail: string(admission.Reason)}, nil
 	}
 	cmd := *call.Content
 	cmd.ID, cmd.Queue, cmd.Team = id, q.Name, team
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -155,16 +155,16 @@
 
 func (s *State) addActive(j *Job) {
 	s.active[j.ID] = j
-	s.activeTasks += j.totalTasks()
+	s.activeTasks += j.TotalTasks()
 }
 
 func (s *State) removeActive(j *Job) {
 	delete(s.active, j.ID)
-	s.activeTasks -= j.totalTasks()
+	s.activeTasks -= j.TotalTasks()
 }
 
-// totalTasks returns the number of tasks of the job in all of its occurrences.
-func (j *Job) totalTasks() int {
+// TotalTasks returns the number of tasks of the job in all of its occurrences.
+func (j *Job) TotalTasks() int {
 	tasks := 0
 	for i := range j.Steps {
 		tasks += j.Steps[i].Count
