--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -9,7 +9,7 @@
 
 // backlogInterval is the time between computations of the backlog by team and pool: it reads
 // each job under way.
-const backlogInterval = 500 * time.Millisecond
+const backlogInterval = time.Second
 
 // backlogs holds the jobs under way by team and the work ahead by pool. It is computed only
 // while the bounds are nearly reached. It is safe for concurrent use.
@@ -81,7 +81,7 @@
 // milliseconds, and the thousandths of a core that it occupies. Running tasks are half done on
 // average. A long-running step has no work that ends.
 func workOf(s *workload.State, j *workload.Job, step int, p *workload.StepProgress) (work, running float64) {
-	if j.Steps[step].LongRunning {
+	if j.Steps[step].LongRunning || p.Waiting()+p.OnWorkers() == 0 {
 		return 0, 0
 	}
 	cpu := float64(j.Steps[step].Size.CPUMilli)
