--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -65,7 +65,9 @@
 		b.teams[j.Team] = t
 	}
 	for team := range waiting {
-		b.teams[team] = b.teams[team]
+		if _, known := b.teams[team]; !known {
+			b.teams[team] = teamBacklog{}
+		}
 	}
 	for team := range b.teams {
 		b.weights += weightOf(s, team)
