Count memory in the machines that a pool needs, and only machines in service in what it empties

Cause: the number of machines came from processor time alone; a burst that fills memory first waited until tasks were overdue. Machines that drain or whose worker is silent counted as if they took work, so that others could be emptied in their place. Change: Demand holds the memory of running and long-running tasks, and arriving work needs as much for each core as what runs and waits. Machine.NoNewTasks is left out of the surplus. A gauge and a log line show what is emptied. A decision counts the machines with a label that it moves out.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -66,6 +66,9 @@
 	// Tasks is the number of tasks on a machine whose tasks all end by themselves, so
 	// that it becomes idle when it gets no new ones. It is 0 for any other machine.
 	Tasks int
+	// NoNewTasks is true for a machine in its pool that gets no new tasks: its worker is
+	// silent or drains, or the machine is due for maintenance or another pool.
+	NoNewTasks bool
 }
 
 // Demand is the demand for machines in one pool. The dispatcher logs it as JSON under
@@ -83,6 +86,8 @@
 	// HeldMilli is what the long-running tasks of the pool's jobs require, whether they
 	// run or wait, in thousandths of a core.
 	HeldMilli int64
+	// UsedMemoryMiB and HeldMemoryMiB are the memory of the same tasks.
+	UsedMemoryMiB, HeldMemoryMiB int64
 }
 
 // UnmetDemand is the demand of waiting tasks that could not be placed.
@@ -139,10 +144,13 @@
 }
 
 func newDecider(in Input) *decider {
-	d := &decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
+	d := &decider{in: in, poolSizes: map[string]int{}, closed: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
 		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.poolSizes[m.Pool]++
+		if m.NoNewTasks {
+			d.closed[m.Pool]++
+		}
 		d.racks[m.Name] = m.Rack
 		for _, label := range m.Labels {
 			d.labelled[poolLabel{m.Pool, label}]++
@@ -156,6 +164,8 @@
 	// poolSizes is the number of machines by pool, without those that this decision moves
 	// out.
 	poolSizes map[string]int
+	// closed is the number of machines by pool that get no new tasks.
+	closed map[string]int
 	// moved holds the machines that this decision moves.
 	moved map[string]bool
 	// added is the number of machines that this decision moves into each pool.
@@ -204,14 +214,26 @@
 }
 
 // requiredMachines returns the number of machines that run the long-running tasks, serve
-// the arriving work and clear the backlog within clearBacklogMS.
+// the arriving work and clear the backlog within clearBacklogMS, in processor time and in
+// memory.
 func (d *decider) requiredMachines(pool string) int {
 	demand := d.in.Demand[pool]
 	size := max(d.in.MachineCapacity.CPUMilli, 1)
 	arriving := demand.RateMilli * 100 / usablePercent
 	// Machines beyond those that the waiting tasks fill would be idle.
 	clearing := min(demand.WorkMilliMS/clearBacklogMS, int64(machinesFor(demand.Waiting, d.in.MachineCapacity))*size)
-	return int((demand.HeldMilli + arriving + clearing + size - 1) / size)
+	return d.machinesForWork(demand, arriving+clearing)
+}
+
+// machinesForWork returns the number of machines that hold the pool's long-running tasks and
+// the given amount of other work, in thousandths of a core. That work needs as much memory for
+// each core as what runs and waits now.
+func (d *decider) machinesForWork(demand Demand, workMilli int64) int {
+	need := workload.Resources{CPUMilli: demand.HeldMilli + workMilli, MemoryMiB: demand.HeldMemoryMiB}
+	if cpuMilli := demand.UsedMilli + demand.Waiting.CPUMilli; cpuMilli > 0 {
+		need.MemoryMiB += int64(float64(workMilli) * float64(demand.UsedMemoryMiB+demand.Waiting.MemoryMiB) / float64(cpuMilli))
+	}
+	return machinesFor(need, d.in.MachineCapacity)
 }
 
 // machinesFor returns the number of machines of the given size that provide the needed
@@ -377,6 +399,9 @@
 	}
 	d.moved[m.Name] = true
 	d.poolSizes[m.Pool]--
+	for _, label := range m.Labels {
+		d.labelled[poolLabel{m.Pool, label}]--
+	}
 	d.added[move.Pool]++
 	d.moves = append(d.moves, move)
 }
--- a/internal/capacity/emptying.go
+++ b/internal/capacity/emptying.go
@@ -46,10 +46,8 @@
 	if demand.Spread > 0 || demand.Waiting.CPUMilli > 0 || len(demand.Labels) > 0 {
 		return 0
 	}
-	size := max(d.in.MachineCapacity.CPUMilli, 1)
-	work := max(demand.UsedMilli, demand.RateMilli) * 100 / keptUsePercent
-	kept := int((demand.HeldMilli + work + size - 1) / size)
-	return d.poolSizes[pool] - max(kept, minPoolMachines)
+	kept := d.machinesForWork(demand, max(demand.UsedMilli, demand.RateMilli)*100/keptUsePercent)
+	return d.poolSizes[pool] - d.closed[pool] - max(kept, minPoolMachines)
 }
 
 // pauseBeforeReleaseMS returns the idle time after which a machine of the pool is released.
--- a/internal/capacity/emptying_test.go
+++ b/internal/capacity/emptying_test.go
@@ -142,6 +142,11 @@
 	require.Empty(t, Emptying(in), "all machines are full")
 	in.Demand["docks"] = Demand{UsedMilli: 40_000}
 	require.Len(t, Emptying(in), 5)
+	for i := range 5 {
+		in.Machines[i].Tasks, in.Machines[i].NoNewTasks = 0, true
+	}
+	require.Empty(t, Emptying(in), "five machines take no new tasks anyway")
+	in = newTail(9).step(0, 0)
 	in.Demand["docks"] = Demand{UsedMilli: 40_000, RateMilli: 250_000}
 	require.Empty(t, Emptying(in), "work arrives")
 	waiting := UnmetDemand{Waiting: workload.Resources{CPUMilli: 1000}}
@@ -153,3 +158,18 @@
 	in.Spare = ""
 	require.Empty(t, Emptying(in), "there is no spare pool to release machines to")
 }
+
+// Load pattern: a burst of tasks that need more memory than processor time. By processor time
+// alone the pool seems large enough, and its backlog grows while machines are off.
+func TestBurstThatFillsMemoryGetsMachines(t *testing.T) {
+	in := Input{Machines: testMachines(-1), Spare: "spare", MachineCapacity: size}
+	demand := Demand{
+		RateMilli: 100_000, UsedMilli: 100_000, UsedMemoryMiB: 9 * size.MemoryMiB,
+		UnmetDemand: UnmetDemand{WorkMilliMS: 100_000_000, Waiting: workload.Resources{CPUMilli: 100_000, MemoryMiB: 9 * size.MemoryMiB}},
+	}
+	in.Demand = map[string]Demand{"docks": demand}
+	require.NotEmpty(t, Decide(in))
+	demand.UsedMemoryMiB, demand.Waiting.MemoryMiB = 0, 0
+	in.Demand["docks"] = demand
+	require.Empty(t, Decide(in), "the former decision, which counts processor time")
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -106,7 +106,9 @@
 	transfers map[string]transfer
 	// emptying holds the machines that get new tasks only if no other can take them.
 	emptying map[string]bool
-	stalls   *stallTracker
+	// emptyingPools is the number of these machines by pool.
+	emptyingPools map[string]int
+	stalls        *stallTracker
 	// estimates is kept across leaderships: the ratios that it has learned stay valid.
 	estimates *estimates
 }
@@ -143,7 +145,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
-	d.emptying = nil
+	d.emptying, d.emptyingPools = nil, nil
 	d.stalls.clear()
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -119,7 +119,7 @@
 	in.MachineCapacity = workload.Resources{
 		CPUMilli: total.CPUMilli / machines, MemoryMiB: total.MemoryMiB / machines, Accelerators: total.Accelerators / machines,
 	}
-	d.emptying = nameSet(capacity.Emptying(in))
+	d.setEmptying(capacity.Emptying(in))
 	for _, move := range capacity.Decide(in) {
 		if move.WaitUntilIdle {
 			d.transfers[move.Machine] = transfer{pool: move.Pool, since: now}
@@ -130,12 +130,27 @@
 	}
 }
 
-func nameSet(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
+// setEmptying records the machines that get new tasks only if no other can take them, and logs
+// when the first machine of a pool is emptied and when the last one is not any more.
+func (d *Dispatcher) setEmptying(names []string) {
+	before, pools := d.emptyingPools, map[string]int{}
+	d.emptying = make(map[string]bool, len(names))
 	for _, name := range names {
-		set[name] = true
+		d.emptying[name] = true
+		pools[d.machinesByName[name].Pool]++
+	}
+	d.emptyingPools = pools
+	d.meters.emptying.Update(int64(len(names)))
+	for pool, machines := range pools {
+		if before[pool] == 0 {
+			d.logger.Info().Str("pool", pool).Int("machines", machines).Msg("pool has more machines than it needs and empties some")
+		}
+	}
+	for pool := range before {
+		if pools[pool] == 0 {
+			d.logger.Info().Str("pool", pool).Msg("pool empties no machines any more")
+		}
 	}
-	return set
 }
 
 // transfer is a machine that gets no new tasks and moves to another pool once it runs
@@ -201,6 +216,7 @@
 func (d *Dispatcher) moveCandidate(s *workload.State, m *machine, name, spare string, now int64) capacity.Machine {
 	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, Labels: m.Labels, IdleMS: -1}
 	_, inTransfer := d.transfers[name]
+	c.NoNewTasks = m.Pool != spare && (inTransfer || d.maintenance.isReserved(name, now))
 	if inTransfer || d.maintenance.isReserved(name, now) || now < d.maintenance.retryAt[name] {
 		return c
 	}
@@ -210,6 +226,7 @@
 		return c
 	}
 	if !known || w.Draining || !w.isLive(now) {
+		c.NoNewTasks = true
 		return c
 	}
 	if w.hasRuns(s) {
@@ -281,7 +298,9 @@
 		pool := s.PoolOf(j)
 		busy[pool] = busy[pool] || !hasLongRunningStep(j)
 		poolDemand := demand[pool]
-		poolDemand.HeldMilli += heldMilli(j)
+		held := heldBy(j)
+		poolDemand.HeldMilli += held.CPUMilli
+		poolDemand.HeldMemoryMiB += held.MemoryMiB
 		if now-j.AcceptedAt < arrivalWindowMS {
 			poolDemand.RateMilli += d.estimates.jobWork(j) / arrivalWindowMS
 		}
@@ -290,7 +309,9 @@
 	for incarnation, runs := range s.RunsByWorker() {
 		if w, ok := d.workers[incarnation]; ok {
 			poolDemand := demand[w.Pool]
-			poolDemand.UsedMilli += usedMilli(runs)
+			used := usedBy(runs)
+			poolDemand.UsedMilli += used.CPUMilli
+			poolDemand.UsedMemoryMiB += used.MemoryMiB
 			demand[w.Pool] = poolDemand
 		}
 	}
@@ -318,24 +339,27 @@
 	return slices.ContainsFunc(j.Steps, func(step workload.Step) bool { return step.LongRunning })
 }
 
-// usedMilli returns the millicores occupied by runs that end by themselves.
-func usedMilli(runs map[workload.TaskRef]*workload.Placement) int64 {
-	used := int64(0)
+// usedBy returns what the runs that end by themselves occupy.
+func usedBy(runs map[workload.TaskRef]*workload.Placement) workload.Resources {
+	var used workload.Resources
 	for _, p := range runs {
 		if !p.LongRunning {
-			used += p.Occupies.CPUMilli
+			used = used.Plus(p.Occupies)
 		}
 	}
 	return used
 }
 
-// heldMilli returns the millicores that the job's long-running tasks ask for.
-func heldMilli(j *workload.Job) int64 {
-	held := int64(0)
+// heldBy returns what the job's long-running tasks ask for.
+func heldBy(j *workload.Job) workload.Resources {
+	var held workload.Resources
 	for i := range j.Steps {
-		if step := &j.Steps[i]; step.LongRunning && !step.FillsIdle {
-			held += int64(step.Count) * step.Size.CPUMilli
+		step := &j.Steps[i]
+		if !step.LongRunning || step.FillsIdle {
+			continue
 		}
+		held.CPUMilli += int64(step.Count) * step.Size.CPUMilli
+		held.MemoryMiB += int64(step.Count) * step.Size.MemoryMiB
 	}
 	return held
 }
--- a/internal/dispatch/meters.go
+++ b/internal/dispatch/meters.go
@@ -14,6 +14,8 @@
 	panics     metrics.Counter
 	cycles     metrics.Timer
 	delays     metrics.Timer
+	// emptying is the number of machines that get new tasks only if no other can take them.
+	emptying metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -28,5 +30,6 @@
 		panics:     metrics.GetOrRegisterCounter("dispatch_cycle_panics", r),
 		cycles:     metrics.GetOrRegisterTimer("dispatch_cycle_seconds", r),
 		delays:     metrics.GetOrRegisterTimer("dispatch_placement_delay_seconds", r),
+		emptying:   metrics.GetOrRegisterGauge("dispatch_emptying_machines", r),
 	}
 }
