Let pools share machines with a rare label, and suspend blocked drains

Change: a pool gives one of several such machines to a pool whose long-running task, or whose overdue work without any machine of the kind, can't be served otherwise. A drain that is blocked for 6 s is suspended for 6 s. Tests that fail before: TestPoolsShareMachinesWithARareLabel, TestBlockedDrainIsSuspended.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -223,3 +223,31 @@
 		Decide(in)
 	}
 }
+
+// Guards against a pool that keeps all machines with a label while another pool has none for
+// its overdue work, or not enough for a long-running task.
+func TestPoolsShareMachinesWithARareLabel(t *testing.T) {
+	waiting := UnmetDemand{WorkMilliMS: 900_000_000, Waiting: size, Overdue: size}
+	newInput := func(machines int, need UnmetDemand) Input {
+		in := Input{Machines: testMachines(-1)[:18], Spare: "spare", MachineCapacity: size}
+		for i := range in.Machines {
+			in.Machines[i].Tasks = 20 + i
+		}
+		for i := range machines {
+			in.Machines[9+i].Labels = []string{"gpu"}
+		}
+		in.Demand = map[string]Demand{
+			"docks": {Labels: map[string]UnmetDemand{"gpu": need}}, "tours": {UsedMilli: 280_000, Labels: map[string]UnmetDemand{"gpu": waiting}},
+		}
+		return in
+	}
+	require.Equal(t, []Move{{Machine: "tours-0", Pool: "docks", WaitUntilIdle: true}}, Decide(newInput(2, waiting)))
+	require.Empty(t, Decide(newInput(1, waiting)), "the other pool keeps one")
+	notYet := waiting
+	notYet.Overdue = workload.Resources{}
+	require.Empty(t, Decide(newInput(2, notYet)), "room may still come free")
+
+	in := newInput(2, UnmetDemand{Spread: 1})
+	in.Machines[0].Labels, in.Machines[0].Tasks = []string{"gpu"}, 0
+	require.Len(t, Decide(in), 1, "a long-running task needs a second machine")
+}
--- a/internal/capacity/labels.go
+++ b/internal/capacity/labels.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
 // poolLabel identifies the machines of a pool that have a label.
@@ -84,8 +86,8 @@
 }
 
 // addLabelledMachine moves one machine with the label into the pool: one that is off or
-// idle, or else one that still runs tasks in a pool with a surplus. It reports whether
-// there was one.
+// idle, or else one that still runs tasks in a pool with a surplus, or else one of several
+// that another pool uses. It reports whether there was one.
 func (d *decider) addLabelledMachine(n poolLabel) bool {
 	labelled := func(m Machine) bool { return m.Pool != n.pool && slices.Contains(m.Labels, n.label) }
 	idle := func(m Machine) bool { return labelled(m) && d.available(m) }
@@ -97,8 +99,32 @@
 	busy := func(m Machine) bool {
 		return labelled(m) && m.Tasks > 0 && d.poolSizes[m.Pool] > minPoolMachines && !d.neededForLabel(m) && d.hasSurplus(m.Pool)
 	}
-	if m, ok = d.selectMachine(busy, func(a, b Machine) bool { return a.Tasks < b.Tasks }); ok {
-		d.addMove(m, Move{Machine: m.Name, Pool: n.pool, WaitUntilIdle: true})
+	fewestTasks := func(a, b Machine) bool { return a.Tasks < b.Tasks }
+	if m, ok = d.selectMachine(busy, fewestTasks); !ok && d.cannotServe(n) {
+		oneOfSeveral := func(m Machine) bool { return labelled(m) && d.sharesLabel(m, n.label) }
+		m, ok = d.selectMachine(oneOfSeveral, fewestTasks)
+	}
+	if ok {
+		d.addMove(m, Move{Machine: m.Name, Pool: n.pool, WaitUntilIdle: m.Tasks > 0})
 	}
 	return ok
 }
+
+// cannotServe reports whether the pool's own machines with the label can't run some of the
+// work that requires it, however long it waits: a long-running task that has no machine, or
+// overdue tasks in a pool without any.
+func (d *decider) cannotServe(n poolLabel) bool {
+	need := d.in.Demand[n.pool].Labels[n.label]
+	none := d.labelled[n]+d.in.IncomingLabels[n.pool][n.label] == 0
+	return need.Spread > 0 || (none && need.Overdue != workload.Resources{})
+}
+
+// sharesLabel reports whether the machine can leave a pool whose work requires the label: the
+// pool keeps another one, and none of its long-running tasks waits for the label.
+//
+// Load pattern: few machines have a label that the work of several pools requires, and more
+// work waits in each pool than they can run. The pool that had them kept them all.
+func (d *decider) sharesLabel(m Machine, label string) bool {
+	runsOut := m.Tasks > 0 || m.IdleMS >= 0
+	return runsOut && m.Pool != d.in.Spare && d.labelled[poolLabel{m.Pool, label}] > 1 && d.in.Demand[m.Pool].Labels[label].Spread == 0
+}
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -176,6 +176,28 @@
 	require.Empty(t, a.running)
 }
 
+// The stopped task of a drained machine may have no other place. It must not wait for good beside
+// a machine that only drains, because the step's other task there can't stop meanwhile.
+func TestBlockedDrainIsSuspended(t *testing.T) {
+	r, _ := newRigWithProvider(t)
+	a := r.addWorker("a", "r1")
+	r.submit("watch", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 3000}, LongRunning: true, MaxUnavailable: 1})
+	beat := func(count int) {
+		for range count {
+			r.advance(500)
+			a.heartbeat(0, false)
+			r.cycle()
+		}
+	}
+	beat(4)
+	require.Len(t, a.running, 2)
+	r.propose(&workload.Command{Wave: &workload.Wave{Number: 1, Machines: []string{"m-a"}, DurationMS: 1000, MaxDown: 1}})
+	beat(6)
+	require.Len(t, a.running, 1, "the machine is drained")
+	beat((blockedDrainMS + drainRetryMS/2) / 500)
+	require.Len(t, a.running, 2, "the waiting task has its place back")
+}
+
 // A machine that is off must not count as down for ever after its maintenance: it reports
 // nothing, would count towards the limit of the wave and could not be used.
 func TestOffMachineReturnsAfterMaintenance(t *testing.T) {
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -40,6 +40,10 @@
 	// maintenanceMarginMS is added to the maintenance time of a machine that is off.
 	maintenanceMarginMS = 500
 	maintainCallTimeout = 3 * time.Second
+	// blockedDrainMS is the time after which a machine whose long-running tasks can't stop
+	// returns to service, and drainRetryMS the time until it is drained again.
+	blockedDrainMS = 6000
+	drainRetryMS   = 6000
 	// machineCallRetryMS is the delay after a failed call to maintain or move a machine.
 	machineCallRetryMS = 400
 )
@@ -50,6 +54,9 @@
 	leadingSince int64
 	// draining holds the machines that get no new tasks, with the number of their wave.
 	draining map[string]int64
+	// blockedSince holds the draining machines on which only long-running tasks remain that
+	// can't stop now.
+	blockedSince map[string]int64
 	// down holds the machines that were told to start their maintenance.
 	down map[string]downMachine
 	// callsInFlight holds the machines for which a call to the platform is in flight.
@@ -86,7 +93,7 @@
 
 func newMaintenance(now int64) *maintenance {
 	return &maintenance{
-		leadingSince: now, draining: map[string]int64{}, down: map[string]downMachine{},
+		leadingSince: now, draining: map[string]int64{}, blockedSince: map[string]int64{}, down: map[string]downMachine{},
 		callsInFlight: map[string]bool{}, retryAt: map[string]int64{}, hasReported: map[string]bool{},
 	}
 }
@@ -187,7 +194,9 @@
 			continue
 		}
 		if len(s.RunsOn(incarnation)) > 0 {
-			stops = append(stops, d.drainMachine(s, incarnation, unavailable, now)...)
+			toStop := d.drainMachine(s, incarnation, unavailable, now)
+			stops = append(stops, toStop...)
+			d.suspendBlockedDrain(w, m, len(toStop) == 0 && onlyLongRunning(s.RunsOn(incarnation)), now)
 			continue
 		}
 		withinLimit := w.Ordered[m] || down < limit
@@ -250,7 +259,7 @@
 		case isDraining && !d.isReachable(m, now):
 		case isDraining:
 			inProgress++
-		default:
+		case now >= d.maintenance.retryAt[m]:
 			candidates = append(candidates, m)
 		}
 	}
@@ -330,6 +339,42 @@
 	return stops
 }
 
+// suspendBlockedDrain returns a machine to service whose drain is blocked for too long.
+//
+// Another task of a step may wait for just this machine, because no other has the required
+// label or room. As long as it waits, MaxUnavailable lets none of the machine's own tasks of the
+// step stop, and a machine that only drains runs nothing else.
+func (d *Dispatcher) suspendBlockedDrain(w *workload.Wave, machine string, blocked bool, now int64) {
+	mt := d.maintenance
+	if !blocked || w.Ordered[machine] {
+		delete(mt.blockedSince, machine)
+		return
+	}
+	since, known := mt.blockedSince[machine]
+	if !known {
+		mt.blockedSince[machine] = now
+		return
+	}
+	if now-since < blockedDrainMS {
+		return
+	}
+	delete(mt.blockedSince, machine)
+	delete(mt.draining, machine)
+	mt.retryAt[machine] = now + drainRetryMS
+	d.logger.Info().Int64("wave", w.Number).Str("machine", machine).Int64("blocked_ms", now-since).
+		Msg("drain for maintenance is suspended, the machine's long-running tasks can't stop")
+}
+
+// onlyLongRunning reports whether all runs are long-running and none is stopping.
+func onlyLongRunning(runs map[workload.TaskRef]*workload.Placement) bool {
+	for _, p := range runs {
+		if !p.LongRunning || p.Stopping {
+			return false
+		}
+	}
+	return true
+}
+
 // stepKey identifies a step of an occurrence.
 type stepKey struct {
 	job              string
