--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -69,6 +69,9 @@
 	// Evacuated is true for a machine in an evacuated data centre, on which nothing new starts. It
 	// is not given to a pool and does not count in its own.
 	Evacuated bool
+	// NoNewTasks is true for a machine in its pool that gets no new tasks: its worker is
+	// silent or drains, or the machine is due for maintenance or another pool.
+	NoNewTasks bool
 }
 
 // Demand is the demand for machines in one pool. The dispatcher logs it as JSON under
@@ -86,6 +89,8 @@
 	// HeldMilli is what the long-running tasks of the pool's jobs require, whether they
 	// run or wait, in thousandths of a core.
 	HeldMilli int64
+	// UsedMemoryMiB and HeldMemoryMiB are the memory of the same tasks.
+	UsedMemoryMiB, HeldMemoryMiB int64
 }
 
 // UnmetDemand is the demand of waiting tasks that could not be placed.
@@ -142,8 +147,8 @@
 }
 
 func newDecider(in Input) *decider {
-	d := &decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
-		evacuated: map[string]int{}, labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
+	d := &decider{in: in, poolSizes: map[string]int{}, closed: map[string]int{}, evacuated: map[string]int{}, moved: map[string]bool{},
+		added: map[string]int{}, labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.racks[m.Name] = m.Rack
 		if m.Evacuated {
@@ -151,6 +156,9 @@
 			continue
 		}
 		d.poolSizes[m.Pool]++
+		if m.NoNewTasks {
+			d.closed[m.Pool]++
+		}
 		for _, label := range m.Labels {
 			d.labelled[poolLabel{m.Pool, label}]++
 		}
@@ -165,6 +173,8 @@
 	poolSizes map[string]int
 	// evacuated is the number of evacuated machines by pool.
 	evacuated map[string]int
+	// closed is the number of machines by pool that get no new tasks.
+	closed map[string]int
 	// moved holds the machines that this decision moves.
 	moved map[string]bool
 	// added is the number of machines that this decision moves into each pool.
@@ -213,14 +223,26 @@
 }
 
 // requiredMachines returns the number of machines that run the long-running tasks, serve
-// the arriving work and clear the backlog within clearBacklogMS.
+// the arriving work and clear the backlog within clearBacklogMS, in processor time and in
+// memory.
 func (d *decider) requiredMachines(pool string) int {
 	demand := d.in.Demand[pool]
 	size := max(d.in.MachineCapacity.CPUMilli, 1)
 	arriving := demand.RateMilli * 100 / usablePercent
 	// Machines beyond those that the waiting tasks fill would be idle.
 	clearing := min(demand.WorkMilliMS/clearBacklogMS, int64(machinesFor(demand.Waiting, d.in.MachineCapacity))*size)
-	return int((demand.HeldMilli + arriving + clearing + size - 1) / size)
+	return d.machinesForWork(demand, arriving+clearing)
+}
+
+// machinesForWork returns the number of machines that hold the pool's long-running tasks and
+// the given amount of other work, in thousandths of a core. That work needs as much memory for
+// each core as what runs and waits now.
+func (d *decider) machinesForWork(demand Demand, workMilli int64) int {
+	need := workload.Resources{CPUMilli: demand.HeldMilli + workMilli, MemoryMiB: demand.HeldMemoryMiB}
+	if cpuMilli := demand.UsedMilli + demand.Waiting.CPUMilli; cpuMilli > 0 {
+		need.MemoryMiB += int64(float64(workMilli) * float64(demand.UsedMemoryMiB+demand.Waiting.MemoryMiB) / float64(cpuMilli))
+	}
+	return machinesFor(need, d.in.MachineCapacity)
 }
 
 // machinesFor returns the number of machines of the given size that provide the needed
@@ -387,6 +409,9 @@
 	d.moved[m.Name] = true
 	if !m.Evacuated {
 		d.poolSizes[m.Pool]--
+		for _, label := range m.Labels {
+			d.labelled[poolLabel{m.Pool, label}]--
+		}
 	}
 	d.added[move.Pool]++
 	d.moves = append(d.moves, move)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,9 +107,11 @@
 	// pool.
 	transfers map[string]transfer
 	// emptying holds the machines that get new tasks only if no other can take them.
-	emptying    map[string]bool
-	stalls      *stallTracker
-	evacuations *evacuations
+	emptying map[string]bool
+	// emptyingPools is the number of these machines by pool.
+	emptyingPools map[string]int
+	stalls        *stallTracker
+	evacuations   *evacuations
 }
 
 // New returns a Dispatcher, whose cycles begin with Run. advisor and machines may be nil:
@@ -144,7 +146,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
-	d.emptying = nil
+	d.emptying, d.emptyingPools = nil, nil
 	d.stalls.clear()
 	d.evacuations.clear()
 }
