Choose what an overloaded pool can finish in time

In order of deadline, each job of a burst above the pool's capacity gets room just before it is lost and ends a little late, and lateness looked at one step and not at the chain that follows it.

Work is taken by the latest time at which it must go on, by expected run times; when the work ahead is too long, what is worth least for its remaining work gives way. A tenth of the pool stays with what gave way or is late. Pools with room keep their order.

--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -57,6 +57,9 @@
 	// MaxStarts is the number of starts from which on no further step is placed; 0 means no
 	// limit. The plan may exceed it by the tasks of one step.
 	MaxStarts int
+	// ByDeadline keeps the order by deadline also in overloaded pools. It is the baseline of
+	// measurements.
+	ByDeadline bool
 }
 
 // Plan is the result of Compute.
@@ -98,6 +101,11 @@
 	// deadline is the cluster time, in milliseconds, by which the occurrence should be
 	// complete.
 	deadline int64
+	// orderMS orders the candidates of a class: the deadline or, in an overloaded pool, the
+	// cluster time by which the occurrence must go on to be in time.
+	orderMS int64
+	// maxStarts bounds the tasks that start; 0 is no limit.
+	maxStarts int
 	// expected is the expected run time of one task.
 	expected runtimes.Estimate
 	// overShare is true when the team uses at least its share of the pool.
@@ -107,6 +115,8 @@
 // Classes of steps, in the order in which they are placed.
 const (
 	classLongRunning = iota
+	// classKeptRoom is late work in the room that an overloaded pool keeps for it.
+	classKeptRoom
 	classOnTime
 	classLate
 	classFillIdle
@@ -124,6 +134,8 @@
 	// usedMilli is the processor time that running tasks of other than long-running steps
 	// occupy, in thousandths of a core.
 	usedMilli map[poolTeam]int64
+	// chainEnds is scratch space of remaining.
+	chainEnds []int64
 }
 
 // workerState is a worker with its remaining capacity.
@@ -199,6 +211,9 @@
 		}
 	}
 	p.markOverShare(out)
+	if !p.in.ByDeadline {
+		p.orderOverload(out)
+	}
 	slices.SortFunc(out, compareCandidates)
 	return out
 }
@@ -209,6 +224,7 @@
 		ref: StepRef{Job: j.ID, Occurrence: k, Step: step}, pool: p.in.State.PoolOf(j), expected: p.in.State.ExpectedRun(j, step),
 	}
 	c.deadline = o.DueAt + j.ObjectiveMS
+	c.orderMS = c.deadline
 	c.class = classOnTime
 	switch {
 	case c.step.FillsIdle:
@@ -227,7 +243,7 @@
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		compareBool(a.overShare, b.overShare),
-		cmp.Compare(a.deadline, b.deadline),
+		cmp.Compare(a.orderMS, b.orderMS),
 		cmp.Compare(a.ref.Job, b.ref.Job),
 		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
 		cmp.Compare(a.ref.Step, b.ref.Step),
@@ -250,7 +266,7 @@
 		p.placeGang(c, s)
 		return
 	}
-	unplaced := 0
+	unplaced, started := 0, 0
 	for i := range c.progress.Tasks {
 		t := &c.progress.Tasks[i]
 		if t.Phase != workload.Waiting {
@@ -259,7 +275,7 @@
 		if !p.withinTeamLimit(c) {
 			break
 		}
-		if s.exhausted {
+		if s.exhausted || c.maxStarts > 0 && started == c.maxStarts {
 			unplaced++
 			continue
 		}
@@ -271,6 +287,7 @@
 		}
 		p.startTask(c, s, w, ref, t.Run+1)
 		s.reserve(w, t)
+		started++
 	}
 	p.recordUnplaced(c, unplaced)
 }
@@ -279,6 +296,8 @@
 	return p.in.State.Config.Queues[c.job.Queue].Advice != nil
 }
 
+func (c *candidate) occurrenceKey() occurrenceKey { return occurrenceKey{c.ref.Job, c.ref.Occurrence} }
+
 func (c candidate) taskRef(index int) workload.TaskRef {
 	return workload.TaskRef{Job: c.ref.Job, Occurrence: c.ref.Occurrence, Step: c.ref.Step, Index: index}
 }
