Compute the order under overload from the steps that wait

The planner's own pass over the jobs now yields the candidates and one step of each occurrence that waits for running tasks.

--- a/internal/dispatch/size_bench_test.go
+++ b/internal/dispatch/size_bench_test.go
@@ -9,6 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirefork/samphirefork/internal/runtimes"
+	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -171,3 +173,28 @@
 		})
 	}
 }
+
+// BenchmarkPlan measures the plan of full pools with work waiting: by declared run times in
+// the order of deadlines, and by learned run times in the order under overload.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{350, 5000}, {3000, 20_000}} {
+		f := newSizeFixture(b, size.workers, sizeTasksPerNode*size.workers+size.waiting)
+		for range sizeTasksPerNode*size.workers/maxStartsPerCycle + 1 {
+			f.r.cycle()
+		}
+		in := taskplan.Input{State: f.r.state.Workload, NowMS: f.r.now + 100, Workers: f.d.availableWorkers(f.r.state.Workload, f.r.now), MaxStarts: maxStartsPerCycle}
+		for _, learned := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/%d/learned=%v", size.workers, size.waiting, learned), func(b *testing.B) {
+				in.ByDeadline = !learned
+				for i := range 1000 {
+					if learned {
+						in.State.RunTimes.Record(runtimes.Task{Queue: sizePool(i), DeclaredMS: 1000, CPUMilli: sizeTaskCPU}, int64(500+i))
+					}
+				}
+				for b.Loop() {
+					taskplan.Compute(in)
+				}
+			})
+		}
+	}
+}
--- a/internal/taskplan/overload.go
+++ b/internal/taskplan/overload.go
@@ -32,8 +32,12 @@
 	rank int
 	// latestMS is the cluster time, in milliseconds, by which it must go on to be in time.
 	latestMS int64
-	// work is the work that remains, in thousandths of a core times milliseconds.
-	work int64
+	// work is the work that remains, and wholeWork that of all tasks, in thousandths of a
+	// core times milliseconds.
+	work, wholeWork int64
+	queue           string
+	// begun is true if a task was placed.
+	begun bool
 	// density is the worth for the remaining work, in any unit.
 	density float64
 	// id makes the order total.
@@ -59,10 +63,10 @@
 // go on; when those ahead of one take longer than that, the ones with the least worth for
 // their remaining work give way.
 func chooseInTime(contenders []*contender, capacityMilli, nowMS int64) {
+	ahead := int64(0)
 	slices.SortFunc(contenders, func(a, b *contender) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.latestMS, b.latestMS), compareOccurrences(a.id, b.id))
 	})
-	ahead := int64(0)
 	var chosen densityHeap
 	for i, c := range contenders {
 		if i > 0 && c.rank != contenders[i-1].rank {
@@ -123,10 +127,10 @@
 
 // overloadedPool is a pool in which more work waits than has room.
 type overloadedPool struct {
-	// capacityMilli is what its workers have beside long-running tasks.
-	capacityMilli int64
-	contenders    []*contender
-	byOccurrence  map[occurrenceKey]*contender
+	// capacityMilli is what its workers have beside long-running tasks, and usedMilli the
+	// part that tasks use.
+	capacityMilli, usedMilli int64
+	contenders               []*contender
 	// lateMilli is the processor time that running tasks of occurrences that were not
 	// chosen occupy.
 	lateMilli int64
@@ -144,38 +148,34 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		pool := pools[c.pool]
-		if pool == nil || c.class != classOnTime && c.class != classLate {
-			continue
-		}
-		contends := pool.byOccurrence[c.occurrenceKey()]
-		c.class = classLate
-		if contends.chosen {
-			c.class, c.orderMS = classOnTime, contends.latestMS
-		} else {
-			pool.lateMilli += int64(c.progress.OnWorkers()) * c.step.Occupies().CPUMilli
+		switch {
+		case c.contender == nil:
+		case c.contender.chosen:
+			c.class, c.orderMS = classOnTime, c.contender.latestMS
+		default:
+			c.class = classLate
+			c.overloaded.lateMilli += int64(c.progress.OnWorkers()) * c.step.Occupies().CPUMilli
 		}
 	}
-	p.keepRoomForLate(pools, candidates)
+	p.keepRoomForLate(candidates)
 }
 
 // keepRoomForLate gives the earliest of the late candidates of each pool the room that is
 // kept for them.
-func (p *planner) keepRoomForLate(pools map[string]*overloadedPool, candidates []candidate) {
+func (p *planner) keepRoomForLate(candidates []candidate) {
 	var late []*candidate
 	for i := range candidates {
-		if candidates[i].class == classLate && pools[candidates[i].pool] != nil {
-			late = append(late, &candidates[i])
+		if c := &candidates[i]; c.contender != nil && !c.contender.chosen {
+			late = append(late, c)
 		}
 	}
-	slices.SortFunc(late, func(a, b *candidate) int { return compareCandidates(*a, *b) })
+	slices.SortFunc(late, compareCandidates)
 	for _, c := range late {
-		pool := pools[c.pool]
-		tasks := pool.keptTasks(c, p.in.NowMS)
+		tasks := c.overloaded.keptTasks(c, p.in.NowMS)
 		if tasks == 0 {
 			continue
 		}
-		pool.lateMilli += int64(tasks) * c.step.Occupies().CPUMilli
+		c.overloaded.lateMilli += int64(tasks) * c.step.Occupies().CPUMilli
 		c.class, c.maxStarts = classKeptRoom, tasks
 	}
 }
@@ -214,7 +214,6 @@
 	pools := map[string]*overloadedPool{}
 	for name, needed := range waiting {
 		var free workload.Resources
-		usedMilli := int64(0)
 		if workers := p.pools[name]; workers != nil {
 			for _, w := range workers.all {
 				free = free.Plus(w.free)
@@ -223,63 +222,59 @@
 		if needed.Fits(free) {
 			continue
 		}
+		pool := &overloadedPool{capacityMilli: max(free.CPUMilli, 0)}
 		for key, milli := range p.usedMilli {
 			if key.pool == name {
-				usedMilli += milli
+				pool.usedMilli += milli
 			}
 		}
-		pools[name] = &overloadedPool{capacityMilli: max(free.CPUMilli, 0) + usedMilli, byOccurrence: map[occurrenceKey]*contender{}}
+		pool.capacityMilli += pool.usedMilli
+		pools[name] = pool
 	}
 	return pools
 }
 
-// addContenders adds the occurrences that have work left in the pools.
+// addContenders adds the occurrences of the pools that have tasks to start. The candidates
+// of an occurrence follow each other. Occurrences whose waiting tasks depend on running
+// ones have no candidate, and will need room too.
 func (p *planner) addContenders(pools map[string]*overloadedPool, candidates []candidate) {
-	overShare := map[poolTeam]bool{}
-	for i := range candidates {
-		overShare[poolTeam{candidates[i].pool, candidates[i].job.Team}] = candidates[i].overShare
-	}
-	type jobWork struct {
-		job  *workload.Job
-		pool string
-		work int64
-	}
-	var jobs []jobWork
+	contenders := make([]contender, 0, len(candidates)+len(p.dependent))
 	queues := map[string]meanWork{}
-	for _, j := range p.in.State.Active() {
-		pool := p.in.State.PoolOf(j)
-		if pools[pool] == nil {
-			continue
-		}
-		work := p.wholeWork(j)
-		jobs = append(jobs, jobWork{j, pool, work})
-		queues[j.Queue] = queues[j.Queue].plus(work)
-	}
-	for _, j := range jobs {
-		rank := 2 * j.job.Priority
-		if overShare[poolTeam{j.pool, j.job.Team}] {
-			rank++
+	add := func(c *candidate) {
+		pool := pools[c.pool]
+		if pool == nil || c.class != classOnTime && c.class != classLate {
+			return
 		}
-		pools[j.pool].add(p, j.job, rank, queues[j.job.Queue].worthPermille(j.work))
-	}
-}
-
-// add adds the occurrences of a job that have work left.
-func (o *overloadedPool) add(p *planner, j *workload.Job, rank int, worthPermille float64) {
-	for k, occurrence := range j.Occurrences {
-		rest := p.remaining(j, occurrence)
-		if !rest.unfinished {
-			continue
+		c.overloaded = pool
+		id := occurrenceKey{c.ref.Job, c.ref.Occurrence}
+		if n := len(contenders); n > 0 && contenders[n-1].id == id {
+			c.contender = &contenders[n-1]
+			return
 		}
-		c := &contender{
-			rank: rank, id: occurrenceKey{j.ID, k}, work: rest.workMilliMS, latestMS: occurrence.DueAt + j.ObjectiveMS - rest.chainMS,
-			density: worthPermille / float64(max(rest.workMilliMS, 1)),
+		rest := p.remaining(c)
+		contenders = append(contenders, contender{
+			rank: 2 * c.job.Priority, id: id, queue: c.job.Queue, work: rest.workMilliMS, wholeWork: rest.wholeMilliMS, begun: rest.begun,
+			latestMS: c.deadline - rest.chainMS,
+		})
+		c.contender = &contenders[len(contenders)-1]
+		if c.overShare {
+			c.contender.rank++
 		}
-		if rest.begun {
+		pool.contenders = append(pool.contenders, c.contender)
+		queues[c.job.Queue] = queues[c.job.Queue].plus(rest.wholeMilliMS)
+	}
+	for i := range candidates {
+		add(&candidates[i])
+	}
+	for i := range p.dependent {
+		add(&p.dependent[i])
+	}
+	for i := range contenders {
+		c := &contenders[i]
+		c.density = queues[c.queue].worthPermille(c.wholeWork) / float64(max(c.work, 1))
+		if c.begun {
 			c.density *= begunBonusPercent / float64(percent)
 		}
-		o.contenders = append(o.contenders, c)
-		o.byOccurrence[c.id] = c
 	}
 }
 
@@ -298,35 +293,42 @@
 type remainder struct {
 	// chainMS is the expected time of the longest chain of steps that are not finished, if
 	// all of their tasks have room.
-	chainMS     int64
-	workMilliMS int64
-	// begun is true if a task was placed, and unfinished if tasks that end by themselves
-	// are not done.
-	begun, unfinished bool
+	chainMS int64
+	// workMilliMS is the work that remains, and wholeMilliMS that of all tasks.
+	workMilliMS, wholeMilliMS int64
+	// begun is true if a task was placed.
+	begun bool
 }
 
-// remaining returns what is left of an occurrence. Tasks on workers count as half done.
-func (p *planner) remaining(j *workload.Job, o *workload.Occurrence) remainder {
+// remaining returns what is left of the candidate's occurrence. Tasks on workers count as
+// half done.
+func (p *planner) remaining(c *candidate) remainder {
 	var rest remainder
 	ends := p.chainEnds[:0]
-	for i := range o.Steps {
-		progress, step := &o.Steps[i], &j.Steps[i]
+	for i := range c.occurrence.Steps {
+		progress, step := &c.occurrence.Steps[i], &c.job.Steps[i]
 		end := int64(0)
 		for _, dependency := range step.After {
 			if dependency >= 0 && dependency < i {
 				end = max(end, ends[dependency])
 			}
 		}
-		rest.begun = rest.begun || progress.Waiting() < len(progress.Tasks)
-		if !progress.Finished() && !step.LongRunning && !step.FillsIdle {
-			rest.unfinished = true
-			expected := p.in.State.ExpectedRun(j, i)
-			if progress.Waiting() > 0 {
+		waiting := progress.Waiting()
+		rest.begun = rest.begun || waiting < len(progress.Tasks)
+		if !step.LongRunning && !step.FillsIdle {
+			expected := c.expected
+			if i != c.ref.Step {
+				expected = p.in.State.ExpectedRun(c.job, i)
+			}
+			work := step.WorkMilliMS(expected.MeanMS)
+			rest.workMilliMS += work * int64(2*waiting+progress.OnWorkers()) / 2
+			rest.wholeMilliMS += work * int64(step.Count)
+			switch {
+			case waiting > 0:
 				end += expected.MedianMS
-			} else {
+			case !progress.Finished():
 				end += expected.MedianMS / 2
 			}
-			rest.workMilliMS += step.WorkMilliMS(expected.MeanMS) * int64(2*progress.Waiting()+progress.OnWorkers()) / 2
 		}
 		ends = append(ends, end)
 		rest.chainMS = max(rest.chainMS, end)
@@ -334,14 +336,3 @@
 	p.chainEnds = ends
 	return rest
 }
-
-// wholeWork returns the expected work of one occurrence of the job.
-func (p *planner) wholeWork(j *workload.Job) int64 {
-	work := int64(0)
-	for i := range j.Steps {
-		if step := &j.Steps[i]; !step.LongRunning && !step.FillsIdle {
-			work += step.WorkMilliMS(p.in.State.ExpectedRun(j, i).MeanMS) * int64(step.Count)
-		}
-	}
-	return work
-}
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -110,6 +110,10 @@
 	expected runtimes.Estimate
 	// overShare is true when the team uses at least its share of the pool.
 	overShare bool
+	// overloaded is the candidate's pool if it is overloaded, and contender its occurrence
+	// there; nil for long-running tasks and those that fill idle capacity.
+	overloaded *overloadedPool
+	contender  *contender
 }
 
 // Classes of steps, in the order in which they are placed.
@@ -134,6 +138,8 @@
 	// usedMilli is the processor time that running tasks of other than long-running steps
 	// occupy, in thousandths of a core.
 	usedMilli map[poolTeam]int64
+	// dependent holds one step of each occurrence that has waiting tasks and no candidate.
+	dependent []candidate
 	// chainEnds is scratch space of remaining.
 	chainEnds []int64
 }
@@ -162,7 +168,7 @@
 			p.plan.Truncated = true
 			break
 		}
-		p.place(c)
+		p.place(*c)
 	}
 	return p.plan
 }
@@ -199,23 +205,36 @@
 	return state
 }
 
-func (p *planner) candidates() []candidate {
+// candidates returns the steps with waiting tasks in the order of placement.
+func (p *planner) candidates() []*candidate {
 	var out []candidate
 	for _, j := range p.in.State.Active() {
 		for k, o := range j.Occurrences {
+			begins, depends := len(out), -1
 			for i := range o.Steps {
-				if o.Steps[i].Waiting() > 0 && o.Ready(j, i) {
+				switch {
+				case o.Steps[i].Waiting() == 0:
+				case o.Ready(j, i):
 					out = append(out, p.candidate(j, k, o, i))
+				default:
+					depends = i
 				}
 			}
+			if len(out) == begins && depends >= 0 {
+				p.dependent = append(p.dependent, p.candidate(j, k, o, depends))
+			}
 		}
 	}
-	p.markOverShare(out)
+	p.markOverShare(out, p.dependent)
 	if !p.in.ByDeadline {
 		p.orderOverload(out)
 	}
-	slices.SortFunc(out, compareCandidates)
-	return out
+	ordered := make([]*candidate, len(out))
+	for i := range out {
+		ordered[i] = &out[i]
+	}
+	slices.SortFunc(ordered, compareCandidates)
+	return ordered
 }
 
 func (p *planner) candidate(j *workload.Job, k int, o *workload.Occurrence, step int) candidate {
@@ -238,7 +257,7 @@
 }
 
 // compareCandidates orders the candidates for placement.
-func compareCandidates(a, b candidate) int {
+func compareCandidates(a, b *candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.job.Priority, b.job.Priority),
@@ -296,8 +315,6 @@
 	return p.in.State.Config.Queues[c.job.Queue].Advice != nil
 }
 
-func (c *candidate) occurrenceKey() occurrenceKey { return occurrenceKey{c.ref.Job, c.ref.Occurrence} }
-
 func (c candidate) taskRef(index int) workload.TaskRef {
 	return workload.TaskRef{Job: c.ref.Job, Occurrence: c.ref.Occurrence, Step: c.ref.Step, Index: index}
 }
--- a/internal/taskplan/pool_test.go
+++ b/internal/taskplan/pool_test.go
@@ -49,7 +49,8 @@
 			p := newPlanner(Input{State: f.state, NowMS: now, Workers: f.workers, Avoid: func(ref workload.TaskRef, w workload.WorkerIncarnation) bool {
 				return ref.Index == 0 && w == avoided
 			}})
-			for _, c := range p.candidates() {
+			for _, ordered := range p.candidates() {
+				c := *ordered
 				s := p.newSelector(c, nil)
 				for i := range c.progress.Tasks {
 					task := &c.progress.Tasks[i]
--- a/internal/taskplan/share.go
+++ b/internal/taskplan/share.go
@@ -3,14 +3,15 @@
 // poolTeam identifies the work of one team in one pool.
 type poolTeam struct{ pool, team string }
 
-// markOverShare sets overShare on the candidates of teams that use at least their share
+// markOverShare sets overShare on the candidates, and on the steps that depend on running
+// ones, of teams that use at least their share
 // of the pool. Candidates over their share are placed after the others of the same
 // class and priority, which matters only when the pool is full: otherwise a team that
 // submits more than the pool can run would hold up the small jobs of all other teams.
 //
 // The share is the part of the pool's processor time that corresponds to the team's
 // weight among the teams that have running or waiting tasks in the pool.
-func (p *planner) markOverShare(candidates []candidate) {
+func (p *planner) markOverShare(candidates, dependent []candidate) {
 	active := map[poolTeam]bool{}
 	for key := range p.usedMilli {
 		active[key] = true
@@ -27,10 +28,16 @@
 			capacities[pool] += w.Capacity.CPUMilli
 		}
 	}
-	for i := range candidates {
-		key := poolTeam{candidates[i].pool, candidates[i].job.Team}
+	mark := func(c *candidate) {
+		key := poolTeam{c.pool, c.job.Team}
 		share := capacities[key.pool] * p.weight(key.team) / max(weights[key.pool], 1)
-		candidates[i].overShare = p.usedMilli[key] >= share
+		c.overShare = p.usedMilli[key] >= share
+	}
+	for i := range candidates {
+		mark(&candidates[i])
+	}
+	for i := range dependent {
+		mark(&dependent[i])
 	}
 }
 
