Leave long tasks on sound workers

A task that takes seven times as long as its siblings was moved up to three times, each time to begin anew.

A slow run beside which the other runs of its worker go at the speed of the pool now counts as a long task and stays.

--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -54,6 +54,8 @@
 	crashCounts map[workload.TaskRef]int
 	// crashing holds the tasks that crash each worker that starts them.
 	crashing map[workload.TaskRef]bool
+	// factors multiplies the duration of tasks, on any worker.
+	factors map[workload.TaskRef]int64
 	// firstDoneAt is the time at which a completed run of the task was first acknowledged.
 	firstDoneAt map[workload.TaskRef]int64
 	violation   string
@@ -395,6 +397,7 @@
 	if ref.Step > 0 {
 		work = rigLongTaskMS
 	}
+	work *= max(w.r.factors[ref], 1)
 	w.running[ref] = &modelRun{run: s.Run.Run, remaining: work, total: work}
 	if w.r.crashing[ref] {
 		w.crash()
--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -66,7 +66,8 @@
 			w.slowUntil = now + slowPauseMS
 		}
 		for _, r := range measured {
-			if (slow && r.remainingMS > percent*1000/max(medianSpeed, 1)+moveCostMS) || d.behindSiblings(s, r) {
+			takesLong := w.takesLongItself(r, measured, medianSpeed)
+			if (slow && r.remainingMS > percent*1000/max(medianSpeed, 1)+moveCostMS) || (d.behindSiblings(s, r) && !takesLong) {
 				stops = append(stops, d.moveRun(s, w, r)...)
 			}
 		}
@@ -104,6 +105,20 @@
 	return sum / int64(max(len(runs), 1))
 }
 
+// takesLongItself reports whether the run was seen to be slow while the other runs on its
+// worker went at the speed of the pool. Then its task takes long on any worker.
+func (w *worker) takesLongItself(r measuredRun, onWorker []measuredRun, medianSpeed int64) bool {
+	seen := w.progress[r.run]
+	others := int64(len(onWorker) - 1)
+	if seen.takesLong || others < minRunsForSpeed-1 || r.percentPerSecond*percent >= slowSpeedPercent*medianSpeed {
+		return seen.takesLong
+	}
+	speed := (meanSpeed(onWorker)*(others+1) - r.percentPerSecond) / others
+	seen.takesLong = speed*percent >= slowSpeedPercent*medianSpeed
+	w.progress[r.run] = seen
+	return seen.takesLong
+}
+
 func median(values []int64) int64 {
 	if len(values) == 0 {
 		return 0
--- a/internal/dispatch/straggler_test.go
+++ b/internal/dispatch/straggler_test.go
@@ -44,3 +44,19 @@
 		require.Equal(t, 1, begun, ref)
 	}
 }
+
+// A task that takes long on any worker must not move: its next run would take as long. The
+// other runs on its worker show that the worker is sound.
+func TestLongTaskOnASoundWorkerStays(t *testing.T) {
+	r := newRigWithFullWorkers(t, 4)
+	long := workload.TaskRef{Job: "job", Step: 1, Index: 5}
+	r.factors = map[workload.TaskRef]int64{long: 7}
+	refill := func(id string) {
+		r.submit(id, workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}},
+			workload.Step{Count: 30, Size: workload.Resources{CPUMilli: rigCPU / 4}, After: []int{0}})
+	}
+	refill("next")
+	refill("last")
+	require.True(t, r.settle())
+	require.Equal(t, 1, r.startCounts[long])
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -61,6 +61,8 @@
 	changedAt    int64
 	firstPercent int
 	firstAt      int64
+	// takesLong is true when the run is slow and its worker is not.
+	takesLong bool
 }
 
 func newWorker(rep Report) *worker {
