Let operators see overload and learned run times

Gauges count the learned runs, the overloaded pools and the jobs there that gave way; a line is logged when a pool's overload begins and ends.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -317,6 +317,8 @@
 			d.Wake()
 		}
 		d.updateDemand(s.Workload, plan, now)
+		d.reportOverloads(plan.Overloads)
+		d.meters.learnedRuns.Update(int64(s.Workload.RunTimes.Records))
 		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,6 +107,8 @@
 	// pool.
 	transfers map[string]transfer
 	stalls    *stallTracker
+	// overloaded holds the pools that were overloaded in the latest plan.
+	overloaded map[string]bool
 }
 
 // New returns a Dispatcher, whose cycles begin with Run. advisor and machines may be nil:
@@ -141,6 +143,7 @@
 	d.machinesListed = false
 	d.demand = nil
 	d.transfers = map[string]transfer{}
+	d.overloaded = map[string]bool{}
 	d.stalls.clear()
 }
 
--- a/internal/dispatch/meters.go
+++ b/internal/dispatch/meters.go
@@ -14,6 +14,11 @@
 	panics     metrics.Counter
 	cycles     metrics.Timer
 	delays     metrics.Timer
+	// learnedRuns is the number of runs whose run times were learned. overloadedPools and
+	// behind are those of the latest plan.
+	learnedRuns     metrics.Gauge
+	overloadedPools metrics.Gauge
+	behind          metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -28,5 +33,9 @@
 		panics:     metrics.GetOrRegisterCounter("dispatch_cycle_panics", r),
 		cycles:     metrics.GetOrRegisterTimer("dispatch_cycle_seconds", r),
 		delays:     metrics.GetOrRegisterTimer("dispatch_placement_delay_seconds", r),
+
+		learnedRuns:     metrics.GetOrRegisterGauge("dispatch_learned_runs", r),
+		overloadedPools: metrics.GetOrRegisterGauge("dispatch_overloaded_pools", r),
+		behind:          metrics.GetOrRegisterGauge("dispatch_overload_jobs_behind", r),
 	}
 }
--- /dev/null
+++ b/internal/dispatch/overload.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import (
+	"maps"
+
+	"github.com/samphirefork/samphirefork/internal/taskplan"
+)
+
+// reportOverloads updates the metrics of overloaded pools, and logs when a pool's overload
+// begins and ends. The caller holds mu.
+func (d *Dispatcher) reportOverloads(overloads map[string]taskplan.Overload) {
+	behind := 0
+	for pool, o := range overloads {
+		behind += o.Behind
+		if !d.overloaded[pool] {
+			d.overloaded[pool] = true
+			d.logger.Info().Str("pool", pool).Int("in_time", o.InTime).Int("behind", o.Behind).Msg("pool is overloaded, jobs that can't be in time give way")
+		}
+	}
+	maps.DeleteFunc(d.overloaded, func(pool string, _ bool) bool {
+		if _, still := overloads[pool]; still {
+			return false
+		}
+		d.logger.Info().Str("pool", pool).Msg("pool is no longer overloaded")
+		return true
+	})
+	d.meters.overloadedPools.Update(int64(len(overloads)))
+	d.meters.behind.Update(int64(behind))
+}
--- a/internal/taskplan/overload.go
+++ b/internal/taskplan/overload.go
@@ -143,8 +143,10 @@
 		return
 	}
 	p.addContenders(pools, candidates)
-	for _, pool := range pools {
+	p.plan.Overloads = map[string]Overload{}
+	for name, pool := range pools {
 		chooseInTime(pool.contenders, pool.capacityMilli, p.in.NowMS)
+		p.plan.Overloads[name] = pool.overload()
 	}
 	for i := range candidates {
 		c := &candidates[i]
@@ -160,6 +162,25 @@
 	p.keepRoomForLate(candidates)
 }
 
+// Overload describes the choice in an overloaded pool. It counts occurrences of jobs that
+// have tasks to start.
+type Overload struct {
+	// InTime is the number that was chosen to end in time, and Behind that of the others.
+	InTime, Behind int
+}
+
+func (o *overloadedPool) overload() Overload {
+	var out Overload
+	for _, c := range o.contenders {
+		if c.chosen {
+			out.InTime++
+		} else {
+			out.Behind++
+		}
+	}
+	return out
+}
+
 // keepRoomForLate gives the earliest of the late candidates of each pool the room that is
 // kept for them.
 func (p *planner) keepRoomForLate(candidates []candidate) {
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -71,6 +71,8 @@
 	Unplaced map[string]Unplaced
 	// NeedApproval lists the steps that wait for the advice service to approve workers.
 	NeedApproval []StepRef
+	// Overloads describes the choices in the pools in which more work waits than has room.
+	Overloads map[string]Overload
 	// Truncated is true if MaxStarts left steps without a decision. Unplaced does not
 	// include them.
 	Truncated bool
