--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -311,6 +311,7 @@
 		plan := taskplan.Compute(taskplan.Input{
 			State: s.Workload, NowMS: now, Workers: workers,
 			Approvals: d.approvals.validTickets(now), Avoid: d.avoids, MaxStarts: maxStartsPerCycle,
+			IncomingMilli: d.incomingMilli(s.Workload, now),
 		})
 		p.Starts = plan.Starts
 		if plan.Truncated {
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/samphirefork/samphirefork/internal/taskplan"
+	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
 // reportOverloads updates the metrics of overloaded pools, and logs when a pool's overload
@@ -27,3 +28,17 @@
 	d.meters.overloadedPools.Update(int64(len(overloads)))
 	d.meters.behind.Update(int64(behind))
 }
+
+// incomingMilli returns the processor time of the machines on their way to each pool, in
+// thousandths of a core. The caller holds mu.
+func (d *Dispatcher) incomingMilli(s *workload.State, now int64) map[string]int64 {
+	incoming, spare := map[string]int64{}, sparePool(s)
+	for name, m := range d.machinesByName {
+		if t, inTransfer := d.transfers[name]; inTransfer {
+			incoming[t.pool] += m.Capacity.CPUMilli
+		} else if m.Pool != spare && d.inTransit(m, spare, now) {
+			incoming[m.Pool] += m.Capacity.CPUMilli
+		}
+	}
+	return incoming
+}
--- a/internal/taskplan/overload.go
+++ b/internal/taskplan/overload.go
@@ -127,8 +127,8 @@
 
 // overloadedPool is a pool in which more work waits than has room.
 type overloadedPool struct {
-	// capacityMilli is what its workers have beside long-running tasks, and usedMilli the
-	// part that tasks use.
+	// capacityMilli is what its workers, and machines on their way, have beside long-running
+	// tasks, and usedMilli the part that tasks use.
 	capacityMilli, usedMilli int64
 	contenders               []*contender
 	// lateMilli is the processor time that running tasks of occurrences that were not
@@ -243,7 +243,7 @@
 		if needed.Fits(free) {
 			continue
 		}
-		pool := &overloadedPool{capacityMilli: max(free.CPUMilli, 0)}
+		pool := &overloadedPool{capacityMilli: max(free.CPUMilli, 0) + max(p.in.IncomingMilli[name], 0)}
 		for key, milli := range p.usedMilli {
 			if key.pool == name {
 				pool.usedMilli += milli
--- a/internal/taskplan/overload_test.go
+++ b/internal/taskplan/overload_test.go
@@ -80,3 +80,20 @@
 		require.Equal(t, c.want, p.Starts[0].Task.Job)
 	}
 }
+
+// Guards against giving up large jobs at the begin of a turn, while the machines that make
+// room for all are on their way.
+func TestMachinesOnTheirWayCount(t *testing.T) {
+	for _, c := range []struct {
+		incoming int64
+		want     Overload
+	}{{0, Overload{InTime: 3, Behind: 1}}, {24_000, Overload{InTime: 4}}} {
+		f := newFixture(1, workload.Team{Name: "t"})
+		f.submit("large", "batch", "t", now-1000, step(4, 8000))
+		for i := range 3 {
+			f.submit(fmt.Sprint("small", i), "batch", "t", now, step(1, 8000))
+		}
+		p := Compute(Input{State: f.state, NowMS: now, Workers: f.workers, IncomingMilli: map[string]int64{"pool": c.incoming}})
+		require.Equal(t, c.want, p.Overloads["pool"])
+	}
+}
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -57,6 +57,9 @@
 	// MaxStarts is the number of starts from which on no further step is placed; 0 means no
 	// limit. The plan may exceed it by the tasks of one step.
 	MaxStarts int
+	// IncomingMilli is the processor time of the machines on their way to each pool, in
+	// thousandths of a core. The choice in overloaded pools counts on it.
+	IncomingMilli map[string]int64
 	// ByDeadline keeps the order by deadline also in overloaded pools. It is the baseline of
 	// measurements.
 	ByDeadline bool
