Remember more runs than a burst ends

Pools asked for too few machines, and too late.

A histogram is halved at 2,048 runs, and a level counts as much as the one above it at 32.

--- a/internal/runtimes/histogram.go
+++ b/internal/runtimes/histogram.go
@@ -15,7 +15,7 @@
 	// several halvings.
 	runWeight = 16
 	// halveAt is the total weight at which all weights are halved.
-	halveAt = 256 * runWeight
+	halveAt = 2048 * runWeight
 
 	// ratioOne is the recorded value of a run that took as long as declared.
 	ratioOne = 1 << 12
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -32,7 +32,7 @@
 	// one day.
 	maxRunTimeMS = 24 * 3600 * 1000
 	// priorRuns is the number of runs from which a level counts more than the one above it.
-	priorRuns = 8
+	priorRuns = 32
 )
 
 // Declared returns the estimate of a task about which nothing was learned.
