--- a/internal/capacity/evacuation.go
+++ b/internal/capacity/evacuation.go
@@ -12,9 +12,7 @@
 		return 0
 	}
 	demand := d.in.Demand[pool]
-	size := max(d.in.MachineCapacity.CPUMilli, 1)
-	load := demand.HeldMilli + max(demand.RateMilli, demand.UsedMilli)*100/usablePercent
-	required := max(int((load+size-1)/size), minPoolMachines)
+	required := max(d.machinesForWork(demand, max(demand.RateMilli, demand.UsedMilli)*100/usablePercent), minPoolMachines)
 	return required - d.poolSizes[pool] - d.in.Incoming[pool] - d.added[pool]
 }
 
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -313,6 +313,7 @@
 		plan, room := taskplan.ComputeWithRoom(taskplan.Input{
 			State: s.Workload, NowMS: now, Workers: workers,
 			Approvals: d.approvals.validTickets(now), Avoid: d.avoids(now), MaxStarts: maxStartsPerCycle,
+			IncomingMilli: d.incomingMilli(s.Workload, now),
 		})
 		p.Starts = plan.Starts
 		p.Stops = append(p.Stops, d.evacuationStops(s.Workload, room, p.Stops, now)...)
@@ -320,6 +321,8 @@
 			d.Wake()
 		}
 		d.updateDemand(s.Workload, plan, now)
+		d.reportOverloads(plan.Overloads)
+		d.meters.learnedRuns.Update(int64(s.Workload.RunTimes.Records))
 		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -112,6 +112,8 @@
 	emptyingPools map[string]int
 	stalls        *stallTracker
 	evacuations   *evacuations
+	// overloaded holds the pools that were overloaded in the latest plan.
+	overloaded map[string]bool
 }
 
 // New returns a Dispatcher, whose cycles begin with Run. advisor and machines may be nil:
@@ -147,6 +149,7 @@
 	d.demand = nil
 	d.transfers = map[string]transfer{}
 	d.emptying, d.emptyingPools = nil, nil
+	d.overloaded = map[string]bool{}
 	d.stalls.clear()
 	d.evacuations.clear()
 }
--- a/internal/dispatch/meters.go
+++ b/internal/dispatch/meters.go
@@ -16,6 +16,11 @@
 	delays     metrics.Timer
 	// emptying is the number of machines that get new tasks only if no other can take them.
 	emptying metrics.Gauge
+	// learnedRuns is the number of runs whose run times were learned. overloadedPools and
+	// behind are those of the latest plan.
+	learnedRuns     metrics.Gauge
+	overloadedPools metrics.Gauge
+	behind          metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -31,5 +36,9 @@
 		cycles:     metrics.GetOrRegisterTimer("dispatch_cycle_seconds", r),
 		delays:     metrics.GetOrRegisterTimer("dispatch_placement_delay_seconds", r),
 		emptying:   metrics.GetOrRegisterGauge("dispatch_emptying_machines", r),
+
+		learnedRuns:     metrics.GetOrRegisterGauge("dispatch_learned_runs", r),
+		overloadedPools: metrics.GetOrRegisterGauge("dispatch_overloaded_pools", r),
+		behind:          metrics.GetOrRegisterGauge("dispatch_overload_jobs_behind", r),
 	}
 }
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -59,6 +59,12 @@
 	// MaxStarts is the number of starts from which on no further step is placed; 0 means no
 	// limit. The plan may exceed it by the tasks of one step.
 	MaxStarts int
+	// IncomingMilli is the processor time of the machines on their way to each pool, in
+	// thousandths of a core. The choice in overloaded pools counts on it.
+	IncomingMilli map[string]int64
+	// ByDeadline keeps the order by deadline also in overloaded pools. It is the baseline of
+	// measurements.
+	ByDeadline bool
 }
 
 // Plan is the result of Compute.
@@ -70,6 +76,8 @@
 	Unplaced map[string]Unplaced
 	// NeedApproval lists the steps that wait for the advice service to approve workers.
 	NeedApproval []StepRef
+	// Overloads describes the choices in the pools in which more work waits than has room.
+	Overloads map[string]Overload
 	// Truncated is true if MaxStarts left steps without a decision. Unplaced does not
 	// include them.
 	Truncated bool
@@ -100,15 +108,26 @@
 	// deadline is the cluster time, in milliseconds, by which the occurrence should be
 	// complete.
 	deadline int64
+	// orderMS orders the candidates of a class: the deadline or, in an overloaded pool, the
+	// cluster time by which the occurrence must go on to be in time.
+	orderMS int64
+	// maxStarts bounds the tasks that start; 0 is no limit.
+	maxStarts int
 	// expected is the expected run time of one task.
 	expected runtimes.Estimate
 	// overShare is true when the team uses at least its share of the pool.
 	overShare bool
+	// overloaded is the candidate's pool if it is overloaded, and contender its occurrence
+	// there; nil for long-running tasks and those that fill idle capacity.
+	overloaded *overloadedPool
+	contender  *contender
 }
 
 // Classes of steps, in the order in which they are placed.
 const (
 	classLongRunning = iota
+	// classKeptRoom is late work in the room that an overloaded pool keeps for it.
+	classKeptRoom
 	classOnTime
 	classLate
 	classFillIdle
@@ -126,6 +145,10 @@
 	// usedMilli is the processor time that running tasks of other than long-running steps
 	// occupy, in thousandths of a core.
 	usedMilli map[poolTeam]int64
+	// dependent holds one step of each occurrence that has waiting tasks and no candidate.
+	dependent []candidate
+	// chainEnds is scratch space of remaining.
+	chainEnds []int64
 }
 
 // workerState is a worker with its remaining capacity.
@@ -154,7 +177,7 @@
 			p.plan.Truncated = true
 			break
 		}
-		p.place(c)
+		p.place(*c)
 	}
 	return p
 }
@@ -191,20 +214,36 @@
 	return state
 }
 
-func (p *planner) candidates() []candidate {
+// candidates returns the steps with waiting tasks in the order of placement.
+func (p *planner) candidates() []*candidate {
 	var out []candidate
 	for _, j := range p.in.State.Active() {
 		for k, o := range j.Occurrences {
+			begins, depends := len(out), -1
 			for i := range o.Steps {
-				if o.Steps[i].Waiting() > 0 && o.Ready(j, i) {
+				switch {
+				case o.Steps[i].Waiting() == 0:
+				case o.Ready(j, i):
 					out = append(out, p.candidate(j, k, o, i))
+				default:
+					depends = i
 				}
 			}
+			if len(out) == begins && depends >= 0 {
+				p.dependent = append(p.dependent, p.candidate(j, k, o, depends))
+			}
 		}
 	}
-	p.markOverShare(out)
-	slices.SortFunc(out, compareCandidates)
-	return out
+	p.markOverShare(out, p.dependent)
+	if !p.in.ByDeadline {
+		p.orderOverload(out)
+	}
+	ordered := make([]*candidate, len(out))
+	for i := range out {
+		ordered[i] = &out[i]
+	}
+	slices.SortFunc(ordered, compareCandidates)
+	return ordered
 }
 
 func (p *planner) candidate(j *workload.Job, k int, o *workload.Occurrence, step int) candidate {
@@ -213,6 +252,7 @@
 		ref: StepRef{Job: j.ID, Occurrence: k, Step: step}, pool: p.in.State.PoolOf(j), expected: p.in.State.ExpectedRun(j, step),
 	}
 	c.deadline = o.DueAt + j.ObjectiveMS
+	c.orderMS = c.deadline
 	c.class = classOnTime
 	switch {
 	case c.step.FillsIdle:
@@ -226,12 +266,12 @@
 }
 
 // compareCandidates orders the candidates for placement.
-func compareCandidates(a, b candidate) int {
+func compareCandidates(a, b *candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		compareBool(a.overShare, b.overShare),
-		cmp.Compare(a.deadline, b.deadline),
+		cmp.Compare(a.orderMS, b.orderMS),
 		cmp.Compare(a.ref.Job, b.ref.Job),
 		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
 		cmp.Compare(a.ref.Step, b.ref.Step),
@@ -254,7 +294,7 @@
 		p.placeGang(c, s)
 		return
 	}
-	unplaced := 0
+	unplaced, started := 0, 0
 	for i := range c.progress.Tasks {
 		t := &c.progress.Tasks[i]
 		if t.Phase != workload.Waiting {
@@ -263,7 +303,7 @@
 		if !p.withinTeamLimit(c) {
 			break
 		}
-		if s.exhausted {
+		if s.exhausted || c.maxStarts > 0 && started == c.maxStarts {
 			unplaced++
 			continue
 		}
@@ -275,6 +315,7 @@
 		}
 		p.startTask(c, s, w, ref, t.Run+1)
 		s.reserve(w, t)
+		started++
 	}
 	p.recordUnplaced(c, unplaced)
 }
