Count all machines of a pool in what it may empty, as before

Cause: leaving out machines that drain or whose worker is silent was meant to keep more in a pool that a wave or a cut takes machines from. A machine in service is the last resort for a task anyway while it is emptied. Change: Machine.NoNewTasks is gone.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -66,9 +66,6 @@
 	// Tasks is the number of tasks on a machine whose tasks all end by themselves, so
 	// that it becomes idle when it gets no new ones. It is 0 for any other machine.
 	Tasks int
-	// NoNewTasks is true for a machine in its pool that gets no new tasks: its worker is
-	// silent or drains, or the machine is due for maintenance or another pool.
-	NoNewTasks bool
 }
 
 // Demand is the demand for machines in one pool. The dispatcher logs it as JSON under
@@ -144,13 +141,10 @@
 }
 
 func newDecider(in Input) *decider {
-	d := &decider{in: in, poolSizes: map[string]int{}, closed: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
+	d := &decider{in: in, poolSizes: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
 		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.poolSizes[m.Pool]++
-		if m.NoNewTasks {
-			d.closed[m.Pool]++
-		}
 		d.racks[m.Name] = m.Rack
 		for _, label := range m.Labels {
 			d.labelled[poolLabel{m.Pool, label}]++
@@ -164,8 +158,6 @@
 	// poolSizes is the number of machines by pool, without those that this decision moves
 	// out.
 	poolSizes map[string]int
-	// closed is the number of machines by pool that get no new tasks.
-	closed map[string]int
 	// moved holds the machines that this decision moves.
 	moved map[string]bool
 	// added is the number of machines that this decision moves into each pool.
--- a/internal/capacity/emptying.go
+++ b/internal/capacity/emptying.go
@@ -47,7 +47,7 @@
 		return 0
 	}
 	kept := d.machinesForWork(demand, max(demand.UsedMilli, demand.RateMilli)*100/keptUsePercent)
-	return d.poolSizes[pool] - d.closed[pool] - max(kept, minPoolMachines)
+	return d.poolSizes[pool] - max(kept, minPoolMachines)
 }
 
 // pauseBeforeReleaseMS returns the idle time after which a machine of the pool is released.
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -216,7 +216,6 @@
 func (d *Dispatcher) moveCandidate(s *workload.State, m *machine, name, spare string, now int64) capacity.Machine {
 	c := capacity.Machine{Name: name, Pool: m.Pool, Rack: m.Rack, Labels: m.Labels, IdleMS: -1}
 	_, inTransfer := d.transfers[name]
-	c.NoNewTasks = m.Pool != spare && (inTransfer || d.maintenance.isReserved(name, now))
 	if inTransfer || d.maintenance.isReserved(name, now) || now < d.maintenance.retryAt[name] {
 		return c
 	}
@@ -226,7 +225,6 @@
 		return c
 	}
 	if !known || w.Draining || !w.isLive(now) {
-		c.NoNewTasks = true
 		return c
 	}
 	if w.hasRuns(s) {
