--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -69,9 +69,6 @@
 	// Evacuated is true for a machine in an evacuated data centre, on which nothing new starts. It
 	// is not given to a pool and does not count in its own.
 	Evacuated bool
-	// NoNewTasks is true for a machine in its pool that gets no new tasks: its worker is
-	// silent or drains, or the machine is due for maintenance or another pool.
-	NoNewTasks bool
 }
 
 // Demand is the demand for machines in one pool. The dispatcher logs it as JSON under
@@ -147,8 +144,8 @@
 }
 
 func newDecider(in Input) *decider {
-	d := &decider{in: in, poolSizes: map[string]int{}, closed: map[string]int{}, evacuated: map[string]int{}, moved: map[string]bool{},
-		added: map[string]int{}, labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
+	d := &decider{in: in, poolSizes: map[string]int{}, evacuated: map[string]int{}, moved: map[string]bool{}, added: map[string]int{},
+		labelled: map[poolLabel]int{}, racks: map[string]string{}, poolRacks: map[string]map[string]int{}}
 	for _, m := range in.Machines {
 		d.racks[m.Name] = m.Rack
 		if m.Evacuated {
@@ -156,9 +153,6 @@
 			continue
 		}
 		d.poolSizes[m.Pool]++
-		if m.NoNewTasks {
-			d.closed[m.Pool]++
-		}
 		for _, label := range m.Labels {
 			d.labelled[poolLabel{m.Pool, label}]++
 		}
@@ -173,8 +167,6 @@
 	poolSizes map[string]int
 	// evacuated is the number of evacuated machines by pool.
 	evacuated map[string]int
-	// closed is the number of machines by pool that get no new tasks.
-	closed map[string]int
 	// moved holds the machines that this decision moves.
 	moved map[string]bool
 	// added is the number of machines that this decision moves into each pool.
