Don't expect less than declared while a queue is cold

The first runs to end in a queue are the short ones, so pools asked for too few machines in the first seconds of its load.

--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -33,6 +33,9 @@
 	maxRunTimeMS = 24 * 3600 * 1000
 	// priorRuns is the number of runs from which a level counts more than the one above it.
 	priorRuns = 32
+	// coldRuns is the number of runs of a queue up to which the mean is not taken below the
+	// declared time: the first runs to end are the short ones.
+	coldRuns = 512
 )
 
 // Declared returns the estimate of a task about which nothing was learned.
@@ -64,6 +67,9 @@
 			}
 		}
 	}
+	if runTimes.runs() < coldRuns {
+		estimate.MeanMS = max(estimate.MeanMS, declared)
+	}
 	estimate.Runs = int(runTimes.runs())
 	return estimate
 }
