Count only answers for the term that was asked about

Cause: a leader of a higher term answers a member's query with its own term, which it leads. The sender's queue keeps messages for up to 0.5 s, also over a restart of the receiver. If the member meanwhile acknowledges that leader's lease and restarts, the late answer has the new guard's term and removed the leader from the voters that may lead. Change: an answer names the term of the query, and only that counts. Answers of former builds lift nothing.

--- a/internal/raft/restart.go
+++ b/internal/raft/restart.go
@@ -58,12 +58,14 @@
 // candidate may still win the election of its term.
 func (c *Core) answerLeaderQuery(m Message) {
 	if c.role == Follower || c.role == PreCandidate || c.term > m.Term {
-		c.sendDurable(Message{Kind: MsgNotLeading, To: m.From})
+		c.sendDurable(Message{Kind: MsgNotLeading, To: m.From, LogTerm: m.Term})
 	}
 }
 
+// noteNotLeading notes an answer. It may be to a query of an earlier process of this member,
+// and the sender may lead a higher term than that query's, so only the term asked about counts.
 func (c *Core) noteNotLeading(m Message) {
-	if c.guard != nil && m.Term >= c.guard.term {
+	if c.guard != nil && m.LogTerm >= c.guard.term {
 		delete(c.guard.mayLead, m.From)
 		c.liftRestartGuard()
 	}
--- a/internal/raft/restart_test.go
+++ b/internal/raft/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,6 +73,31 @@
 	require.Equal(t, MsgNotLeading, c.afterPersist[0].Kind)
 }
 
+// Guards against an answer to an earlier process of a member that lifts the guard of a later
+// one: a leader answers a query of an older term with its own term, which it leads. The
+// member acknowledges the leader's lease and restarts, and a late copy of the answer arrives.
+func TestRestartGuardIgnoresAnswersForOlderTerms(t *testing.T) {
+	s, leader := electedGroup(t, 1, 3)
+	c := s.nodes[leader].core
+	asking := leader%3 + 1
+	c.messages, c.afterPersist = nil, nil
+	c.Step(s.now, Message{Kind: MsgLeaderQuery, From: asking, To: leader, Term: c.term - 1})
+	require.Len(t, c.afterPersist, 1, "the leader of a higher term answers")
+	late := c.afterPersist[0]
+
+	members, _ := c.log.members(c.log.last())
+	config := simConfig(asking, 0, rand.New(rand.NewPCG(1, 1)))
+	state := PersistedState{HardState: HardState{Term: c.term}, Snapshot: Snapshot{Position: Position{Index: 1, Term: c.term, Members: members}}}
+	restarted := New(config, state)
+	restarted.Step(0, late)
+	for _, m := range members {
+		if m.ID != leader {
+			restarted.Step(0, Message{Kind: MsgNotLeading, From: m.ID, To: asking, Term: c.term, LogTerm: c.term})
+		}
+	}
+	require.True(t, restarted.supportsLeader())
+}
+
 // Guards against a guard that is lifted by a log that may lack the leader's membership.
 func TestRestartGuardNeedsTheTermOfTheLog(t *testing.T) {
 	s, leader := electedGroup(t, 1, 3)
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -115,7 +115,7 @@
 	Term uint64      `cbor:"4,keyasint"`
 	// Index and LogTerm identify the entry that precedes Entries, the candidate's
 	// last entry, or the last entry covered by a snapshot. In a reply, Index is the
-	// acknowledged or rejected index.
+	// acknowledged or rejected index. In a MsgNotLeading, LogTerm is the term of the query.
 	Index   uint64  `cbor:"5,keyasint,omitempty"`
 	LogTerm uint64  `cbor:"6,keyasint,omitempty"`
 	Entries []Entry `cbor:"7,keyasint,omitempty"`
