Let the long round of probes dial

Cause: after a failed dial the pool does not dial for 0.1 s, so each second round of probes dials nothing. With four time limits in turn the long one always fell into the same half of the rounds: a store that takes longer than 0.1 s to accept a connection was never reached. Change: five time limits in turn. Measured: TestProbesReachStoresThatAcceptSlowly (0.2 s to accept) fails after 5 s before, and passes in 3 s for all five starts after, three times.

--- a/internal/intake/client_test.go
+++ b/internal/intake/client_test.go
@@ -141,3 +141,26 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, WaitForLeader(tt.outlook)) })
 	}
 }
+
+// Guards against rounds with the long time limit that always fall into the time after a failed
+// dial in which the pool does not dial again: an overloaded store would never be reached.
+func TestProbesReachStoresThatAcceptSlowly(t *testing.T) {
+	const acceptTime = 200 * time.Millisecond
+	creds := wire.Credentials{Instance: "entry", Secret: []byte("secret of the fleet")}
+	lead := func(context.Context, wire.Request) (any, error) { return wire.LeaderInfo{Term: 1}, nil }
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(acceptTime)
+		if conn, err := wire.Accept(w, r, creds, lead); err == nil {
+			<-conn.Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	for first := range len(probeTimeouts) {
+		pool := wire.NewPool(creds, wire.Mux{}.Handle)
+		t.Cleanup(pool.Close)
+		c := NewClient(pool, func() []string { return []string{strings.TrimPrefix(srv.URL, "http://")} }, zerolog.Nop())
+		c.leaderLost, c.probes = true, first
+		go func() { _ = c.Run(t.Context()) }()
+		require.Eventually(t, c.Ready, 5*time.Second, time.Millisecond, "first round %d", first)
+	}
+}
--- a/internal/intake/discovery.go
+++ b/internal/intake/discovery.go
@@ -15,8 +15,11 @@
 
 // probeTimeouts are the time limits of successive rounds. A short one lets the next round
 // send a new connection request to a store that has just got power back, which saw nothing
-// of the earlier ones; the long one reaches stores that are slow.
-var probeTimeouts = []time.Duration{100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+// of the earlier ones; the long one reaches stores that are slow. Their number is odd: after a
+// failed dial the pool does not dial in the next round, and so in each second one.
+var probeTimeouts = []time.Duration{
+	100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond,
+}
 
 // probeResult is the answer of one store to a probe.
 type probeResult struct {
