Simulate late messages and lost disks between restarts of voters

Cause: messages were delayed by four ticks at most, and voters restarted seldom, so few arrived at a later process. Change: a test with a fifth of the messages late by up to 40 ticks, frequent restarts, and members that join again without their disk.

--- a/internal/raft/restart_test.go
+++ b/internal/raft/restart_test.go
@@ -116,36 +116,79 @@
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSimulation(t, seed, 3+2*int(seed%2))
-			s.minElection = 40
-			for _, id := range s.ids {
-				s.restart(id)
-			}
-			s.loss = []float64{0, 0.05, 0.2}[seed%3]
-			s.stall = []float64{0, 0.5}[seed/3%2]
-			spare := uint64(100)
-			for i := range 800 {
-				if s.rng.IntN(3) == 0 {
-					s.propose(fmt.Sprint(i))
-				}
-				switch s.rng.IntN(80) {
-				case 0:
-					s.restartSome()
-				case 1:
-					s.restartBesideLeader()
-				case 2:
-					clear(s.cut)
-				}
-				if s.rng.IntN(60) == 0 {
-					s.fault(&spare)
-				}
-				s.step()
-			}
-			s.checkRecovery()
+			checkUnderRestarts(t, seed, 0, 80)
+		})
+	}
+}
+
+// Guards against the same when messages of earlier processes arrive late, members restart
+// often, and some lose their disks and join with a new identifier.
+func TestGuaranteesUnderRestartsWithLateMessages(t *testing.T) {
+	for seed := range uint64(lateSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			checkUnderRestarts(t, seed, 0.2, 25)
 		})
 	}
 }
 
+// lateSeeds is the number of seeds of the test with late messages.
+const lateSeeds = 100
+
+// checkUnderRestarts checks the guarantees while members restart each interval ticks on
+// average, and the given part of the messages is late.
+func checkUnderRestarts(t *testing.T, seed uint64, late float64, interval int) {
+	s := newSimulation(t, seed, 3+2*int(seed%2))
+	s.minElection = 40
+	for _, id := range s.ids {
+		s.restart(id)
+	}
+	s.loss = []float64{0, 0.05, 0.2}[seed%3]
+	s.stall = []float64{0, 0.5}[seed/3%2]
+	s.late = late
+	spare := uint64(100)
+	for i := range 800 {
+		if s.rng.IntN(3) == 0 {
+			s.propose(fmt.Sprint(i))
+		}
+		switch s.rng.IntN(interval) {
+		case 0:
+			s.restartSome()
+		case 1:
+			s.restartBesideLeader()
+		case 2:
+			clear(s.cut)
+		case 3:
+			if late > 0 {
+				s.loseDisk(&spare)
+			}
+		}
+		if s.rng.IntN(60) == 0 {
+			s.fault(&spare)
+		}
+		s.step()
+	}
+	s.checkRecovery()
+}
+
+// loseDisk removes a member other than the leader for good, as the leader does when a store
+// joins with an empty disk, and adds a learner with a new identifier in its place.
+func (s *simulation) loseDisk(spare *uint64) {
+	n := s.leader()
+	if n == nil {
+		return
+	}
+	members := n.core.members
+	lost := members[s.rng.IntN(len(members))].ID
+	if lost == n.core.cfg.ID || len(members) <= 3 {
+		return
+	}
+	if _, err := n.core.ChangeMembers(Change{Remove: lost}); err == nil {
+		s.nodes[lost].paused = true
+		s.changeMembers(spare)
+	}
+}
+
 // restartSome restarts each member with a probability that is drawn first, so that all of
 // them restart at times.
 func (s *simulation) restartSome() {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -53,6 +53,9 @@
 	stalls bool
 }
 
+// maxLateTicks bounds the delay of late messages.
+const maxLateTicks = 40
+
 type inFlightMessage struct {
 	due int
 	m   Message
@@ -72,6 +75,8 @@
 	// stall is the probability that a pending disk write does not complete when a
 	// member is processed.
 	stall float64
+	// late is the probability that a message is delayed by up to maxLateTicks, past restarts.
+	late float64
 	// leaders holds the ID of the leader of each term.
 	leaders map[uint64]uint64
 	// committed holds a digest of the state after each applied index, terms the term of
@@ -249,7 +254,11 @@
 		}
 		for range copies {
 			if s.rng.Float64() >= s.loss {
-				s.inFlight = append(s.inFlight, inFlightMessage{due: int(s.now) + 1 + s.rng.IntN(1+int(s.loss*20)), m: m})
+				due := int(s.now) + 1 + s.rng.IntN(1+int(s.loss*20))
+				if s.late > 0 && s.rng.Float64() < s.late {
+					due += s.rng.IntN(maxLateTicks)
+				}
+				s.inFlight = append(s.inFlight, inFlightMessage{due: due, m: m})
 			}
 		}
 	}
