Refuse no submission as not run beside another attempt

Cause: a refusal was decided on one state of the log and then checked against the unresolved submissions. An attempt of the same job that was accepted on an earlier state could be proposed, or committed and forgotten, between the two. Change: the attempts under way are counted, and a refusal is uncertain if another attempt of the job overlapped with it. Measured: TestOverloadDoesNotRefuseAnAttemptBesideAnAcceptedOne fails before and passes after, with -race.

--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -32,6 +32,7 @@
 	gate           gate
 	// unresolved holds the submissions whose outcome is not known.
 	unresolved *recentIDs
+	attempts   attempts
 }
 
 // NewServer returns a server. It calls changed after each submission or cancellation that
@@ -39,8 +40,9 @@
 func NewServer(log fleet.Log, changed func(), registry metrics.Registry, logger zerolog.Logger) *Server {
 	return &Server{
 		log: log, changed: changed, logger: logger, unresolved: newRecentIDs(unresolvedRetention),
-		calls:   metrics.GetOrRegisterTimer("intake_call_seconds", registry),
-		refused: metrics.GetOrRegisterCounter("intake_refused_jobs_total", registry),
+		attempts: attempts{underWay: map[string]*attempt{}},
+		calls:    metrics.GetOrRegisterTimer("intake_call_seconds", registry),
+		refused:  metrics.GetOrRegisterCounter("intake_refused_jobs_total", registry),
 	}
 }
 
@@ -241,6 +243,8 @@
 	if reason := invalidContent(call); reason != "" {
 		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: reason}, nil
 	}
+	s.attempts.begin(id)
+	defer s.attempts.end(id)
 	known := false
 	var admission Admission
 	s.log.Read(func(st *fleet.State) {
@@ -249,8 +253,8 @@
 		}
 	})
 	if admission.Reason != "" {
-		if s.unresolved.contains(id, time.Now()) {
-			return wire.JobCallReply{}, errors.Wrap(fleet.ErrUncertain, "intake: an earlier attempt may still be committed")
+		if !s.attempts.alone(id) || s.unresolved.contains(id, time.Now()) {
+			return wire.JobCallReply{}, errors.Wrap(fleet.ErrUncertain, "intake: another attempt may still be committed")
 		}
 		s.refused.Inc(1)
 		s.logger.Info().Str("job", id).Str("queue", q.Name).Str("team", team).Str("reason", string(admission.Reason)).
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -23,6 +23,8 @@
 	// that is suspended there for some seconds.
 	suspendedByRead bool
 	deposed         bool
+	// afterRead is called once after the next read.
+	afterRead func()
 }
 
 func (l *fakeLog) Propose(_ context.Context, cmd fleet.Command) (fleet.Result, error) {
@@ -35,6 +37,10 @@
 func (l *fakeLog) Read(f func(*fleet.State)) {
 	f(l.state)
 	l.deposed = l.deposed || l.suspendedByRead
+	if after := l.afterRead; after != nil {
+		l.afterRead = nil
+		after()
+	}
 }
 func (l *fakeLog) Leadership() fleet.Leadership { return fleet.Leadership{Leading: !l.deposed} }
 func (l *fakeLog) Changed() <-chan struct{}     { return nil }
@@ -175,6 +181,32 @@
 	require.Positive(t, reply.RetryAfterMS)
 }
 
+// Guards against the answer "not accepted" to one of two attempts at a time, of which the other
+// was accepted before the bounds were reached and is committed while this one is judged.
+func TestOverloadDoesNotRefuseAnAttemptBesideAnAcceptedOne(t *testing.T) {
+	s, log := newServer()
+	applyConfig(log, 1, queue)
+	submit := wire.JobCall{Op: wire.JobSubmit, Queue: "q", Team: "a", Job: jobID, Content: &workload.Submit{Steps: []workload.Step{{Count: 1}}}}
+	fill := func() {
+		for i := range maxActiveTasks / workload.MaxTasks {
+			job := workload.Submit{ID: fmt.Sprint(i), Queue: "q", Team: "a", Steps: []workload.Step{{Count: workload.MaxTasks}}}
+			log.state.Workload.Apply(&workload.Command{Submit: &job}, 1)
+		}
+	}
+	var second error
+	// The first read finds the queue, and the second one decides.
+	log.afterRead = func() {
+		log.afterRead = func() {
+			fill()
+			_, second = s.answerAsLeader(context.Background(), submit)
+		}
+	}
+	first, err := s.answerAsLeader(context.Background(), submit)
+	require.NoError(t, err)
+	require.Equal(t, wire.VerdictOK, first.Verdict)
+	require.ErrorIs(t, second, fleet.ErrUncertain)
+}
+
 // Guards against a submission of an entry that did not check it: applied, it would end the
 // process of every store.
 func TestContentIsCheckedBeforeItIsProposed(t *testing.T) {
--- a/internal/intake/unresolved.go
+++ b/internal/intake/unresolved.go
@@ -59,3 +59,46 @@
 		}
 	}
 }
+
+// attempts holds the submissions that are being answered. Load pattern: a caller that got no
+// answer in time repeats its submission through another entry. If one of two attempts at a time
+// is accepted, the refusal of the other must not say that the job never runs. It is safe for
+// concurrent use.
+type attempts struct {
+	mu       sync.Mutex
+	underWay map[string]*attempt
+}
+
+type attempt struct {
+	count      int
+	overlapped bool
+}
+
+func (a *attempts) begin(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, ok := a.underWay[id]
+	if !ok {
+		at = &attempt{}
+		a.underWay[id] = at
+	}
+	at.count++
+	at.overlapped = at.overlapped || at.count > 1
+}
+
+func (a *attempts) end(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := a.underWay[id]
+	at.count--
+	if at.count == 0 {
+		delete(a.underWay, id)
+	}
+}
+
+// alone reports whether there was no other attempt since the one under way has begun.
+func (a *attempts) alone(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.underWay[id].overlapped
+}
