--- a/internal/raft/restart_test.go
+++ b/internal/raft/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,6 +73,31 @@
 	require.Equal(t, MsgNotLeading, c.afterPersist[0].Kind)
 }
 
+// Guards against an answer to an earlier process of a member that lifts the guard of a later
+// one: a leader answers a query of an older term with its own term, which it leads. The
+// member acknowledges the leader's lease and restarts, and a late copy of the answer arrives.
+func TestRestartGuardIgnoresAnswersForOlderTerms(t *testing.T) {
+	s, leader := electedGroup(t, 1, 3)
+	c := s.nodes[leader].core
+	asking := leader%3 + 1
+	c.messages, c.afterPersist = nil, nil
+	c.Step(s.now, Message{Kind: MsgLeaderQuery, From: asking, To: leader, Term: c.term - 1})
+	require.Len(t, c.afterPersist, 1, "the leader of a higher term answers")
+	late := c.afterPersist[0]
+
+	members, _ := c.log.members(c.log.last())
+	config := simConfig(asking, 0, rand.New(rand.NewPCG(1, 1)))
+	state := PersistedState{HardState: HardState{Term: c.term}, Snapshot: Snapshot{Position: Position{Index: 1, Term: c.term, Members: members}}}
+	restarted := New(config, state)
+	restarted.Step(0, late)
+	for _, m := range members {
+		if m.ID != leader {
+			restarted.Step(0, Message{Kind: MsgNotLeading, From: m.ID, To: asking, Term: c.term, LogTerm: c.term})
+		}
+	}
+	require.True(t, restarted.supportsLeader())
+}
+
 // Guards against a guard that is lifted by a log that may lack the leader's membership.
 func TestRestartGuardNeedsTheTermOfTheLog(t *testing.T) {
 	s, leader := electedGroup(t, 1, 3)
@@ -90,36 +116,79 @@
 	for seed := range uint64(100) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSimulation(t, seed, 3+2*int(seed%2))
-			s.minElection = 40
-			for _, id := range s.ids {
-				s.restart(id)
-			}
-			s.loss = []float64{0, 0.05, 0.2}[seed%3]
-			s.stall = []float64{0, 0.5}[seed/3%2]
-			spare := uint64(100)
-			for i := range 800 {
-				if s.rng.IntN(3) == 0 {
-					s.propose(fmt.Sprint(i))
-				}
-				switch s.rng.IntN(80) {
-				case 0:
-					s.restartSome()
-				case 1:
-					s.restartBesideLeader()
-				case 2:
-					clear(s.cut)
-				}
-				if s.rng.IntN(60) == 0 {
-					s.fault(&spare)
-				}
-				s.step()
-			}
-			s.checkRecovery()
+			checkUnderRestarts(t, seed, 0, 80)
 		})
 	}
 }
 
+// Guards against the same when messages of earlier processes arrive late, members restart
+// often, and some lose their disks and join with a new identifier.
+func TestGuaranteesUnderRestartsWithLateMessages(t *testing.T) {
+	for seed := range uint64(lateSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			checkUnderRestarts(t, seed, 0.2, 25)
+		})
+	}
+}
+
+// lateSeeds is the number of seeds of the test with late messages.
+const lateSeeds = 100
+
+// checkUnderRestarts checks the guarantees while members restart each interval ticks on
+// average, and the given part of the messages is late.
+func checkUnderRestarts(t *testing.T, seed uint64, late float64, interval int) {
+	s := newSimulation(t, seed, 3+2*int(seed%2))
+	s.minElection = 40
+	for _, id := range s.ids {
+		s.restart(id)
+	}
+	s.loss = []float64{0, 0.05, 0.2}[seed%3]
+	s.stall = []float64{0, 0.5}[seed/3%2]
+	s.late = late
+	spare := uint64(100)
+	for i := range 800 {
+		if s.rng.IntN(3) == 0 {
+			s.propose(fmt.Sprint(i))
+		}
+		switch s.rng.IntN(interval) {
+		case 0:
+			s.restartSome()
+		case 1:
+			s.restartBesideLeader()
+		case 2:
+			clear(s.cut)
+		case 3:
+			if late > 0 {
+				s.loseDisk(&spare)
+			}
+		}
+		if s.rng.IntN(60) == 0 {
+			s.fault(&spare)
+		}
+		s.step()
+	}
+	s.checkRecovery()
+}
+
+// loseDisk removes a member other than the leader for good, as the leader does when a store
+// joins with an empty disk, and adds a learner with a new identifier in its place.
+func (s *simulation) loseDisk(spare *uint64) {
+	n := s.leader()
+	if n == nil {
+		return
+	}
+	members := n.core.members
+	lost := members[s.rng.IntN(len(members))].ID
+	if lost == n.core.cfg.ID || len(members) <= 3 {
+		return
+	}
+	if _, err := n.core.ChangeMembers(Change{Remove: lost}); err == nil {
+		s.nodes[lost].paused = true
+		s.changeMembers(spare)
+	}
+}
+
 // restartSome restarts each member with a probability that is drawn first, so that all of
 // them restart at times.
 func (s *simulation) restartSome() {
