Plan a job that is not submitted and say where it would go

Why work does not start is shown only once it has been submitted and waits. The leader now computes the next plan with one more job on an overlay of the state: places, work ahead, reason, estimate and the answer of intake.

TestWhereEqualsTheNextPlan: the places equal the starts of the next plan in seven cases, the state stays the same.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -310,11 +310,7 @@
 		d.followEvacuations(s.Workload, now)
 		d.dropEvacuatedApprovals(s.Workload)
 		workers := d.availableWorkers(s.Workload, now)
-		plan, room := taskplan.ComputeWithRoom(taskplan.Input{
-			State: s.Workload, NowMS: now, Workers: workers,
-			Approvals: d.approvals.validTickets(now), Avoid: d.avoids(now), MaxStarts: maxStartsPerCycle,
-			IncomingMilli: d.incomingMilli(s.Workload, now),
-		})
+		plan, room := taskplan.ComputeWithRoom(d.planInput(s.Workload, workers, now))
 		p.Starts = plan.Starts
 		p.Stops = append(p.Stops, d.evacuationStops(s.Workload, room, p.Stops, now)...)
 		if plan.Truncated {
@@ -333,6 +329,15 @@
 	return p
 }
 
+// planInput returns the input of a plan. The caller holds mu.
+func (d *Dispatcher) planInput(s *workload.State, workers []taskplan.Worker, now int64) taskplan.Input {
+	return taskplan.Input{
+		State: s, NowMS: now, Workers: workers,
+		Approvals: d.approvals.validTickets(now), Avoid: d.avoids(now), MaxStarts: maxStartsPerCycle,
+		IncomingMilli: d.incomingMilli(s, now),
+	}
+}
+
 // pruneRecords removes the records of tasks whose job has ended and of incarnations that
 // occupy nothing.
 func (d *Dispatcher) pruneRecords(s *workload.State) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,6 +73,9 @@
 
 	wakeup chan struct{}
 
+	// previewing is held by the one Where that may go on.
+	previewing sync.Mutex
+
 	mu   sync.Mutex
 	term uint64
 	// leadingSince is the cluster time, in milliseconds, at which this leadership began.
@@ -111,7 +114,9 @@
 	// emptyingPools is the number of these machines by pool.
 	emptyingPools map[string]int
 	stalls        *stallTracker
-	evacuations   *evacuations
+	// previewedAt is the cluster time, in milliseconds, of the latest Where.
+	previewedAt int64
+	evacuations *evacuations
 	// overloaded holds the pools that were overloaded in the latest plan.
 	overloaded map[string]bool
 }
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -18,6 +18,25 @@
 	mux[wire.TypeStepReport] = h.serveReport
 	mux[wire.TypeStepLeave] = h.serveLeave
 	mux[wire.TypeStalled] = h.serveStalled
+	mux[wire.TypeWhere] = h.serveWhere
+}
+
+func (h WorkerHandler) serveWhere(_ context.Context, req wire.Request) (any, error) {
+	var msg wire.WhereRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	reply, err := h.Where(msg.Job)
+	var invalid *PreviewError
+	switch {
+	case errors.Is(err, ErrPreviewBusy):
+		return nil, &wire.ErrorBody{Code: wire.CodeBusy, Message: err.Error()}
+	case errors.As(err, &invalid):
+		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: invalid.Reason}
+	case err != nil:
+		return nil, toWireError(err)
+	}
+	return reply, nil
 }
 
 // maxStalledEntries bounds the entries of one reply, so that it fits into a frame.
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -129,6 +129,23 @@
 	FailedOn map[workload.TaskRef]map[string]bool
 	// Unapproved holds the steps that wait for the advice service.
 	Unapproved map[Key]bool
+	// Planned is what planned starts add to the use of each team.
+	Planned map[string]workload.Resources
+}
+
+// Why returns why the waiting tasks of a step of an active job are not placed, and what the
+// reason is about. It returns no reason if nothing keeps the next plan from placing them, or
+// if no task of the step waits.
+func Why(in Input, key Key) (Reason, string) {
+	j := in.State.Active()[key.Job]
+	if j == nil || j.Occurrences[key.Occurrence] == nil {
+		return "", ""
+	}
+	p := &j.Occurrences[key.Occurrence].Steps[key.Step]
+	if p.Waiting() == 0 {
+		return "", ""
+	}
+	return newFinder(in).classify(j, key, p)
 }
 
 // Find returns the stalled steps in no particular order. A step has at most one entry: what
@@ -384,7 +401,7 @@
 	if !ok {
 		return true
 	}
-	use := f.in.State.TeamUse(j.Team)
+	use := f.in.State.TeamUse(j.Team).Plus(f.in.Planned[j.Team])
 	return use == workload.Resources{} || use.Plus(step.Size).WithinLimit(team.Limit)
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -31,6 +31,7 @@
 	TypeStepReport                     // StepReport, answered by StepOrders
 	TypeStepLeave                      // StepReport without a body, answered by empty StepOrders
 	TypeStalled                        // StalledRequest, answered by StalledReply
+	TypeWhere                          // WhereRequest, answered by WhereReply
 )
 
 // RenewRequest renews the configuration lease and the limit grants of an entry.
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -67,18 +67,24 @@
 	if !ok {
 		return Result{Refusal: RefusedNoQueue}
 	}
+	j := s.newJob(c, q, content)
+	s.Jobs[j.ID] = j
+	s.addActive(j)
+	return Result{}
+}
+
+// newJob returns the job of a submission to queue q, which is not part of the state yet.
+func (s *State) newJob(c *Submit, q Queue, content uint64) *Job {
 	j := &Job{
 		ID: c.ID, Queue: c.Queue, Pool: q.Pool, Team: c.Team, Specification: c.Specification,
 		Fingerprint: content, Steps: c.Steps, Repetitions: c.Repetitions, FirstRunMS: c.FirstRunMS,
 		IntervalMS: c.IntervalMS, State: JobQueued, AcceptedAt: s.now, MaxAttempts: q.MaxAttempts,
 		Priority: q.Priority, ObjectiveMS: objectiveMS(q, c.Steps), Occurrences: map[int]*Occurrence{},
 	}
-	s.Jobs[j.ID] = j
-	s.addActive(j)
 	if j.Repetitions == 0 {
 		s.beginOccurrence(j, 0, s.now)
 	}
-	return Result{}
+	return j
 }
 
 // objectiveMS returns the time within which a job with these steps should be complete.
