--- a/cmd/samphire-entry/main.go
+++ b/cmd/samphire-entry/main.go
@@ -50,6 +50,7 @@
 	operatorPath, handler := operator.NewHandler(e.Leader(), options)
 	e.Echo().Any(operatorPath+"*", echo.WrapHandler(handler))
 	e.Echo().Any(api.PathOperatorStalled, echo.WrapHandler(operator.NewStalledHandler(e.Leader(), options)))
+	e.Echo().Any(api.PathOperatorWhere, echo.WrapHandler(operator.NewWhereHandler(e.Leader(), options)))
 	return serve(ctx, e, workers)
 }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -67,6 +67,8 @@
 	CodeRetryBudget Code = "retry_budget"
 	// CodeNoLease means that the entry has no valid lease on a configuration.
 	CodeNoLease Code = "no_lease"
+	// CodeBusy means that the leader answers another request of this kind.
+	CodeBusy Code = "busy"
 	// CodeNoQuorum means that no leading store answered the entry.
 	CodeNoQuorum      Code = "no_quorum"
 	CodeNoBackend     Code = "no_backend"
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -95,6 +95,7 @@
 			a.jobCommand(),
 			a.stepsCommand(),
 			a.stalledCommand(),
+			a.whereCommand(),
 			a.memberCommand(),
 			a.lostCommand(),
 			a.snapshotCommand(),
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -44,6 +44,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	mux.Handle(api.PathOperatorStalled, operator.NewStalledHandler(leader.NewClient(pool, []string{fakeLeader.Address()}), opts))
+	mux.Handle(api.PathOperatorWhere, operator.NewWhereHandler(leader.NewClient(pool, []string{fakeLeader.Address()}), opts))
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	return testEnv{fakeLeader: fakeLeader, pool: pool, entry: strings.TrimPrefix(srv.URL, "http://")}
--- a/internal/operator/operatortest/leader.go
+++ b/internal/operator/operatortest/leader.go
@@ -38,6 +38,8 @@
 	dropAll           bool
 	repliesNotInForce int
 	stalled           wire.StalledReply
+	where             wire.WhereReply
+	whereErr          *wire.ErrorBody
 	accepted          int
 }
 
@@ -59,7 +61,7 @@
 		members: []wire.MemberInfo{{ID: 1, Instance: "dc1-s1", DataCentre: "dc1", Address: "127.0.0.1:7001", Match: 40}},
 	}
 	mux := wire.Mux{wire.TypePropose: l.handlePropose, wire.TypeStatus: l.handleStatus, wire.TypeMembership: l.handleMembership,
-		wire.TypeStalled: l.handleStalled}
+		wire.TypeStalled: l.handleStalled, wire.TypeWhere: l.handleWhere}
 	l.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := wire.Accept(w, r, Credentials, mux.Handle)
 		if err != nil {
@@ -127,6 +129,28 @@
 	return reply, nil
 }
 
+// SetWhere sets the reply to the question where a job would go or, unless refusal is nil, the
+// error.
+func (l *Leader) SetWhere(reply wire.WhereReply, refusal *wire.ErrorBody) {
+	l.withLock(func() { l.where, l.whereErr = reply, refusal })
+}
+
+// handleWhere fills in the number of tasks and, as the pool, the queue of the request.
+func (l *Leader) handleWhere(_ context.Context, req wire.Request) (any, error) {
+	var msg wire.WhereRequest
+	if err := req.Decode(&msg); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.whereErr != nil {
+		return nil, l.whereErr
+	}
+	reply := l.where
+	reply.Pool, reply.Tasks = msg.Job.Queue+"-"+msg.Job.Team, msg.Job.Steps[0].Count
+	return reply, nil
+}
+
 // SetTasks sets the number of jobs assigned to a worker. Each status query then reduces
 // it by one, until it is 0.
 func (l *Leader) SetTasks(worker string, n int) { l.withLock(func() { l.tasks[worker] = n }) }
