Test the codes of where's errors, its preview of intake and its cost

Nothing guarded the codes by which clients repeat a request or give up, an evacuated data centre, or a preview of intake that differs from the decision. BenchmarkWhere shows the cost of a request.

--- a/internal/dispatch/where_test.go
+++ b/internal/dispatch/where_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/stall"
@@ -76,6 +77,14 @@
 			}
 			r.run(stallStepMS)
 		}, workload.Step{Count: 1, Size: small}, 0, stall.HeldBack, false, 0},
+		"evacuated": {func(r *stallRig) {
+			for _, w := range r.workers {
+				w.dataCentre = rigDataCentre
+				w.restart()
+			}
+			r.run(stallStepMS)
+			r.evacuate(rigDataCentre, false)
+		}, workload.Step{Count: 1, Size: small}, 0, stall.Evacuated, false, 0},
 		"gang": {func(*stallRig) {}, workload.Step{Count: 4, Size: whole, Gang: true}, 0, stall.Gang, false, 0},
 	}
 	for name, c := range cases {
@@ -136,3 +145,40 @@
 	require.ErrorAs(t, toWireError(err), &body)
 	require.Equal(t, wire.CodeNotLeader, body.Code)
 }
+
+// Clients of the leader repeat a busy request, go on to the leader, and give up on an invalid
+// one: each error must have its code.
+func TestWhereErrorsHaveTheirCodes(t *testing.T) {
+	r := newStallRig(t, 1)
+	serve := func(job workload.Submit) wire.ErrorCode {
+		req, err := wire.NewRequest(wire.TypeWhere, "entry", wire.WhereRequest{Job: job})
+		require.NoError(t, err)
+		_, err = WorkerHandler{r.dispatchers[0]}.serveWhere(t.Context(), req)
+		var body *wire.ErrorBody
+		if err == nil || !errors.As(err, &body) {
+			require.NoError(t, err)
+			return ""
+		}
+		return body.Code
+	}
+	job := previewOf(workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}})
+	require.Equal(t, wire.CodeBadMessage, serve(previewOf()))
+	require.Empty(t, serve(job))
+	require.Equal(t, wire.CodeBusy, serve(job))
+	r.elect(1)
+	require.Equal(t, wire.CodeNotLeader, serve(job))
+}
+
+// BenchmarkWhere measures a preview beside full pools with work waiting.
+func BenchmarkWhere(b *testing.B) {
+	f := newSizeFixture(b, 350, sizeTasksPerNode*350+5000)
+	for range sizeTasksPerNode*350/maxStartsPerCycle + 1 {
+		f.r.cycle()
+	}
+	job := workload.Submit{Queue: sizePool(0), Steps: []workload.Step{{Count: MaxPreviewTasks, Size: workload.Resources{CPUMilli: sizeTaskCPU}}}}
+	for b.Loop() {
+		f.d.previewedAt = 0
+		_, err := f.d.Where(job)
+		require.NoError(b, err)
+	}
+}
--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -168,3 +169,23 @@
 	require.Equal(t, 1, r.ahead("1", now))
 	require.Zero(t, r.ahead("new", now.Add(returnGrace+1)), "callers that stay away lose their place")
 }
+
+// A preview must be the decision on a newcomer, whether the store is crowded or not, and must
+// not take a place.
+func TestPreviewIsTheDecisionOnANewcomer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	crowded := crowdedState()
+	accept := func(*workload.State, submission, time.Time) Admission { return Admission{} }
+	for i := range maxActiveJobs * 4 / 5 {
+		submit(crowded, accept, strconv.Itoa(i), "greedy", now)
+	}
+	submit(crowded, accept, "first", "other", now)
+	require.Equal(t, RefusedOverShare, Preview(crowded, workload.Queue{}, &workload.Submit{Team: "greedy"}, now).Reason)
+	for name, s := range map[string]*workload.State{"empty": workload.NewState(), "crowded": crowded} {
+		for _, team := range []string{"greedy", "other"} {
+			content := &workload.Submit{Team: team, Steps: []workload.Step{{Count: 1}}}
+			want := (&gate{}).decide(s, submission{id: "new", team: team, content: content}, now)
+			require.Equal(t, want, Preview(s, workload.Queue{}, content, now), "%s %s", name, team)
+		}
+	}
+}
