Test samphirectl where over an entry and the leader

No test ran the command against real processes. TestStepJobs now asks it once the job is complete, after a crash of the leader.

--- a/internal/integration/steps_test.go
+++ b/internal/integration/steps_test.go
@@ -17,6 +17,7 @@
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/harness"
 	"github.com/samphirefork/samphirefork/internal/simworker"
+	"github.com/samphirefork/samphirefork/internal/wire"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -39,6 +40,20 @@
 	return job, 0
 }
 
+// requireWhere requires that the job in the file would start now, from the command line over
+// an entry instance and the leader.
+func (e *env) requireWhere(file string) {
+	e.t.Helper()
+	cmd := exec.CommandContext(e.ctx, filepath.Join(binFolder, "samphirectl"), "where", "-o", "json", "-queue", stepQueue, "-f", file)
+	cmd.Env = append(cmd.Environ(), "SAMPHIRE_ENTRY="+e.fleet.Entries[0].Address, "SAMPHIRE_TOKEN="+harness.OperatorToken)
+	out, err := cmd.Output()
+	require.NoError(e.t, err)
+	var reply wire.WhereReply
+	require.NoError(e.t, json.Unmarshal(out, &reply))
+	require.Equal(e.t, 6, reply.Starting, "%s", out)
+	require.NotEmpty(e.t, reply.Leader)
+}
+
 func (e *env) stepKey() string {
 	return e.keys[harness.SortedKeys(e.keys)[0]].Key
 }
@@ -90,6 +105,7 @@
 	require.Zero(t, exit, "a repetition is the same job")
 	e.leader().Kill()
 	await("steps-1", workload.JobCompleted)
+	e.requireWhere(file)
 
 	job.Steps[0].LongRunning = true
 	write(job)
