Give the call of TestLateAnswerIsKept a second before its limit

Cause: the answer of the failed plays says deadline_unreachable, 'the time limit passed before the call started': at a load of 37 to 55 on 7 cores the 100 ms were over before the call was sent. The test is about an answer that arrives after the limit, whatever its length.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -297,7 +297,7 @@
 		<-release
 		echoBackend(w, r)
 	})
-	headers := []string{api.HeaderKey, testKey, api.HeaderTimeoutMS, "100", api.HeaderRequestID, "dc1.late"}
+	headers := []string{api.HeaderKey, testKey, api.HeaderTimeoutMS, "1000", api.HeaderRequestID, "dc1.late"}
 	first := te.mustCall(t, "/v1/call/plan", "x", headers...)
 	require.Equal(t, api.MayHaveRun, first.verdict)
 	_, free := te.sched.capacitySummary()
