--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -147,7 +147,7 @@
 		JobUnits: leader.JobUnits,
 	})
 	dispatcher := dispatch.New(node, dispatch.Settings{
-		Lease: stepLease, JobRetention: stepJobRetention, Holder: cfg.Instance, LearnRunTimes: cfg.RunTimes == settings.RunTimesLearned,
+		Lease: stepLease, JobRetention: stepJobRetention, Holder: cfg.Instance, Planning: cfg.Planning,
 	}, nil, nil, registry, log)
 	intakeServer := intake.NewServer(node, dispatcher.Wake, registry, log)
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -33,7 +33,8 @@
 	// emptiedIdleMS is the idle time after which a machine that its pool does not need moves
 	// to the spare pool.
 	emptiedIdleMS = 200
-	// keptUsePercent is the part of the machines that a pool keeps which its work uses.
+	// keptUsePercent is the part of a pool's kept machines that its work should use. The rest
+	// is room for work that arrives.
 	keptUsePercent = 70
 	// reassignIdleMS is the idle time after which a machine may move to another pool that
 	// needs it.
@@ -123,6 +124,9 @@
 	Spare string
 	// MachineCapacity is the average capacity of a machine.
 	MachineCapacity workload.Resources
+	// KeepSurplus is true if machines that a pool does not need are used like its others until
+	// they are idle, and pools take machines that are off before idle ones of other pools.
+	KeepSurplus bool
 }
 
 // Move moves a machine into a pool.
@@ -348,7 +352,7 @@
 		d.poolRacks[pool] = racks
 	}
 	eligible := func(m Machine) bool { return m.Pool != pool && d.available(m) }
-	return d.selectMachine(eligible, func(a, b Machine) bool { return ranksHigher(a, b, racks) })
+	return d.selectMachine(eligible, func(a, b Machine) bool { return d.ranksHigher(a, b, racks) })
 }
 
 // available reports whether the machine can move to another pool at once.
@@ -363,12 +367,12 @@
 }
 
 // ranksHigher reports whether machine a is preferred to machine b. Idle machines of other
-// pools come before those that are off: a direct move replaces a release and a return. Then
-// come machines in racks in which the receiving pool has fewer machines,
+// pools come before those that are off, unless KeepSurplus: a direct move replaces a release
+// and a return. Then come machines in racks in which the receiving pool has fewer machines,
 // then the machine that has been idle for longer.
-func ranksHigher(a, b Machine, racks map[string]int) bool {
+func (d *decider) ranksHigher(a, b Machine, racks map[string]int) bool {
 	if a.Off != b.Off {
-		return b.Off
+		return b.Off != d.in.KeepSurplus
 	}
 	if racks[a.Rack] != racks[b.Rack] {
 		return racks[a.Rack] < racks[b.Rack]
--- a/internal/capacity/emptying.go
+++ b/internal/capacity/emptying.go
@@ -12,7 +12,7 @@
 // Each runs a few tasks, and the little work that still arrives spreads over all of them, so
 // that none becomes idle for long.
 func Emptying(in Input) []string {
-	if in.Spare == "" {
+	if in.Spare == "" || in.KeepSurplus {
 		return nil
 	}
 	d := newDecider(in)
@@ -52,7 +52,7 @@
 
 // pauseBeforeReleaseMS returns the idle time after which a machine of the pool is released.
 func (d *decider) pauseBeforeReleaseMS(pool string) int64 {
-	if d.surplus(pool) > 0 {
+	if !d.in.KeepSurplus && d.surplus(pool) > 0 {
 		return emptiedIdleMS
 	}
 	return releaseIdleMS
--- a/internal/capacity/emptying_test.go
+++ b/internal/capacity/emptying_test.go
@@ -125,6 +125,35 @@
 	return Decide(idle)
 }
 
+// keepSurplus is a decision with KeepSurplus set.
+func keepSurplus[T any](decide func(Input) []T) func(Input) []T {
+	return func(in Input) []T {
+		in.KeepSurplus = true
+		return decide(in)
+	}
+}
+
+// With KeepSurplus, every decision must be the former one.
+func TestSurplusIsKeptAsBefore(t *testing.T) {
+	before, waitedBefore := replayTail(formerRelease, func(Input) []string { return nil })
+	after, waited := replayTail(keepSurplus(Decide), keepSurplus(Emptying))
+	require.Equal(t, before, after)
+	require.Equal(t, waitedBefore, waited)
+	in := Input{Machines: testMachines(reassignIdleMS), Spare: "spare", MachineCapacity: size}
+	in.Demand = map[string]Demand{"docks": {UnmetDemand: UnmetDemand{Overdue: workload.Resources{CPUMilli: 1000}}}}
+	require.NotEqual(t, "spare", poolOf(in, Decide(in)[0].Machine))
+	require.Equal(t, "spare", poolOf(in, keepSurplus(Decide)(in)[0].Machine))
+}
+
+func poolOf(in Input, machine string) string {
+	for _, m := range in.Machines {
+		if m.Name == machine {
+			return m.Pool
+		}
+	}
+	return ""
+}
+
 // Load pattern: the end of a burst, with long tasks spread over all machines and a little work
 // that still arrives. At least half of the idle second before each release is saved, and no
 // further task waits for it.
--- a/internal/capacity/labels.go
+++ b/internal/capacity/labels.go
@@ -91,7 +91,7 @@
 func (d *decider) addLabelledMachine(n poolLabel) bool {
 	labelled := func(m Machine) bool { return m.Pool != n.pool && slices.Contains(m.Labels, n.label) }
 	idle := func(m Machine) bool { return labelled(m) && d.available(m) }
-	m, ok := d.selectMachine(idle, func(a, b Machine) bool { return ranksHigher(a, b, nil) })
+	m, ok := d.selectMachine(idle, func(a, b Machine) bool { return d.ranksHigher(a, b, nil) })
 	if ok {
 		d.addMove(m, Move{Machine: m.Name, Pool: n.pool})
 		return true
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/wait"
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -300,7 +301,7 @@
 		if p.PruneBefore != 0 {
 			d.pruneRecords(s.Workload)
 		}
-		p.ForgetRunTimes = !d.settings.LearnRunTimes && !s.Workload.RunTimes.Empty()
+		p.ForgetRunTimes = !d.learnsRunTimes() && !s.Workload.RunTimes.Empty()
 		p.Due = d.dueOccurrences(s.Workload, now)
 		p.Stops = d.runsToStop(s.Workload, now)
 		p.Cleared = d.clearedRuns(s.Workload)
@@ -333,8 +334,8 @@
 func (d *Dispatcher) planInput(s *workload.State, workers []taskplan.Worker, now int64) taskplan.Input {
 	return taskplan.Input{
 		State: s, NowMS: now, Workers: workers,
-		Approvals: d.approvals.validTickets(now), Avoid: d.avoids(now), MaxStarts: maxStartsPerCycle,
-		IncomingMilli: d.incomingMilli(s, now),
+		Approvals: d.approvals.validTickets(now), Avoid: d.avoidFunc(now), MaxStarts: maxStartsPerCycle,
+		IncomingMilli: d.incomingMilli(s, now), ByDeadline: d.settings.Planning.OverloadOrder == settings.OrderByDeadline,
 	}
 }
 
@@ -401,9 +402,9 @@
 	return out
 }
 
-// avoids returns a function that reports whether the planner should prefer other workers for
-// the task: it failed there, or the worker is cold.
-func (d *Dispatcher) avoids(now int64) func(workload.TaskRef, workload.WorkerIncarnation) bool {
+// avoidFunc returns the function that reports whether the planner should prefer other workers
+// for a task: it failed there, or the worker is cold.
+func (d *Dispatcher) avoidFunc(now int64) func(workload.TaskRef, workload.WorkerIncarnation) bool {
 	cold := map[workload.WorkerIncarnation]bool{}
 	for incarnation, w := range d.workers {
 		if w.isCold(now) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
@@ -48,8 +49,8 @@
 	MaintenanceDuration time.Duration
 	// MoveDuration is how long a machine takes to move between pools.
 	MoveDuration time.Duration
-	// LearnRunTimes is false when only declared run times are used.
-	LearnRunTimes bool
+	// Planning selects how tasks are planned and machines moved.
+	Planning settings.Planning
 	// Holder identifies this instance in the calls to the MachineProvider.
 	Holder string
 }
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -48,7 +48,7 @@
 	for name, p := range e.progress {
 		if current, ok := s.Evacuations[name]; !ok || current.Since != p.since {
 			delete(e.progress, name)
-			d.logger.Info().Str("evacuated", name).Int64("after_ms", now-p.since).Int("tasks", p.tasks).Msg("data centre is taken back")
+			d.logger.Info().Str("evacuated_data_centre", name).Int64("after_ms", now-p.since).Int("tasks", p.tasks).Msg("data centre is taken back")
 		}
 	}
 	if len(s.Evacuations) == 0 {
@@ -60,13 +60,13 @@
 		p, seen := e.progress[name]
 		if !seen {
 			p = evacuationProgress{since: evacuation.Since, tasks: -1}
-			d.logger.Info().Str("evacuated", name).Int64("since_ms", now-p.since).Int("tasks", left).Msg("data centre is evacuated")
+			d.logger.Info().Str("evacuated_data_centre", name).Int64("for_ms", now-p.since).Int("tasks", left).Msg("data centre is evacuated")
 		}
 		// A leader that came later and finds no task does not know when the last one left.
 		observed := p.tasks > 0 || p.tasks < 0 && p.since > d.leadingSince
 		if left == 0 && observed {
 			e.emptied.Update(time.Duration(now-p.since) * time.Millisecond)
-			d.logger.Info().Str("evacuated", name).Int64("after_ms", now-p.since).Msg("last task has left the evacuated data centre")
+			d.logger.Info().Str("evacuated_data_centre", name).Int64("after_ms", now-p.since).Msg("last task has left the evacuated data centre")
 		}
 		p.tasks = left
 		e.progress[name] = p
@@ -118,8 +118,8 @@
 	return nil
 }
 
-// dropEvacuatedApprovals removes the approvals that name only workers of evacuated data centres, so that
-// the advice service is asked about others.
+// dropEvacuatedApprovals removes the approvals that name only workers of evacuated data
+// centres, so that the advice service is asked about others.
 func (d *Dispatcher) dropEvacuatedApprovals(s *workload.State) {
 	if len(s.Evacuations) == 0 {
 		return
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
+	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
@@ -98,7 +99,9 @@
 		return
 	}
 	reporting := d.reportingPools(s, now)
-	in := capacity.Input{Demand: d.knownDemand(s, reporting), Spare: sparePool(s)}
+	in := capacity.Input{
+		Demand: d.knownDemand(s, reporting), Spare: sparePool(s), KeepSurplus: d.keepsSurplus(),
+	}
 	d.completeTransfers(s, &in, now)
 	total, machines := workload.Resources{}, int64(0)
 	for name, m := range d.machinesByName {
@@ -132,6 +135,10 @@
 	}
 }
 
+func (d *Dispatcher) keepsSurplus() bool {
+	return d.settings.Planning.SurplusMachines == settings.SurplusKept
+}
+
 // setEmptying records the machines that get new tasks only if no other can take them, and logs
 // when the first machine of a pool is emptied and when the last one is not any more.
 func (d *Dispatcher) setEmptying(names []string) {
--- a/internal/dispatch/reporting.go
+++ b/internal/dispatch/reporting.go
@@ -7,8 +7,8 @@
 
 const (
 	// reportingPoolPercent is the part of a pool's machines that must have reported to a new
-	// leader before it takes machines out of the pool or counts them as full, and reportingTimeoutMS the
-	// time after which it does so in any case: machines may be lost.
+	// leader before it takes machines out of the pool or counts them as full, and
+	// reportingTimeoutMS the time after which it does so in any case: machines may be lost.
 	reportingPoolPercent = 90
 	reportingTimeoutMS   = 2500
 )
@@ -96,19 +96,19 @@
 
 // unmetBeyond returns the part of the waiting work that does not fit into the free resources.
 func unmetBeyond(unmet capacity.UnmetDemand, free workload.Resources) capacity.UnmetDemand {
-	const whole = 1000
-	fits := int64(whole)
+	const permille = 1000
+	fits := int64(permille)
 	for _, pair := range [][2]int64{{free.CPUMilli, unmet.Waiting.CPUMilli}, {free.MemoryMiB, unmet.Waiting.MemoryMiB}} {
 		if pair[1] > 0 {
-			fits = min(fits, pair[0]*whole/pair[1])
+			fits = min(fits, pair[0]*permille/pair[1])
 		}
 	}
-	rest := whole - fits
+	rest := permille - fits
 	return capacity.UnmetDemand{
-		WorkMilliMS: unmet.WorkMilliMS / whole * rest,
+		WorkMilliMS: unmet.WorkMilliMS / permille * rest,
 		Waiting: workload.Resources{
-			CPUMilli: unmet.Waiting.CPUMilli * rest / whole, MemoryMiB: unmet.Waiting.MemoryMiB * rest / whole,
-			Accelerators: unmet.Waiting.Accelerators * rest / whole,
+			CPUMilli: unmet.Waiting.CPUMilli * rest / permille, MemoryMiB: unmet.Waiting.MemoryMiB * rest / permille,
+			Accelerators: unmet.Waiting.Accelerators * rest / permille,
 		},
 	}
 }
--- a/internal/dispatch/runtimes_test.go
+++ b/internal/dispatch/runtimes_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -15,9 +16,6 @@
 	step := workload.Step{Count: 8, Size: workload.Resources{CPUMilli: 500}, EstimatedMS: 5000}
 	learn := func(t *testing.T, during func(*rig)) *rig {
 		r := newRig(2)
-		for _, d := range r.dispatchers {
-			d.settings.LearnRunTimes = true
-		}
 		for i := range 2 {
 			r.addWorker(fmt.Sprint("w", i), "r")
 		}
@@ -54,8 +52,19 @@
 	})
 	t.Run("switched off", func(t *testing.T) {
 		r := learn(t, func(*rig) {})
-		r.dispatchers[0].settings.LearnRunTimes = false
+		r.dispatchers[0].settings.Planning.RunTimes = settings.RunTimesDeclared
 		r.cycle()
 		require.True(t, r.state.Workload.RunTimes.Empty())
 	})
 }
+
+// Guards against a switch that the planner and the moves of machines don't get.
+func TestPlanningSettingsReachTheDecisions(t *testing.T) {
+	d := newRig(1).dispatchers[0]
+	require.False(t, d.planInput(workload.NewState(), nil, 0).ByDeadline)
+	d.settings.Planning.OverloadOrder = settings.OrderByDeadline
+	require.True(t, d.planInput(workload.NewState(), nil, 0).ByDeadline)
+	require.False(t, d.keepsSurplus())
+	d.settings.Planning.SurplusMachines = settings.SurplusKept
+	require.True(t, d.keepsSurplus())
+}
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -50,10 +50,10 @@
 	return most
 }
 
-// Under any order of lost responses, changes of leader, crashes, restarts, drains, evacuations and
-// cancellations: no task may run twice at once or again after a recorded end, nothing may start
-// in an evacuated data centre, no worker may exceed its capacity, no job may be forgotten, and none may fail unless two workers
-// crashed under one of its tasks.
+// Under any order of lost responses, changes of leader, crashes, restarts, drains, evacuations
+// and cancellations: no task may run twice at once or again after a recorded end, nothing may
+// start in an evacuated data centre, no worker may exceed its capacity, no job may be
+// forgotten, and none may fail unless two workers crashed under one of its tasks.
 func TestNoTaskRunsTwiceUnderRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRig(3)
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -53,7 +53,7 @@
 	return free
 }
 
-// withheldRuns returns the runs to stop because their workers no longer have room for them.
+// withheldRuns returns the runs to stop because their starts were withheld.
 func (d *Dispatcher) withheldRuns(s *workload.State) []workload.Run {
 	var stops []workload.Run
 	for incarnation, w := range d.workers {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -39,7 +39,7 @@
 	startSent map[workload.Run]bool
 	revoked   map[workload.Run]bool
 	// withheld holds the runs that the last response did not repeat although an earlier one
-	// may have started them, because the worker's capacity has shrunk.
+	// may have started them: the worker's capacity has shrunk, or its data centre is evacuated.
 	withheld map[workload.Run]bool
 	// wake ends the hold of the worker's heartbeat.
 	wake chan struct{}
--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -47,9 +47,9 @@
 	// Weight is that of the team, and Weights the sum over the teams with jobs under way or
 	// refused, and this one. Both are at least 1.
 	Weight, Weights int64
-	// DrainMS is the time in milliseconds in which the pool of the job completes the work
+	// ClearMS is the time in milliseconds in which the pool of the job completes the work
 	// ahead of it, or 0 if nothing runs there.
-	DrainMS float64
+	ClearMS float64
 }
 
 // Request is what a decision needs to know of a submission.
@@ -107,7 +107,8 @@
 	return jobs*100 >= maxActiveJobs*crowdedPercent || tasks*100 >= maxActiveTasks*crowdedPercent
 }
 
-// overShare reports whether one more would give the team more than its share of a bound.
+// overShare reports whether one more would give the team more than its share of a bound. A job
+// counts as one task here, so that a large job is not refused as long as its team has room.
 func overShare(has, bound int, b Backlog) bool {
 	return float64(has+1) > shareOf(bound, b)
 }
@@ -119,9 +120,9 @@
 
 // retryAfterMS returns the time in which the given number of the jobs under way end.
 func retryAfterMS(b Backlog, jobs int) int64 {
-	if b.DrainMS <= 0 || b.Jobs == 0 {
+	if b.ClearMS <= 0 || b.Jobs == 0 {
 		return maxRetryMS
 	}
-	ms := math.Ceil(b.DrainMS * float64(jobs) / float64(b.Jobs))
+	ms := math.Ceil(b.ClearMS * float64(jobs) / float64(b.Jobs))
 	return int64(min(max(ms, minRetryMS), maxRetryMS))
 }
--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestDecide(t *testing.T) {
-	full := Backlog{Jobs: maxActiveJobs, Tasks: 40_000, TeamJobs: 10, Weight: 1, Weights: 2, DrainMS: 100_000}
+	full := Backlog{Jobs: maxActiveJobs, Tasks: 40_000, TeamJobs: 10, Weight: 1, Weights: 2, ClearMS: 100_000}
 	with := func(change func(*Backlog)) Backlog {
 		b := full
 		change(&b)
@@ -35,10 +35,10 @@
 		"full, others wait":          {full, Request{Ahead: 999}, Admission{5000, RefusedTooManyJobs}},
 		"room kept for others":       {with(func(b *Backlog) { b.Jobs -= 3 }), Request{Ahead: 3}, Admission{minRetryMS, RefusedOutOfTurn}},
 		"room beyond what is kept":   {with(func(b *Backlog) { b.Jobs -= 3 }), Request{Ahead: 2}, Admission{}},
-		"nothing runs in the pool":   {with(func(b *Backlog) { b.DrainMS = 0 }), Request{}, Admission{maxRetryMS, RefusedTooManyJobs}},
+		"nothing runs in the pool":   {with(func(b *Backlog) { b.ClearMS = 0 }), Request{}, Admission{maxRetryMS, RefusedTooManyJobs}},
 		"too large a job":            {with(func(b *Backlog) { b.Jobs, b.Tasks = 100, 190_000 }), Request{Tasks: 20_000}, Admission{6000, RefusedTooManyTasks}},
 		"absurd weights":             {with(func(b *Backlog) { b.Jobs, b.Weight, b.Weights = 16_000, 1<<62, 1<<62+1 }), Request{}, Admission{}},
-		"a pool that takes for ever": {with(func(b *Backlog) { b.DrainMS = 1e30 }), Request{Ahead: 1 << 40}, Admission{maxRetryMS, RefusedTooManyJobs}},
+		"a pool that takes for ever": {with(func(b *Backlog) { b.ClearMS = 1e30 }), Request{Ahead: 1 << 40}, Admission{maxRetryMS, RefusedTooManyJobs}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, Decide(tt.backlog, tt.request)) })
--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -18,7 +18,7 @@
 	computedAt time.Time
 	teams      map[string]teamBacklog
 	weights    int64
-	drainMS    map[string]float64
+	clearMS    map[string]float64
 }
 
 type teamBacklog struct{ jobs, tasks int }
@@ -38,7 +38,7 @@
 		b.computedAt = now
 	}
 	t, known := b.teams[team]
-	out.TeamJobs, out.TeamTasks, out.DrainMS = t.jobs, t.tasks, b.drainMS[q.Pool]
+	out.TeamJobs, out.TeamTasks, out.ClearMS = t.jobs, t.tasks, b.clearMS[q.Pool]
 	out.Weights = b.weights
 	if !known {
 		out.Weights += out.Weight
@@ -48,7 +48,7 @@
 
 // compute derives the fields from the state. The caller holds mu.
 func (b *backlogs) compute(s *workload.State, waiting map[string]bool) {
-	b.teams, b.weights, b.drainMS = map[string]teamBacklog{}, 0, map[string]float64{}
+	b.teams, b.weights, b.clearMS = map[string]teamBacklog{}, 0, map[string]float64{}
 	ahead, running := map[string]float64{}, map[string]float64{}
 	for _, j := range s.Active() {
 		t := b.teams[j.Team]
@@ -74,7 +74,7 @@
 	}
 	for pool, work := range ahead {
 		if running[pool] > 0 {
-			b.drainMS[pool] = work / running[pool]
+			b.clearMS[pool] = work / running[pool]
 		}
 	}
 }
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -162,10 +162,10 @@
 }
 
 // Call forwards a call to the leader and returns its reply. It waits at most
-// leaderWaitTimeout, 700 ms, for a leader, and as long for its answer. Once a store may have accepted a submission or
-// cancellation, Call repeats it until ctx ends or no leader has answered for readyTimeout,
-// 1.5 s, which is safe since the call is idempotent by the job's identifier. Errors wrap
-// ErrNotRun or ErrMayHaveRun.
+// leaderWaitTimeout, 700 ms, for a leader, and as long for its answer. Once a store may have
+// accepted a submission or cancellation, Call repeats it until ctx ends or no leader has
+// answered for readyTimeout, 1.5 s, which is safe since the call is idempotent by the job's
+// identifier. Errors wrap ErrNotRun or ErrMayHaveRun.
 func (c *Client) Call(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
 	var reply wire.JobCallReply
 	if !c.awaitContact(ctx) {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -38,10 +38,11 @@
 	// was restarted.
 	leaderHeardAt int64
 	electedAt     int64
-	startedAt     int64
+	// startedAt is when this process of the member started.
+	startedAt int64
 	// heardLeader is true once a leader has sent a message to this process.
 	heardLeader bool
-	// guard is nil once it is lifted or has expired. guardLifted is true from the first.
+	// guard is nil once it was lifted or has expired; guardLifted is true if it was lifted.
 	guard       *restartGuard
 	guardLifted bool
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,9 +115,7 @@
 	// Policies maps a kind of decision to the name of its policy, for measurements
 	// against baselines. A missing kind has the default policy.
 	Policies map[string]string `json:"policies,omitempty"`
-	// RunTimes is where expected run times of tasks are taken from, "learned" (the default)
-	// or "declared".
-	RunTimes RunTimes `json:"run_times,omitempty"`
+	Planning
 }
 
 // Entry contains the settings of samphire-entry.
--- a/internal/taskplan/ahead.go
+++ b/internal/taskplan/ahead.go
@@ -13,30 +13,22 @@
 // ComputeFor returns the same plan as Compute, and the work ahead of the step. reached is
 // false if the plan ends before the step or the step has nothing to start.
 func ComputeFor(in Input, ref StepRef) (plan Plan, ahead Ahead, reached bool) {
-	p := newPlanner(in)
 	jobs := map[string]bool{}
 	pool := ""
 	if j := in.State.Active()[ref.Job]; j != nil {
 		pool = in.State.PoolOf(j)
 	}
-	for _, c := range p.candidates() {
-		if in.MaxStarts > 0 && len(p.plan.Starts) >= in.MaxStarts {
-			p.plan.Truncated = true
-			break
-		}
-		before := len(p.plan.Starts)
-		p.place(*c)
+	p := compute(in, func(c *candidate, waiting int) {
 		reached = reached || c.ref == ref
-		left := c.progress.Waiting() - (len(p.plan.Starts) - before)
-		if reached || c.pool != pool || left <= 0 {
-			continue
+		if reached || c.pool != pool || waiting <= 0 {
+			return
 		}
 		jobs[c.ref.Job] = true
-		ahead.Tasks += left
+		ahead.Tasks += waiting
 		if !c.step.LongRunning {
-			ahead.WorkMilliMS += int64(left) * c.step.WorkMilliMS(c.expected.MeanMS)
+			ahead.WorkMilliMS += int64(waiting) * c.step.WorkMilliMS(c.expected.MeanMS)
 		}
-	}
+	})
 	ahead.Jobs = len(jobs)
 	return p.plan, ahead, reached
 }
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -4,8 +4,9 @@
 //
 // The queues have bursts in turn, in which one queue submits several times what its
 // pool can run for several seconds. Work that can still meet its deadline is placed
-// first, in order of deadline. Work that is already late takes the capacity that
-// remains.
+// first, in order of deadline, and late work takes the capacity that remains. In a pool
+// in which more work waits than has room, what can be finished in time is chosen first;
+// see chooseInTime.
 package taskplan
 
 import (
@@ -62,8 +63,7 @@
 	// IncomingMilli is the processor time of the machines on their way to each pool, in
 	// thousandths of a core. The choice in overloaded pools counts on it.
 	IncomingMilli map[string]int64
-	// ByDeadline keeps the order by deadline also in overloaded pools. It is the baseline of
-	// measurements.
+	// ByDeadline keeps the order by deadline also in overloaded pools.
 	ByDeadline bool
 }
 
@@ -168,16 +168,24 @@
 
 // Compute returns the starts of all waiting tasks that fit on a worker, and the demand
 // of the others.
-func Compute(in Input) Plan { return compute(in).plan }
+func Compute(in Input) Plan {
+	return compute(in, nil).plan
+}
 
-func compute(in Input) *planner {
+// compute places the candidates in order. Unless placed is nil, it is called after each of
+// them with the number of its tasks that still wait.
+func compute(in Input, placed func(c *candidate, waiting int)) *planner {
 	p := newPlanner(in)
 	for _, c := range p.candidates() {
 		if in.MaxStarts > 0 && len(p.plan.Starts) >= in.MaxStarts {
 			p.plan.Truncated = true
 			break
 		}
+		before := len(p.plan.Starts)
 		p.place(*c)
+		if placed != nil {
+			placed(c, c.progress.Waiting()-(len(p.plan.Starts)-before))
+		}
 	}
 	return p
 }
--- a/internal/taskplan/room.go
+++ b/internal/taskplan/room.go
@@ -9,7 +9,7 @@
 // ComputeWithRoom returns the plan of Compute, and the room that it leaves. A truncated plan
 // leaves none, since the steps that it left out come first.
 func ComputeWithRoom(in Input) (Plan, *Room) {
-	p := compute(in)
+	p := compute(in, nil)
 	if p.plan.Truncated {
 		return p.plan, &Room{newPlanner(Input{State: in.State})}
 	}
@@ -20,11 +20,11 @@
 // within it.
 const spareRoomPercent = 30
 
-// IsAmple reports whether the pool has room that nothing else needs soon: no task of it waits, and
-// a good part of its processor time is free.
+// IsAmple reports whether the pool has room that nothing else needs soon: no task of it waits,
+// and a good part of its processor time is free.
 //
-// Load pattern: long-running tasks could leave a data centre during a burst. What they take elsewhere
-// makes jobs late, while they would go on undisturbed where they are.
+// Load pattern: long-running tasks could leave a data centre during a burst. What they take
+// elsewhere makes jobs late, while they would go on undisturbed where they are.
 func (r *Room) IsAmple(pool string) bool {
 	workers := r.p.pools[pool]
 	if _, waits := r.p.plan.Unplaced[pool]; waits || workers == nil {
@@ -38,8 +38,8 @@
 	return free*100 >= capacity*spareRoomPercent
 }
 
-// Take reports whether a worker has room for the placed task beside its other tasks, and takes the room.
-// The worker that the task is on must not be one of the input.
+// Take reports whether a worker has room for the placed task beside its other tasks, and takes
+// the room. The worker that the task is on must not be one of the input.
 func (r *Room) Take(ref workload.TaskRef) bool {
 	j, task, ok := r.p.in.State.Task(ref)
 	if !ok || ref.Step >= len(j.Steps) {
--- a/internal/taskplan/share.go
+++ b/internal/taskplan/share.go
@@ -4,10 +4,10 @@
 type poolTeam struct{ pool, team string }
 
 // markOverShare sets overShare on the candidates, and on the steps that depend on running
-// ones, of teams that use at least their share
-// of the pool. Candidates over their share are placed after the others of the same
-// class and priority, which matters only when the pool is full: otherwise a team that
-// submits more than the pool can run would hold up the small jobs of all other teams.
+// ones, of teams that use at least their share of the pool. Candidates over their share are
+// placed after the others of the same class and priority, which matters only when the pool
+// is full: otherwise a team that submits more than the pool can run would hold up the small
+// jobs of all other teams.
 //
 // The share is the part of the pool's processor time that corresponds to the team's
 // weight among the teams that have running or waiting tasks in the pool.
