--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -250,7 +250,7 @@
 			}
 		}
 	}
-	return http.StatusOK, map[string]any{"approved": approved}
+	return http.StatusOK, map[string]any{"approved": approved, "validityMs": p.validity.Milliseconds()}
 }
 
 // ticketValid reports whether the ticket is valid for the task on this life of the minion.
