Store: commit only what decodes, skip what can't be applied

Cause: the encoder of commands checks less than the decoder. Text that is not UTF-8 and lists of more than 2^20 elements were encoded, committed and then refused by DecodeCommand on every store. A panic while a command is applied had the same effect.

Change: the leader decodes each command before it appends it, and applies the decoded command later, so that each command is still decoded once. A command that does not decode, or is too large, is refused as fleet.ErrCommand, which all callers of the log now report as a bad request instead of an unknown outcome. A member of the log needs readable names.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -16,8 +16,9 @@
 // is in force everywhere, or when this time has passed.
 //
 // The error is a *wire.ErrorBody. After CodeUncertain the command may have been
-// committed, or may be later; after CodeNotLeader and CodeUnsupported (a command that
-// only the leader itself may propose) it was not.
+// committed, or may be later; after CodeNotLeader, CodeUnsupported (a command that
+// only the leader itself may propose) and CodeBadMessage (a command that can't be stored)
+// it was not.
 func (s *Server) Propose(ctx context.Context, req wire.ProposeRequest) (*wire.ProposeReply, error) {
 	if _, err := s.checkLeadership(); err != nil {
 		return nil, err
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -178,10 +178,14 @@
 }
 
 // proposeError converts an error of Log.Propose for the wire. Unless the log refused
-// the command because this store does not lead, the command may have been committed.
+// the command, because this store does not lead or no store could apply it, the command
+// may have been committed.
 func (s *Server) proposeError(err error) error {
-	if errors.Is(err, fleet.ErrNotLeader) {
+	switch {
+	case errors.Is(err, fleet.ErrNotLeader):
 		return notLeaderError(s.log.Leadership())
+	case errors.Is(err, fleet.ErrCommand):
+		return &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
 	}
 	return &wire.ErrorBody{Code: wire.CodeUncertain, Message: err.Error(), Leader: s.log.Leadership().Leader}
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -252,13 +252,20 @@
 }
 
 // proposeRefusal is the answer to a command that no leader acknowledged. The
-// verdict is may_have_run if a store may have received the command.
+// verdict is may_have_run if a store may have received the command. A command that no
+// store will ever take is a bad request.
 func proposeRefusal(err error) *api.Refusal {
 	var unavailable *leader.ErrUnavailable
-	if errors.As(err, &unavailable) && !unavailable.Unsent {
+	var body *wire.ErrorBody
+	switch {
+	case errors.As(err, &unavailable) && !unavailable.Unsent:
 		refusal := api.UnknownOutcome(api.CodeNoQuorum, "no leading store acknowledged the request")
 		refusal.RetryAfterMS = defaultRetryAfter.Milliseconds()
 		return refusal
+	case errors.Is(err, wire.ErrTooLarge):
+		return api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request is too large")
+	case errors.As(err, &body) && body.Code == wire.CodeBadMessage:
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, body.Message)
 	}
 	return api.RetryLater(api.CodeNoQuorum, "no leading store took the request", defaultRetryAfter)
 }
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -10,7 +10,8 @@
 )
 
 // Errors of Log.Propose. ErrNotLeader means that the command was not appended to the
-// log, ErrUncertain that it may be committed already or later.
+// log, ErrUncertain that it may be committed already or later. ErrCommand, wrapped, means
+// that it was not and never will be applied: it is malformed or too large.
 var (
 	ErrNotLeader = errors.New("fleet: this store is not the leader")
 	ErrUncertain = errors.New("fleet: the command may or may not be committed")
@@ -55,5 +56,8 @@
 	if err != nil {
 		return workload.Result{}, err
 	}
+	if result.Workload == nil {
+		return workload.Result{}, errors.Wrap(ErrCommand, "the log skipped the command")
+	}
 	return *result.Workload, nil
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -16,7 +16,7 @@
 	maxElements = 1 << 20
 )
 
-// Errors of DecodeSnapshot and DecodeCommand.
+// Errors of DecodeSnapshot, and of EncodeCommand and DecodeCommand.
 var (
 	ErrSnapshot = errors.New("fleet: the snapshot is malformed")
 	ErrCommand  = errors.New("fleet: the command is malformed")
@@ -112,10 +112,15 @@
 	return s, nil
 }
 
-// EncodeCommand encodes a command for a log entry as deterministic CBOR.
+// EncodeCommand encodes a command for a log entry as deterministic CBOR. Any error wraps
+// ErrCommand. The encoder checks less than the decoder: text that is not UTF-8 and lists that
+// are too long have an encoding that DecodeCommand refuses.
 func EncodeCommand(cmd Command) ([]byte, error) {
 	data, err := encMode.Marshal(cmd)
-	return data, errors.Wrap(err, "fleet: encode command")
+	if err != nil {
+		return nil, errors.Wrap(ErrCommand, err.Error())
+	}
+	return data, nil
 }
 
 // DecodeCommand decodes the command of a log entry. Any error wraps ErrCommand.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -88,10 +88,13 @@
 }
 
 // asWireError converts an error of the log to one for the wire. Any error but a lost
-// leadership leaves the outcome uncertain.
+// leadership and a command that can't be stored leaves the outcome uncertain.
 func (s *Server) asWireError(err error) error {
-	if errors.Is(err, fleet.ErrNotLeader) {
+	switch {
+	case errors.Is(err, fleet.ErrNotLeader):
 		return &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: s.log.Leadership().Leader}
+	case errors.Is(err, fleet.ErrCommand):
+		return &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
 	}
 	return &wire.ErrorBody{Code: wire.CodeUncertain, Message: err.Error()}
 }
@@ -265,6 +268,9 @@
 	cmd.ID, cmd.Queue, cmd.Team = id, q.Name, team
 	s.unresolved.add(id, time.Now())
 	result, err := fleet.ProposeWorkload(ctx, s.log, &workload.Command{Submit: &cmd})
+	if errors.Is(err, fleet.ErrCommand) {
+		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: err.Error()}, nil
+	}
 	if err != nil {
 		return wire.JobCallReply{}, err
 	}
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -1,6 +1,9 @@
 package raft
 
-import "slices"
+import (
+	"slices"
+	"unicode/utf8"
+)
 
 // MaxPromoteLag is the largest number of entries by which a learner may be behind the
 // leader when it is promoted.
@@ -99,7 +102,7 @@
 }
 
 func withLearner(members []Member, m Member) ([]Member, error) {
-	if m.ID == 0 || m.Address == "" {
+	if m.ID == 0 || m.Address == "" || !m.hasReadableNames() {
 		return nil, ErrBadChange
 	}
 	if indexOf(members, m.ID) >= 0 {
@@ -109,6 +112,12 @@
 	return append(members, m), nil
 }
 
+// hasReadableNames reports whether the names are UTF-8. Entries, snapshots and messages that
+// contain other text can be encoded but not decoded.
+func (m *Member) hasReadableNames() bool {
+	return utf8.ValidString(m.Instance) && utf8.ValidString(m.DataCentre) && utf8.ValidString(m.Address)
+}
+
 func (c *Core) withPromoted(members []Member, id uint64) ([]Member, error) {
 	i := indexOf(members, id)
 	if i < 0 {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -302,6 +302,15 @@
 	c.log.compact(min(keepFrom, snap.Index))
 }
 
+// Replay returns the newest snapshot and the entries after it that were handed out to be
+// applied, up to and including the given index. It returns false if the snapshot is newer.
+func (c *Core) Replay(upTo uint64) (Snapshot, []Entry, bool) {
+	if c.snapshot.Index > upTo || upTo > c.log.applying {
+		return Snapshot{}, nil, false
+	}
+	return c.snapshot, c.log.between(c.snapshot.Index, upTo), true
+}
+
 // PositionAt returns the position of an applied index, for a snapshot of the state at
 // that index. It returns false if a snapshot received from the leader has replaced the
 // log up to a later index.
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -20,7 +20,7 @@
 	ErrNotCaughtUp   = errors.New("raft: learner has not caught up")
 	ErrNoQuorum      = errors.New("raft: the change would leave no majority of voters in contact")
 	ErrLastVoter     = errors.New("raft: the last voter cannot be removed")
-	ErrBadChange     = errors.New("raft: a membership change names exactly one action")
+	ErrBadChange     = errors.New("raft: a membership change needs exactly one valid action")
 )
 
 // EntryKind is the type of a log entry. Its values are stored in the log.
--- a/internal/store/loop.go
+++ b/internal/store/loop.go
@@ -248,6 +248,7 @@
 		return errors.Wrap(err, "store: restore snapshot")
 	}
 	n.applied, n.snapshotIndex, n.bytesSinceSnapshot = s.Index, s.Index, 0
+	n.forgetSkipped(s.Index)
 	n.notifyChanged()
 	return nil
 }
@@ -271,18 +272,16 @@
 func (n *Node) apply(e raft.Entry) error {
 	n.applied = e.Index
 	n.bytesSinceSnapshot += len(e.Data)
-	switch e.Kind {
-	case raft.EntryMembership:
+	if e.Kind == raft.EntryMembership {
 		n.completeChange(e)
-		return nil
-	case raft.EntryNoop:
+	}
+	if !hasCommand(e) {
 		return nil
 	}
-	cmd, err := fleet.DecodeCommand(e.Data)
+	result, err := n.applyCommand(e)
 	if err != nil {
-		return errors.Wrapf(err, "store: decode command at index %d", e.Index)
+		return err
 	}
-	result := n.machine.Apply(e.Index, cmd)
 	n.completeProposal(e, result)
 	return nil
 }
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -3,12 +3,14 @@
 import "github.com/rcrowley/go-metrics"
 
 type nodeMetrics struct {
-	proposals    metrics.Counter
-	applied      metrics.Counter
-	elections    metrics.Counter
-	dropped      metrics.Counter
-	expired      metrics.Counter
-	refused      metrics.Counter
+	proposals metrics.Counter
+	applied   metrics.Counter
+	elections metrics.Counter
+	dropped   metrics.Counter
+	expired   metrics.Counter
+	refused   metrics.Counter
+	// skipped counts the committed entries that could not be decoded or applied.
+	skipped      metrics.Counter
 	syncs        metrics.Timer
 	term         metrics.Gauge
 	appliedIndex metrics.Gauge
@@ -25,6 +27,7 @@
 		dropped:      metrics.GetOrRegisterCounter("store_dropped_messages_total", r),
 		expired:      metrics.GetOrRegisterCounter("store_expired_messages_total", r),
 		refused:      metrics.GetOrRegisterCounter("store_refused_messages_total", r),
+		skipped:      metrics.GetOrRegisterCounter("store_skipped_entries_total", r),
 		syncs:        metrics.GetOrRegisterTimer("store_sync_seconds", r),
 		term:         metrics.GetOrRegisterGauge("store_term", r),
 		appliedIndex: metrics.GetOrRegisterGauge("store_applied_index", r),
--- a/internal/store/persist.go
+++ b/internal/store/persist.go
@@ -105,6 +105,7 @@
 		return res.err
 	}
 	n.core.Compact(res.snapshot, n.retainFrom)
+	n.forgetSkipped(res.snapshot.Index)
 	n.trimTo = res.oldest
 	n.log.Info().Uint64("index", res.snapshot.Index).Int("bytes", len(res.snapshot.Data)).Msg("snapshot written")
 	return nil
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -10,8 +10,8 @@
 	"github.com/samphirefork/samphirefork/internal/raft"
 )
 
-// proposal is a command that was submitted and has no result yet. term is that in which
-// it was appended to the log.
+// proposal is a command that was submitted and has no result yet. Once it is appended to the
+// log, cmd is what its entry decodes to, and term that of the entry.
 type proposal struct {
 	cmd  fleet.Command
 	term uint64
@@ -25,8 +25,8 @@
 
 // Propose implements fleet.Log. Commands that arrive during a sync share the next one. It
 // returns fleet.ErrNotLeader if the command was not committed, fleet.ErrUncertain if it
-// may or may not be committed, and ErrCommandTooLarge, wrapped, for one that exceeds
-// the size limit.
+// may or may not be committed, and fleet.ErrCommand, wrapped, for one that can't be stored:
+// it is malformed or, with ErrCommandTooLarge, exceeds the size limit.
 func (n *Node) Propose(ctx context.Context, cmd fleet.Command) (fleet.Result, error) {
 	p := &proposal{cmd: cmd, done: make(chan outcome, 1)}
 	select {
@@ -85,17 +85,31 @@
 	}
 	p.cmd.Time = n.leadership.now(n.clock())
 	p.cmd.WallUnixMS = time.Now().UnixMilli()
-	data, err := fleet.EncodeCommand(p.cmd)
-	if err == nil && len(data) > maxCommandBytes {
-		err = ErrCommandTooLarge
-	}
+	data, decoded, err := encodeDecodable(p.cmd)
 	if err != nil {
+		n.log.Error().Err(err).Msg("command refused, no store could decode it")
 		p.done <- outcome{err: errors.Wrap(err, "store: encode command")}
 		return batch
 	}
+	p.cmd = decoded
 	return append(batch, preparedProposal{p: p, data: data})
 }
 
+// encodeDecodable returns the encoding of a command and what it decodes to, which this store
+// applies later. An entry that fails to decode would fail on every store, so it must not be
+// appended; the error wraps fleet.ErrCommand.
+func encodeDecodable(cmd fleet.Command) ([]byte, fleet.Command, error) {
+	data, err := fleet.EncodeCommand(cmd)
+	if err != nil {
+		return nil, fleet.Command{}, err
+	}
+	if len(data) > maxCommandBytes {
+		return nil, fleet.Command{}, ErrCommandTooLarge
+	}
+	decoded, err := fleet.DecodeCommand(data)
+	return data, decoded, err
+}
+
 func (n *Node) append(batch []preparedProposal) {
 	if len(batch) == 0 {
 		return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,8 +50,9 @@
 )
 
 // ErrCommandTooLarge is returned, wrapped, by Node.Propose for a command whose encoding
-// exceeds 3 MiB, the limit that keeps it within a frame of package wire.
-var ErrCommandTooLarge = errors.New("store: command exceeds the size limit")
+// exceeds 3 MiB, the limit that keeps it within a frame of package wire. It wraps
+// fleet.ErrCommand.
+var ErrCommandTooLarge = errors.WithMessage(fleet.ErrCommand, "store: command exceeds the size limit")
 
 // ErrWrongMember reports a data folder that belongs to another member (Found) than the
 // one in the settings (Configured).
@@ -159,7 +160,11 @@
 	savingSnapshot bool
 	trimTo         uint64
 	applied        uint64
-	snapshotIndex  uint64
+	// initialState is the encoded state of the machine before the first entry, and skipped
+	// holds the entries since the newest snapshot at which the machine panicked.
+	initialState  []byte
+	skipped       map[uint64]bool
+	snapshotIndex uint64
 	// bytesSinceSnapshot is the size of the commands applied since snapshotIndex, and
 	// retainFrom is the index of the snapshot before the one that is being written.
 	bytesSinceSnapshot int
@@ -234,10 +239,15 @@
 		pending:         map[uint64]*proposal{},
 		replacedLogged:  map[uint64]bool{},
 		lateMembers:     map[uint64]bool{},
+		skipped:         map[uint64]bool{},
 		machine:         opts.Machine,
 		changed:         make(chan struct{}),
 	}
 	n.bootStarted = n.clock()
+	var err error
+	if n.initialState, err = opts.Machine.Capture()(); err != nil {
+		return nil, errors.Wrap(err, "store: encode initial state")
+	}
 	restored, err := n.openDisk(opts.FS)
 	if err != nil {
 		return nil, err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -23,6 +23,9 @@
 
 const deadline = 60 * time.Second
 
+// panicID is the job identifier at which a counter panics, after it has changed its state.
+const panicID = "panic"
+
 // counter is a Machine that counts how often each job identifier was cancelled.
 type counter struct {
 	state *fleet.State
@@ -38,6 +41,9 @@
 	c.state.Applied, c.state.Now = index, cmd.Time
 	if cmd.Cancel != nil {
 		c.seen[cmd.Cancel.ID]++
+		if cmd.Cancel.ID == panicID {
+			panic("a command that can't be applied")
+		}
 	}
 	return fleet.Result{Revision: fleet.Revision(len(c.seen))}
 }
