Refuse text that can't be stored wherever it comes in

With such commands refused by the log the stores lived on, but each plan that used the sender as a worker was refused, too, and no task started.

Cause: net/http passes on any bytes in escaped paths, queries and headers, and encoding/json replaces them in bodies, so that two names could become one. On the platform's control interface nothing checked them. On the entries of both interfaces they failed at the next process, whose refusal was answered as a missing leader (503), held until the time limit. A backend server's content type with such bytes lost a ready answer. A heartbeat without its machine, address, capacity or start, or with a port out of range, counted as a worker.

Change: package httptext refuses paths, queries and named headers with 400; bodies must be UTF-8; dispatch.Report.Validate checks for both interfaces what a report may hold, and commands are bounded by the bytes of their ends and tickets. Errors on the wire stay readable. Numbers that fit no integer are bounded, since their conversion differs between machines.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/taskplan"
@@ -98,6 +99,7 @@
 		d.logger.Warn().Err(err).Str("job", ref.Job).Int("step", ref.Step).Msg("advice request failed")
 		return
 	}
+	maps.DeleteFunc(tickets, func(_ workload.WorkerIncarnation, ticket string) bool { return textFault(ticket, maxTicketBytes) != "" })
 	d.logger.Info().Str("job", ref.Job).Int("step", ref.Step).Int("asked", len(incarnations)).Int("approved", len(tickets)).Msg("advice received")
 	a.steps[ref] = approval{tickets: tickets, expiresAt: now + validityMS}
 	d.Wake()
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -31,6 +31,9 @@
 	// command, they would keep the log from its heartbeats, or exceed its largest command.
 	maxStartsPerCycle = 1000
 	maxEndsPerCommand = 2000
+	// maxEndBytesPerCommand bounds the text of the ends in one command. One end has at most
+	// maxCheckpointBytes and maxNameBytes more.
+	maxEndBytesPerCommand = 1 << 20
 )
 
 // Run plans and dispatches in cycles until ctx ends, and returns nil then. Cycles do
@@ -216,7 +219,7 @@
 // those that may not be committed for the next cycle, unless all are known to be committed.
 func (d *Dispatcher) recordEnds(ctx context.Context, c cycleStart) bool {
 	for ends := c.ends; len(ends) > 0; {
-		batch := ends[:min(len(ends), maxEndsPerCommand)]
+		batch := firstEnds(ends)
 		if !d.propose(ctx, &workload.Progress{Ends: batch}) {
 			d.requeueEnds(c.term, ends)
 			return false
@@ -227,6 +230,18 @@
 	return true
 }
 
+// firstEnds returns the ends, at least one, that fit into one command.
+func firstEnds(ends []workload.End) []workload.End {
+	size := 0
+	for i, e := range ends {
+		size += len(e.Checkpoint) + len(e.Task.Job) + len(e.Worker.ID)
+		if i > 0 && (i == maxEndsPerCommand || size > maxEndBytesPerCommand) {
+			return ends[:i]
+		}
+	}
+	return ends
+}
+
 // markRecorded updates up to which number the ends of each worker are recorded.
 func (d *Dispatcher) markRecorded(upTo map[*worker]int64) {
 	d.mu.Lock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -194,9 +194,12 @@
 // response for at most 0.7 s: until the ended runs of the report are recorded or, for a
 // worker that has nothing to do, until it gets work. A report that is out of date, because
 // a later one or a later incarnation of the worker came first, gets orders without a lease.
-// HandleReport returns a NotLeaderError unless this store has led from the receipt of the
-// report to the response.
+// HandleReport returns an *InvalidReportError for a report that no worker sends, and a
+// NotLeaderError unless this store has led from the receipt of the report to the response.
 func (d *Dispatcher) HandleReport(ctx context.Context, rep Report) (Orders, error) {
+	if err := rep.Validate(); err != nil {
+		return Orders{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	taken, err := d.takeReport(rep)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -70,6 +71,9 @@
 		return nil, err
 	}
 	var rep Report
+	if !utf8.Valid(msg.Body) {
+		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: "the report is not UTF-8"}
+	}
 	if err := json.Unmarshal(msg.Body, &rep); err != nil {
 		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
 	}
@@ -87,18 +91,13 @@
 // validate returns the reason why a report of the named worker is invalid, or an empty
 // string.
 func (r *Report) validate(worker string) string {
-	switch {
-	case worker == "" || r.Incarnation.ID != worker:
+	if r.Incarnation.ID != worker {
 		return "life.id is not the worker's identifier"
-	case r.Pool == "":
-		return "pool is missing"
-	case r.Sequence <= 0:
-		return "sequence is not positive"
-	case r.Capacity.CPUMilli < 0 || r.Capacity.MemoryMiB < 0 || r.Capacity.Accelerators < 0:
-		return "capacity has a negative amount"
-	default:
-		return ""
 	}
+	if err := r.Validate(); err != nil {
+		return err.Error()
+	}
+	return ""
 }
 
 func (h WorkerHandler) serveLeave(_ context.Context, req wire.Request) (any, error) {
@@ -114,8 +113,12 @@
 
 func toWireError(err error) error {
 	var notLeader *NotLeaderError
-	if errors.As(err, &notLeader) {
+	var invalid *InvalidReportError
+	switch {
+	case errors.As(err, &notLeader):
 		return &wire.ErrorBody{Code: wire.CodeNotLeader, Leader: notLeader.Leader}
+	case errors.As(err, &invalid):
+		return &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
 	}
 	return err
 }
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -190,7 +192,7 @@
 	answer := &wire.CallAnswer{
 		Verdict:     string(api.Done),
 		Status:      http.StatusOK,
-		ContentType: resp.Header.Get(api.HeaderContentType),
+		ContentType: strings.ToValidUTF8(resp.Header.Get(api.HeaderContentType), string(utf8.RuneError)),
 		Body:        body,
 	}
 	return attemptResult{status: attemptAnswered, outcome: routing.Succeeded, answer: answer}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/admission"
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/httptext"
 	"github.com/samphirefork/samphirefork/internal/leader"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/wait"
@@ -152,6 +153,7 @@
 	router := echo.New()
 	router.HideBanner = true
 	router.HidePort = true
+	router.Use(httptext.Require(e.refuseText, api.HeaderKey, api.HeaderRequestID, api.HeaderContentType))
 	router.POST("/v1/call/:service", e.handleCall)
 	router.POST("/v1/queues/:queue/jobs", e.handleSubmit)
 	router.GET("/v1/jobs/:id", e.handleGetJob)
@@ -169,6 +171,12 @@
 	return router
 }
 
+// refuseText answers a request whose text no store could decode. It has not run, and neither
+// has an earlier attempt with the same text.
+func (e *Entry) refuseText(c echo.Context, err error) error {
+	return e.respond(c, "", refusalToAnswer(api.Refuse(http.StatusBadRequest, api.CodeBadRequest, err.Error())))
+}
+
 // Run listens at the addresses in the settings and serves until ctx ends. Then it
 // stops gracefully: it ends readiness, still accepts requests for
 // Options.StopGrace, and waits for the requests in flight. It returns an error if
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -308,6 +309,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if !utf8.Valid(data) {
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not UTF-8")
+	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not valid JSON: "+err.Error())
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -342,10 +344,14 @@
 	}
 }
 
+// asErrorBody returns the reply for an error. Its message may quote any bytes, but the peer
+// decodes UTF-8 only.
 func asErrorBody(err error) *ErrorBody {
+	reply := ErrorBody{Code: CodeInternal, Message: err.Error()}
 	var body *ErrorBody
 	if errors.As(err, &body) {
-		return body
+		reply = *body
 	}
-	return &ErrorBody{Code: CodeInternal, Message: err.Error()}
+	reply.Message = strings.ToValidUTF8(reply.Message, string(utf8.RuneError))
+	return &reply
 }
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -30,6 +30,9 @@
 	if err := req.Decode(&msg); err != nil {
 		return nil, err
 	}
+	if msg.ID == "quote" {
+		return nil, &ErrorBody{Code: CodeBadMessage, Message: "bytes \xff"}
+	}
 	if msg.ID == "refuse" {
 		return nil, &ErrorBody{Code: CodeNotLeader, Leader: "127.0.0.1:1"}
 	}
@@ -67,6 +70,11 @@
 	require.ErrorAs(t, err, &body)
 	require.Equal(t, CodeNotLeader, body.Code)
 	require.Equal(t, "127.0.0.1:1", body.Leader)
+
+	// An error that quotes bytes which are not UTF-8 must stay readable.
+	err = conn.Call(ctx, TypeJobWait, JobWaitRequest{ID: "quote"}, nil)
+	require.ErrorAs(t, err, &body)
+	require.Equal(t, CodeBadMessage, body.Code)
 }
 
 // Guards against accepting a peer that does not know the fleet's secret.
--- a/internal/workerlink/http.go
+++ b/internal/workerlink/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -90,8 +91,14 @@
 func (m *Manager) Mount(e *echo.Echo) {
 	e.POST(AnnouncePath, func(c echo.Context) error {
 		var a Announcement
-		body := http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)
-		if err := json.NewDecoder(body).Decode(&a); err != nil {
+		data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes))
+		if err != nil {
+			return badRequest(c, err.Error())
+		}
+		if !utf8.Valid(data) {
+			return badRequest(c, "the announcement is not UTF-8")
+		}
+		if err := json.Unmarshal(data, &a); err != nil {
 			return badRequest(c, err.Error())
 		}
 		if err := a.validate(); err != nil {
