Dispatch: only silence or a worker's own restart ends its runs

Cause: the first report of any sender registered it as a worker and terminated the worker known on the machine it named, though that one went on reporting; its runs were counted as lost and started elsewhere at once.

Change: a first report counts only if its pool is in the configuration, or its sender runs or ends tasks that are known, since the pool may have been removed. A worker that still reports keeps its machine; one with another identifier gets no tasks until the first is silent for 1.3 s, and then takes over without waiting for a lease. A restart under the same identifier ends the earlier incarnation at once, as before.

TestReportOfAnUnknownPoolEndsNoRuns and TestLiveWorkerKeepsItsMachine failed before (a lease of 10 s for the other program, a second run of a task) and pass now; tests of dispatch, platform, soak and integration pass.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -114,6 +114,7 @@
 	if err != nil {
 		return cycleStart{}, err
 	}
+	d.replaceSilent(now)
 	c := cycleStart{now: now, term: d.term}
 	c.ends, c.upTo = d.collectEnds(now)
 	return c, nil
@@ -406,7 +407,7 @@
 	var out []taskplan.Worker
 	for incarnation, w := range d.workers {
 		_, inTransfer := d.transfers[w.Machine]
-		if w.Draining || !w.isLive(now) || inTransfer || d.maintenance.isReserved(w.Machine, now) || s.Evacuated(w.DataCentre) {
+		if w.Draining || !w.isLive(now) || w.predecessor != nil || inTransfer || d.maintenance.isReserved(w.Machine, now) || s.Evacuated(w.DataCentre) {
 			continue
 		}
 		out = append(out, taskplan.Worker{
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 	// responseTimeout bounds the time to the response to a heartbeat. Workers discard a
 	// response that takes longer than one second.
 	responseTimeout = 700 * time.Millisecond
+	// ignoredLinesPerSecond bounds the log lines about reports of other writers.
+	ignoredLinesPerSecond = 2
 )
 
 // Settings holds the time bounds of a Dispatcher and the name it uses on the platform.
@@ -68,9 +70,11 @@
 	log      fleet.Log
 	settings Settings
 	logger   zerolog.Logger
-	meters   meters
-	advisor  Advisor
-	provider MachineProvider
+	// ignoredLog is a rate-limited copy of logger for lines about reports of other writers.
+	ignoredLog zerolog.Logger
+	meters     meters
+	advisor    Advisor
+	provider   MachineProvider
 
 	wakeup chan struct{}
 
@@ -127,7 +131,8 @@
 func New(log fleet.Log, s Settings, advisor Advisor, machines MachineProvider, registry metrics.Registry, logger zerolog.Logger) *Dispatcher {
 	d := &Dispatcher{
 		log: log, settings: s, logger: logger, meters: newMeters(registry),
-		advisor: advisor, provider: machines, wakeup: make(chan struct{}, 1),
+		ignoredLog: logger.Sample(&zerolog.BurstSampler{Burst: ignoredLinesPerSecond, Period: time.Second}),
+		advisor:    advisor, provider: machines, wakeup: make(chan struct{}, 1),
 		stalls: newStallTracker(registry), evacuations: newEvacuations(registry),
 	}
 	d.reset(0, 0)
@@ -249,21 +254,21 @@
 // acceptReport registers or updates the worker of a report. It returns nil for a report
 // that is out of date: its incarnation is terminated or has sent a later report, or a later
 // incarnation is known. It also returns nil if the report names another pool, machine or
-// data centre than the earlier ones of its incarnation, which only another writer can send. The
-// caller holds mu.
+// data centre than the earlier ones of its incarnation, or comes from no worker that is
+// expected: only another writer can send those. The caller holds mu.
 func (d *Dispatcher) acceptReport(rep Report, now int64) *worker {
 	w, ok := d.workers[rep.Incarnation]
 	if ok && (w.terminated || rep.Sequence <= w.Sequence) {
 		return nil
 	}
 	if ok && (rep.Pool != w.Pool || rep.Machine != w.Machine || rep.DataCentre != w.DataCentre) {
-		d.logger.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
+		d.ignoredLog.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
 			Str("known_pool", w.Pool).Str("known_machine", w.Machine).Str("reported_data_centre", rep.DataCentre).Str("known_data_centre", w.DataCentre).
 			Msg("report ignored: it names another pool, machine or data centre than its worker")
 		return nil
 	}
 	if !ok {
-		if d.isSuperseded(rep, now) {
+		if d.isSuperseded(rep, now) || !d.isExpected(rep) {
 			return nil
 		}
 		w = newWorker(rep)
@@ -296,6 +301,28 @@
 	return false
 }
 
+// isExpected reports whether the sender of a first report is a worker: it belongs to a pool of
+// the configuration, or runs, or has ended, tasks of known jobs. The pool of such a worker may
+// have been removed. The caller holds mu.
+func (d *Dispatcher) isExpected(rep Report) bool {
+	expected := false
+	d.log.Read(func(s *fleet.State) {
+		_, expected = s.Workload.Config.Pools[rep.Pool]
+		expected = expected || len(s.Workload.RunsOn(rep.Incarnation)) > 0
+		for i := 0; i < len(rep.Running) && !expected; i++ {
+			_, _, expected = s.Workload.Task(rep.Running[i].Task)
+		}
+		for i := 0; i < len(rep.Ended) && !expected; i++ {
+			_, _, expected = s.Workload.Task(rep.Ended[i].Task)
+		}
+	})
+	if !expected {
+		d.ignoredLog.Warn().Str("worker", rep.Incarnation.ID).Str("pool", rep.Pool).Str("machine", rep.Machine).
+			Msg("report ignored: its pool is not in the configuration")
+	}
+	return expected
+}
+
 // knownIncarnations returns the incarnations that registered last with the worker
 // identifier and on the machine of the report.
 func (d *Dispatcher) knownIncarnations(rep Report) []workload.WorkerIncarnation {
@@ -316,21 +343,52 @@
 	return w, ok
 }
 
-// register adds a new incarnation and terminates the earlier ones of its worker and
-// machine.
+// register adds a new incarnation and terminates the earlier one of its worker.
 func (d *Dispatcher) register(w *worker, now int64) {
-	for _, known := range d.knownIncarnations(w.Report) {
-		if other := d.workers[known]; other != nil && !other.terminated {
-			other.terminateCrashed()
-			d.logger.Info().Str("worker", known.ID).Int64("born", known.Born).Msg("worker incarnation terminated: a later one reports")
-		}
-	}
+	d.supersede(d.workers[d.byID[w.Incarnation.ID]])
 	d.workers[w.Incarnation] = w
 	d.byID[w.Incarnation.ID] = w.Incarnation
 	if w.Machine != "" {
-		d.byMachine[w.Machine] = w.Incarnation
-		d.maintenance.recordReport(w.Machine, w.Incarnation)
-		d.updateMachine(w, now)
+		d.occupyMachine(w, now)
+	}
+}
+
+// occupyMachine makes the worker that of its machine and terminates the earlier one. An earlier
+// one with another identifier that still reports is up and keeps the machine, whoever else
+// names it: its runs must not start a second time elsewhere. The worker gets no tasks until
+// the earlier one is silent.
+func (d *Dispatcher) occupyMachine(w *worker, now int64) {
+	if other, ok := d.workerOn(w.Machine); ok && other != w {
+		if other.isLive(now) && other.Incarnation.ID != w.Incarnation.ID {
+			d.logger.Warn().Str("worker", w.Incarnation.ID).Str("machine", w.Machine).Str("live_worker", other.Incarnation.ID).
+				Msg("worker gets no tasks yet: another one reports from its machine")
+			w.predecessor = other
+			return
+		}
+		d.supersede(other)
+	}
+	w.predecessor = nil
+	d.byMachine[w.Machine] = w.Incarnation
+	d.maintenance.recordReport(w.Machine, w.Incarnation)
+	d.updateMachine(w, now)
+}
+
+// supersede terminates a worker incarnation, if there is one, of which a later one reports.
+func (d *Dispatcher) supersede(w *worker) {
+	if w == nil || w.terminated {
+		return
+	}
+	w.terminateCrashed()
+	d.logger.Info().Str("worker", w.Incarnation.ID).Int64("born", w.Incarnation.Born).Msg("worker incarnation terminated: a later one reports")
+}
+
+// replaceSilent gives the machines of workers that fell silent to the ones that wait for them.
+// The caller holds mu.
+func (d *Dispatcher) replaceSilent(now int64) {
+	for _, w := range d.workers {
+		if w.predecessor != nil && !w.terminated && !w.predecessor.isLive(now) {
+			d.occupyMachine(w, now)
+		}
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -20,6 +20,9 @@
 	// crashed is true when the incarnation was terminated without having drained, and not by
 	// an order of this leadership.
 	crashed bool
+	// predecessor is another worker that reports from the same machine, nil if there is none.
+	// As long as it does, this one gets no tasks.
+	predecessor *worker
 	// ignoredReports counts the reports of incarnations with an earlier time of birth, which
 	// were ignored.
 	ignoredReports int
