Follow the machine list in spite of odd entries

It happened here, too: the whole page of the platform's machine list was refused for one entry that was nested very deeply, had a number too large or a member of another type, so that no machine was moved, maintained or known to be gone any more. No process ended.

Cause: the page was decoded in one piece.

Change: the page is split without decoding what is in it, and each entry is decoded and checked by itself.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -214,7 +214,7 @@
 	}
 	f.r.term++
 	f.r.cycle()
-	f.d.applyList(provider.machines, f.r.now)
+	f.d.applyList(MachineList{Machines: provider.machines}, f.r.now)
 	for i := range 8 {
 		f.heartbeat(t, i)
 	}
@@ -247,7 +247,7 @@
 	}
 	f.r.term++
 	f.r.cycle()
-	f.d.applyList(provider.machines, f.r.now)
+	f.d.applyList(MachineList{Machines: provider.machines}, f.r.now)
 	for i := range 4 {
 		f.heartbeat(t, i)
 	}
@@ -263,7 +263,7 @@
 	r, o := newRigWithProvider(t)
 	d := r.dispatchers[0]
 	r.term++
-	d.applyList([]MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}, r.now)
+	d.applyList(MachineList{Machines: []MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}}, r.now)
 	a := r.addWorker("a", "r1")
 	for range 40 {
 		r.submit(fmt.Sprint(len(r.state.Workload.Jobs)), workload.Step{Count: 4, Size: workload.Resources{CPUMilli: 2000}, EstimatedMS: 4000})
--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -23,9 +23,10 @@
 	// requestedAt is the cluster time at which the list was requested, in milliseconds. The
 	// list is at least as recent.
 	requestedAt int64
-	// complete is true when the list contains the machines of all workers that report. Only
-	// then may a missing machine be gone.
-	complete bool
+	// partial is true if entries of the list could not be used. complete is true when it is
+	// not, and the list contains the machines of all workers that report. Only then may a
+	// missing machine be gone.
+	partial, complete bool
 }
 
 // hasSilentWorkers reports whether a worker with tasks is silent and may still run them, so
@@ -58,7 +59,7 @@
 // Part of a pool may crash without notice, sometimes together with the leader. Without the
 // list, the tasks that ran there would wait 10 s for the leases to expire.
 func (d *Dispatcher) terminateMissing(s *workload.State, list machineList) {
-	list.complete = d.isComplete(list)
+	list.complete = !list.partial && d.isComplete(list)
 	for incarnation, w := range d.workers {
 		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, list) {
 			w.terminateCrashed()
--- a/internal/dispatch/liveness_test.go
+++ b/internal/dispatch/liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -58,21 +59,35 @@
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
 			r, b, ref := newRigWithCrashedWorker(t)
-			r.dispatchers[0].applyList(tt.list, r.now)
+			r.dispatchers[0].applyList(MachineList{Machines: tt.list}, r.now)
 			require.Equal(t, tt.terminated, r.startsAtOnce(b, ref))
 			require.Empty(t, r.violation)
 		})
 	}
 	t.Run("machine is missing in two lists", func(t *testing.T) {
 		r, b, ref := newRigWithCrashedWorker(t)
-		r.dispatchers[0].applyList(listWithoutMachine(), r.now)
-		r.dispatchers[0].applyList(listWithoutMachine(), r.now)
+		r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine()}, r.now)
+		r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine()}, r.now)
 		require.True(t, r.startsAtOnce(b, ref))
 	})
+	t.Run("entries of two lists are unreadable", func(t *testing.T) {
+		r, b, ref := newRigWithCrashedWorker(t)
+		for range 3 {
+			r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), Unreadable: []error{errors.New("odd entry")}}, r.now)
+		}
+		require.False(t, r.startsAtOnce(b, ref), "the machine may be the unreadable one")
+		require.True(t, r.dispatchers[0].machinesByName["m-b"].Up, "the other entries hold")
+	})
+	t.Run("the machine is listed twice", func(t *testing.T) {
+		r, b, ref := newRigWithCrashedWorker(t)
+		twice := append(listWithMachine(true, "a"), listWithMachine(false, "other")...)
+		r.dispatchers[0].applyList(MachineList{Machines: twice}, r.now)
+		require.False(t, r.startsAtOnce(b, ref), "one of the entries is of another writer")
+	})
 	t.Run("lists are empty", func(t *testing.T) {
 		r, b, ref := newRigWithCrashedWorker(t)
 		for range 3 {
-			r.dispatchers[0].applyList(nil, r.now)
+			r.dispatchers[0].applyList(MachineList{Machines: nil}, r.now)
 		}
 		require.False(t, r.startsAtOnce(b, ref), "the lists lack the machine of a worker that reports")
 	})
@@ -82,7 +97,7 @@
 // machine was down before the worker started.
 func TestOldListEndsNoWorker(t *testing.T) {
 	r, b, ref := newRigWithCrashedWorker(t)
-	r.dispatchers[0].applyList(listWithMachine(false, ""), r.now-2400)
+	r.dispatchers[0].applyList(MachineList{Machines: listWithMachine(false, "")}, r.now-2400)
 	require.False(t, r.startsAtOnce(b, ref))
 }
 
@@ -93,15 +108,15 @@
 	r.elect(1)
 	require.False(t, r.startsAtOnce(b, ref))
 	for range 3 {
-		r.dispatchers[1].applyList(nil, r.now+heartbeatTimeoutMS+1)
+		r.dispatchers[1].applyList(MachineList{Machines: nil}, r.now+heartbeatTimeoutMS+1)
 	}
 	require.False(t, r.startsAtOnce(b, ref), "no worker tells whether the list is complete")
 	require.False(t, r.dispatchers[1].hasSilentWorkers())
 	r.advance(heartbeatTimeoutMS + 100)
 	require.True(t, r.dispatchers[1].hasSilentWorkers())
-	r.dispatchers[1].applyList(listWithMachine(true, "a"), r.now)
+	r.dispatchers[1].applyList(MachineList{Machines: listWithMachine(true, "a")}, r.now)
 	require.False(t, r.startsAtOnce(b, ref))
-	r.dispatchers[1].applyList(listWithMachine(false, ""), r.now)
+	r.dispatchers[1].applyList(MachineList{Machines: listWithMachine(false, "")}, r.now)
 	require.True(t, r.startsAtOnce(b, ref))
 	require.False(t, r.dispatchers[1].hasSilentWorkers())
 	require.Empty(t, r.violation)
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -63,14 +63,18 @@
 // applyList updates the machines from a list that was requested at the given cluster time.
 // It keeps what became known since then. The list may be the first thing that a new
 // leadership learns, so the knowledge of an earlier one is discarded here, too.
-func (d *Dispatcher) applyList(list []MachineInfo, requestedAt int64) {
+func (d *Dispatcher) applyList(list MachineList, requestedAt int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, err := d.checkLeadership(); err != nil {
 		return
 	}
-	listed := make(map[string]MachineInfo, len(list))
-	for _, info := range list {
+	listed := make(map[string]MachineInfo, len(list.Machines))
+	for _, info := range list.Machines {
+		if _, twice := listed[info.Name]; twice {
+			list.Unreadable = append(list.Unreadable, invalidReport("machine", "%q is listed twice", info.Name))
+			continue
+		}
 		listed[info.Name] = info
 		m, ok := d.machinesByName[info.Name]
 		if !ok {
@@ -81,9 +85,12 @@
 			m.MachineInfo = info
 		}
 	}
+	if len(list.Unreadable) > 0 {
+		d.ignoredLog.Warn().Int("entries", len(list.Unreadable)).Err(list.Unreadable[0]).Msg("machine list has entries that can't be used")
+	}
 	d.machinesListed = true
 	d.log.Read(func(s *fleet.State) {
-		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt})
+		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt, partial: len(list.Unreadable) > 0})
 	})
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -53,7 +53,14 @@
 	// Move moves a machine to a pool. Everything on it ends.
 	Move(ctx context.Context, machine, pool string, order MachineOrder) error
 	// List returns all machines.
-	List(ctx context.Context) ([]MachineInfo, error)
+	List(ctx context.Context) (MachineList, error)
+}
+
+// MachineList is the platform's list of machines. Entries may come from other writers.
+type MachineList struct {
+	Machines []MachineInfo
+	// Unreadable holds a reason for each entry that was left out. Any machine may be among them.
+	Unreadable []error
 }
 
 // MachineOrder is the authority under which a machine is moved or maintained.
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -42,7 +42,9 @@
 	return nil
 }
 
-func (o *fakeProvider) List(context.Context) ([]MachineInfo, error) { return o.machines, nil }
+func (o *fakeProvider) List(context.Context) (MachineList, error) {
+	return MachineList{Machines: o.machines}, nil
+}
 
 // newRigWithProvider gives the rig's only store a platform with one machine, which is off.
 func newRigWithProvider(t *testing.T) (*rig, *fakeProvider) {
@@ -56,7 +58,7 @@
 	r.propose(&workload.Command{Configure: &config})
 	r.cycle()
 	d := r.dispatchers[0]
-	d.applyList([]MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}, r.now)
+	d.applyList(MachineList{Machines: []MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}}, r.now)
 	return r, o
 }
 
--- a/internal/dispatch/size_bench_test.go
+++ b/internal/dispatch/size_bench_test.go
@@ -33,7 +33,9 @@
 
 func (instantProvider) Move(context.Context, string, string, MachineOrder) error { return nil }
 
-func (p instantProvider) List(context.Context) ([]MachineInfo, error) { return p.machines, nil }
+func (p instantProvider) List(context.Context) (MachineList, error) {
+	return MachineList{Machines: p.machines}, nil
+}
 
 // sizeFixture is a fleet of the given size whose pools are full, with tasks in all beyond
 // those that run waiting in the queues.
@@ -69,7 +71,7 @@
 		})
 	}
 	f.heartbeats(tb)
-	f.d.applyList(provider.machines, r.now)
+	f.d.applyList(MachineList{Machines: provider.machines}, r.now)
 	for i := range tasks / sizeTasksPerJob {
 		f.submit(i)
 	}
--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Validate returns an *InvalidReportError for a machine that can't be used: it has text that is
+// not UTF-8 or too long, or an amount that is negative or too large.
+func (m *MachineInfo) Validate() error {
+	for _, text := range append([]string{m.Name, m.Pool, m.Rack, m.DataCentre, m.Worker}, m.Labels...) {
+		if reason := textFault(text, maxNameBytes); reason != "" {
+			return invalidReport("machine", "%s", reason)
+		}
+	}
+	return checkCapacity(m.Capacity)
+}
+
 // checkCapacity bounds a capacity as requests are bounded, so that no sum over the workers
 // overflows.
 func checkCapacity(c workload.Resources) error {
