Store: make what a restart finds on the disk durable before it is acknowledged

Found by reading on the path of the disk reports; no caller has seen it. A process that ends between the write and the sync of a batch leaves entries and votes that the next process reads from the page cache and counts as durable. If the power fails before the next write, they are gone though they were acknowledged.

A start costs up to three syncs more.

Measured: TestOpenedContentsAreDurable and TestNamesAreDurableOnceOpened failed before and pass now, with the tests of store and membership.

--- a/internal/snap/snap.go
+++ b/internal/snap/snap.go
@@ -43,8 +43,9 @@
 	fs   disk.FS
 }
 
-// Open opens an existing folder of snapshots and removes the temporary files of
-// snapshots that were not completed.
+// Open opens an existing folder of snapshots and removes the temporary files of snapshots that
+// were not completed. The names of the others are durable when it returns: the process that
+// wrote the last one may have ended before it synced the folder, and the log may be cut at it.
 func Open(fs disk.FS, path string) (*Folder, error) {
 	f := &Folder{path: path, fs: fs}
 	names, err := fs.List(path)
@@ -58,7 +59,7 @@
 			}
 		}
 	}
-	return f, nil
+	return f, errors.Wrap(fs.SyncFolder(path), "snap: sync folder")
 }
 
 type content struct {
--- a/internal/snap/snap_test.go
+++ b/internal/snap/snap_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirefork/samphirefork/internal/disk"
@@ -54,3 +55,22 @@
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode("file", data) })
 }
+
+// folderFS fails to sync folders.
+type folderFS struct{ disk.OS }
+
+var errFolder = errors.New("sync failed")
+
+func (folderFS) SyncFolder(string) error { return errFolder }
+
+// Guards against a snapshot whose name is lost with the power after the log was cut at it: the
+// store would never open again.
+func TestNamesAreDurableOnceOpened(t *testing.T) {
+	folder := t.TempDir()
+	f, err := Open(disk.OS{}, folder)
+	require.NoError(t, err)
+	_, err = f.Save(raft.Snapshot{Position: raft.Position{Index: 7}})
+	require.NoError(t, err)
+	_, err = Open(folderFS{}, folder)
+	require.ErrorIs(t, err, errFolder)
+}
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -91,6 +91,9 @@
 // reopen opens the newest segment for appending. A segment whose header was torn is
 // removed and replaced at the next append; a log whose only segment is removed this way
 // counts as new.
+//
+// The process that wrote the last batch may have ended before its sync. What was read is made
+// durable now, since the caller acknowledges it from here on.
 func (l *Log) reopen(ld *loader) error {
 	newest := l.segments[len(l.segments)-1]
 	if l.size > 0 {
@@ -99,7 +102,10 @@
 			return errors.Wrap(err, "wal: open segment")
 		}
 		l.file = file
-		return nil
+		if err := file.Sync(); err != nil {
+			return errors.Wrap(err, "wal: sync segment")
+		}
+		return errors.Wrap(l.opts.FS.SyncFolder(l.folder), "wal: sync folder")
 	}
 	if err := l.opts.FS.Remove(l.path(newest.number)); err != nil {
 		return errors.Wrap(err, "wal: remove empty segment")
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -106,10 +106,10 @@
 	peerIncarnations map[uint64]uint64
 }
 
-// Open reads the log in an existing folder. If the last batch is torn, it truncates the
-// file at the first damaged record; intact records of the batch before that stay. It
-// returns an ErrCorrupt for any other damage. If the contents are empty, Init must be
-// called before the first Append.
+// Open reads the log in an existing folder, and returns it once its contents are durable. If
+// the last batch is torn, it truncates the file at the first damaged record; intact records of
+// the batch before that stay. It returns an ErrCorrupt for any other damage. If the contents are
+// empty, Init must be called before the first Append.
 func Open(folder string, opts Options) (*Log, Contents, error) {
 	if opts.SegmentBytes == 0 {
 		opts.SegmentBytes = defaultSegmentBytes
@@ -117,6 +117,7 @@
 	l := &Log{folder: folder, opts: opts}
 	contents, err := l.load()
 	if err != nil {
+		_ = l.Close()
 		return nil, Contents{}, err
 	}
 	l.meta = contents.Meta
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -56,6 +56,55 @@
 	return f.File.Sync()
 }
 
+// syncFS records how many bytes of each file, and which names of the folder, are durable.
+type syncFS struct {
+	faultFS
+	written, durable map[string]int
+	names            map[string]bool
+}
+
+type syncFile struct {
+	disk.File
+	fs   *syncFS
+	path string
+}
+
+func newSyncFS() *syncFS {
+	return &syncFS{faultFS: faultFS{room: 1 << 20}, written: map[string]int{}, durable: map[string]int{}, names: map[string]bool{}}
+}
+
+func (f *syncFS) Create(path string) (disk.File, error) {
+	file, err := f.faultFS.Create(path)
+	f.written[path] = 0
+	return &syncFile{file, f, path}, err
+}
+
+func (f *syncFS) Append(path string) (disk.File, error) {
+	file, err := f.OS.Append(path)
+	return &syncFile{&faultFile{file, &f.faultFS}, f, path}, err
+}
+
+func (f *syncFS) SyncFolder(path string) error {
+	for name := range f.written {
+		f.names[name] = true
+	}
+	return f.OS.SyncFolder(path)
+}
+
+func (f *syncFile) Write(p []byte) (int, error) {
+	n, err := f.File.Write(p)
+	f.fs.written[f.path] += n
+	return n, err
+}
+
+func (f *syncFile) Sync() error {
+	err := f.File.Sync()
+	if err == nil {
+		f.fs.durable[f.path] = f.fs.written[f.path]
+	}
+	return err
+}
+
 func entry(index, term uint64) raft.Entry {
 	return raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: []byte("command")}
 }
@@ -213,6 +262,27 @@
 	}
 }
 
+// Guards against entries and votes that are acknowledged after a restart and lost with the
+// power: the process that wrote them ended before its sync.
+func TestOpenedContentsAreDurable(t *testing.T) {
+	folder, fs := t.TempDir(), newSyncFS()
+	l := startLog(t, folder, Options{FS: fs})
+	require.NoError(t, l.Append(Batch{Entries: entries(1, 2, 1)}))
+	fs.failSync = true
+	require.ErrorIs(t, l.Append(Batch{Entries: entries(3, 3, 1), HardState: &raft.HardState{Term: 2, Vote: 3}}), errSync)
+	_ = l.Close()
+	_, _, err := Open(folder, Options{FS: fs})
+	require.ErrorIs(t, err, errSync, "what can't be made durable is not returned")
+	fs.failSync, fs.names = false, map[string]bool{}
+	l, got := reopenLog(t, folder, Options{FS: fs})
+	require.Len(t, got.Entries, 3)
+	require.Equal(t, raft.HardState{Term: 2, Vote: 3}, got.HardState)
+	path := newestSegment(t, folder)
+	require.Equal(t, fs.written[path], fs.durable[path])
+	require.True(t, fs.names[path], "the name of the segment")
+	require.NoError(t, l.Close())
+}
+
 // Guards against a panic or an unbounded allocation on a damaged file.
 func FuzzReadRecord(f *testing.F) {
 	f.Add(appendRecord(nil, 0, kindEntry, []byte("payload")))
