Never give up a job over crashes under its long-running tasks

Cause: each crash adds to the crash score of the tasks that ran there, whatever caused it, and a task whose only worker keeps crashing reaches the limit after three to five crashes.

Change: the score of a long-running task ends no job. At the limit the task, still run apart, pauses for 4 s between its runs, which bounds the workers that it can crash if it is the cause.

--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -299,13 +299,15 @@
 	}
 	s := p.newSelector(c, tickets)
 	if c.step.Gang {
-		p.placeGang(c, s)
+		if !slices.ContainsFunc(c.progress.Tasks, func(t workload.Task) bool { return t.Pausing(p.in.NowMS) }) {
+			p.placeGang(c, s)
+		}
 		return
 	}
 	unplaced, started := 0, 0
 	for i := range c.progress.Tasks {
 		t := &c.progress.Tasks[i]
-		if t.Phase != workload.Waiting {
+		if t.Phase != workload.Waiting || t.Pausing(p.in.NowMS) {
 			continue
 		}
 		if !p.withinTeamLimit(c) {
--- a/internal/workload/crashes.go
+++ b/internal/workload/crashes.go
@@ -6,7 +6,9 @@
 // must be told from the runs that were lost with it: a worker runs dozens of tasks at once,
 // and all of them are lost in the same crash. The crash score of a task is the evidence
 // against it. From suspectScore on, the task runs apart from other tasks, where a further
-// crash takes none of them with it; at crashScoreLimit its job fails.
+// crash takes none of them with it. At crashScoreLimit its job fails, unless the task is
+// long-running: such a task has no limit, and the crashes may be those of its worker. It starts
+// again after a pause.
 const (
 	// CrashScoreUnreported is the score of a crash before the worker reported the run: the
 	// start may have caused it.
@@ -17,11 +19,19 @@
 	suspectScore       = 2
 	// crashScoreLimit takes at least three crashes, and at most five.
 	crashScoreLimit = 5
+	// crashPauseMS bounds how many workers a long-running task can crash. A task that is down
+	// for longer counts as lost to its users.
+	crashPauseMS = 4000
 )
 
 // Suspect reports whether the task may be one that crashes its workers.
 func (t *Task) Suspect() bool { return t.CrashScore >= suspectScore }
 
+// Pausing reports whether the task waits, after crashes of its workers, for its next start.
+func (t *Task) Pausing(now int64) bool {
+	return t.Phase == Waiting && t.CrashScore >= crashScoreLimit && now-t.EndedAt < crashPauseMS
+}
+
 // Suspect reports whether the task of the run may be one that crashes its workers.
 func (p *Placement) Suspect() bool { return p.CrashScore >= suspectScore }
 
@@ -32,6 +42,7 @@
 
 // setCrashScore sets the score of a task and of its current run.
 func (s *State) setCrashScore(ref TaskRef, t *Task, score int) {
+	score = min(score, crashScoreLimit)
 	t.CrashScore = score
 	if p := s.runs[t.Worker][ref]; p != nil && p.Run == t.Run {
 		p.CrashScore = score
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -190,7 +190,7 @@
 		s.endJob(j, JobFailed)
 		return
 	}
-	if p.Tasks[ref.Index].CrashScore >= crashScoreLimit {
+	if !step.LongRunning && p.Tasks[ref.Index].CrashScore >= crashScoreLimit {
 		s.endJob(j, JobFailed)
 		return
 	}
