Apply late answers to the worker that was there at the order

Cause: the answer to a move or an upkeep ended the worker that was registered on the machine when it came. If it was late, or was that to a repetition, that was the new worker, which got no lease and no task as long as the leader led.

Change: a move keeps a worker that reports from the new pool. An upkeep that may have begun by an earlier call, or whose worker has changed since the order, ends no worker by its answer; the machine counts as down until the worker reports 1.5 s after the answer, so that the limit of the wave holds if it began only now.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -264,20 +264,21 @@
 func (d *Dispatcher) startMove(move capacity.Move, now int64) {
 	mt := d.maintenance
 	mt.callsInFlight[move.Machine] = true
-	order := d.machineOrder()
+	order, before := d.machineOrder(), d.byMachine[move.Machine]
 	d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), moveCallTimeout)
 		defer cancel()
 		err := d.provider.Move(ctx, move.Machine, move.Pool, order)
-		d.finishMove(mt, move, err)
+		d.finishMove(mt, move, before, err)
 	}()
 }
 
 // finishMove applies the result of a move. mt is the maintenance of the leadership that
-// started it.
-func (d *Dispatcher) finishMove(mt *maintenance, move capacity.Move, err error) {
+// started it, and before the worker of the machine at that time. If the answer is late, another
+// worker may already report from the new pool.
+func (d *Dispatcher) finishMove(mt *maintenance, move capacity.Move, before workload.WorkerIncarnation, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := int64(d.log.Now())
@@ -293,7 +294,11 @@
 		}
 		return
 	}
-	if w, ok := d.workerOn(move.Machine); ok {
+	w, known := d.workerOn(move.Machine)
+	if known && w.Incarnation != before && w.Pool == move.Pool {
+		return
+	}
+	if known {
 		w.terminate()
 	}
 	m := d.machinesByName[move.Machine]
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -20,6 +20,8 @@
 	machines   []MachineInfo
 	// connected delays each order until it is closed; nil delays none.
 	connected chan struct{}
+	// answers delays the answer to each order until it yields an error or nil; nil delays none.
+	answers chan error
 }
 
 func (o *fakeProvider) Maintain(_ context.Context, machine string, _ int64, order MachineOrder) error {
@@ -39,6 +41,9 @@
 		return ErrNotPermitted
 	}
 	sent <- text
+	if o.answers != nil {
+		return <-o.answers
+	}
 	return nil
 }
 
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -44,6 +44,8 @@
 	// returns to service, and drainRetryMS the time until it is drained again.
 	blockedDrainMS = 6000
 	drainRetryMS   = 6000
+	// confirmUpMS is longer than most heartbeats take.
+	confirmUpMS = 1500
 	// machineCallRetryMS is the delay after a failed call to maintain or move a machine.
 	machineCallRetryMS = 400
 )
@@ -59,6 +61,9 @@
 	blockedSince map[string]int64
 	// down holds the machines that were told to start their maintenance.
 	down map[string]downMachine
+	// ordered holds the machines whose maintenance was ordered under this leadership, with the
+	// incarnation of their worker at the first call.
+	ordered map[string]workload.WorkerIncarnation
 	// callsInFlight holds the machines for which a call to the platform is in flight.
 	callsInFlight map[string]bool
 	// retryAt is the earliest time of the next call for a machine, after a failed one.
@@ -81,6 +86,9 @@
 	workload.WaveMachine
 	// incarnation is that of the machine's worker.
 	incarnation workload.WorkerIncarnation
+	// repeated is true if an earlier call may have started the maintenance on another
+	// incarnation.
+	repeated bool
 }
 
 // downMachine is a machine under maintenance.
@@ -89,11 +97,15 @@
 	incarnation workload.WorkerIncarnation
 	// returnBy is when the machine counts as back even if no worker has reported from it.
 	returnBy int64
+	// unconfirmedAt is not 0 if incarnation may be the worker after the maintenance. It is the
+	// time of the answer: a report that comes later shows that the machine is up.
+	unconfirmedAt int64
 }
 
 func newMaintenance(now int64) *maintenance {
 	return &maintenance{
 		leadingSince: now, draining: map[string]int64{}, blockedSince: map[string]int64{}, down: map[string]downMachine{},
+		ordered:       map[string]workload.WorkerIncarnation{},
 		callsInFlight: map[string]bool{}, retryAt: map[string]int64{}, hasReported: map[string]bool{},
 	}
 }
@@ -119,6 +131,15 @@
 	}
 }
 
+// confirmUp records a report of the worker that a machine had when an answer about its
+// maintenance came. One that is received confirmUpMS later was sent after that.
+func (mt *maintenance) confirmUp(machine string, incarnation workload.WorkerIncarnation, now int64) {
+	m, ok := mt.down[machine]
+	if ok && m.unconfirmedAt != 0 && m.incarnation == incarnation && now-m.unconfirmedAt > confirmUpMS {
+		delete(mt.down, machine)
+	}
+}
+
 // downCount returns the number of machines of the wave that are or may be down for it.
 func (d *Dispatcher) downCount(s *workload.State, w *workload.Wave, now int64) int {
 	mt := d.maintenance
@@ -206,12 +227,24 @@
 		if !w.Ordered[m] {
 			down++
 		}
-		d.maintenance.callsInFlight[m] = true
-		d.maintenance.starting = append(d.maintenance.starting, maintenanceStart{workload.WaveMachine{Wave: w.Number, Machine: m}, incarnation})
+		d.orderMaintenance(w, m, incarnation)
 	}
 	return stops
 }
 
+// orderMaintenance adds a machine to those whose maintenance this cycle starts.
+func (d *Dispatcher) orderMaintenance(w *workload.Wave, m string, incarnation workload.WorkerIncarnation) {
+	mt := d.maintenance
+	first, orderedHere := mt.ordered[m]
+	repeated := first != incarnation
+	if !orderedHere {
+		mt.ordered[m] = incarnation
+		repeated = w.Ordered[m] // by an earlier leader
+	}
+	mt.callsInFlight[m] = true
+	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, incarnation: incarnation, repeated: repeated})
+}
+
 // waveConcurrency returns the number of machines to drain at once so that the given number is
 // done when the wave ends. It is as low as possible: a wave may be due while the queues need more
 // than their pools have, and then each machine taken too early costs work.
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -50,12 +50,7 @@
 	defer d.Wake()
 	switch {
 	case err == nil:
-		d.log.Read(func(s *fleet.State) {
-			mt.down[m.Machine] = downMachine{incarnation: m.incarnation, returnBy: now + d.maxDownTimeMS(s.Workload, m.Machine)}
-		})
-		if w, ok := d.workers[m.incarnation]; ok {
-			w.terminate()
-		}
+		d.markDown(mt, m, now)
 	case errors.Is(err, ErrNoMachine):
 	case errors.Is(err, ErrFenced):
 		mt.fenced = true
@@ -73,6 +68,21 @@
 	}
 }
 
+// markDown records that the maintenance of a machine has begun. Everything on the machine has
+// ended by then. If the answer is late, or is that to a repetition, the worker that reports
+// now may be the one after the maintenance: it goes on, and must only show that it is up.
+func (d *Dispatcher) markDown(mt *maintenance, m maintenanceStart, now int64) {
+	down := downMachine{incarnation: m.incarnation}
+	d.log.Read(func(s *fleet.State) { down.returnBy = now + d.maxDownTimeMS(s.Workload, m.Machine) })
+	current, known := d.workerOn(m.Machine)
+	if known && !current.terminated && (m.repeated || current.Incarnation != m.incarnation) {
+		down.incarnation, down.unconfirmedAt = current.Incarnation, now
+	} else if w, ok := d.workers[m.incarnation]; ok {
+		w.terminate()
+	}
+	mt.down[m.Machine] = down
+}
+
 // recordMaintained commits that the maintenance of machines has begun, those of calls that
 // finished during a commit together in the next one. It retries until the commit is known
 // or this store no longer leads.
@@ -92,6 +102,7 @@
 		for _, m := range begun {
 			delete(mt.callsInFlight, m.Machine)
 			delete(mt.draining, m.Machine)
+			delete(mt.ordered, m.Machine)
 		}
 		d.mu.Unlock()
 		d.Wake()
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sort"
@@ -173,6 +174,8 @@
 	id   string
 	born int64
 	rack string
+	// machine is that of the worker; empty stands for m- and its id.
+	machine string
 	// dataCentre is that of the worker; cold is how much longer it says that it is slow.
 	dataCentre string
 	cold       time.Duration
@@ -217,7 +220,7 @@
 // restart starts a new incarnation, which knows nothing of the earlier one.
 func (w *modelWorker) restart() {
 	*w = modelWorker{
-		r: w.r, id: w.id, rack: w.rack, dataCentre: w.dataCentre, born: w.r.now, up: true, capacity: rigCPU,
+		r: w.r, id: w.id, rack: w.rack, machine: w.machine, dataCentre: w.dataCentre, born: w.r.now, up: true, capacity: rigCPU,
 		running: map[workload.TaskRef]*modelRun{}, refused: map[workload.TaskRef]int{},
 	}
 }
@@ -297,7 +300,7 @@
 func (w *modelWorker) report() Report {
 	w.sequence++
 	rep := Report{
-		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: "m-" + w.id, Pool: rigPool, Rack: w.rack, DataCentre: w.dataCentre,
+		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: cmp.Or(w.machine, "m-"+w.id), Pool: rigPool, Rack: w.rack, DataCentre: w.dataCentre,
 		Capacity: workload.Resources{CPUMilli: w.capacity, MemoryMiB: 1 << 20}, Sequence: w.sequence, Draining: w.draining,
 		DrainRemaining: time.Minute, ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
 	}
