Ask for advice again once approved workers are gone

Cause: a decision of the advice service counted until it expired, though the workers that it named were gone, and so did one that approved none while they were down.

Change: a decision without a usable worker is dropped; one that lost a worker or approves none is renewed once another worker has joined the pool and tasks wait.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -325,7 +325,7 @@
 		d.updateIdleTimes(s.Workload, now)
 		d.rebalance(s.Workload, now)
 		d.followEvacuations(s.Workload, now)
-		d.dropEvacuatedApprovals(s.Workload)
+		renewals := d.approvalsToRenew(s.Workload, now)
 		workers := d.availableWorkers(s.Workload, now)
 		plan, room := taskplan.ComputeWithRoom(d.planInput(s.Workload, workers, now))
 		p.Starts = plan.Starts
@@ -336,7 +336,7 @@
 		d.updateDemand(s.Workload, plan, now)
 		d.reportOverloads(plan.Overloads)
 		d.meters.learnedRuns.Update(int64(s.Workload.RunTimes.Records))
-		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
+		d.requestAdvice(s.Workload, append(plan.NeedApproval, renewals...), workers, now)
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -118,24 +118,6 @@
 	return nil
 }
 
-// dropEvacuatedApprovals removes the approvals that name only workers of evacuated data
-// centres, so that the advice service is asked about others.
-func (d *Dispatcher) dropEvacuatedApprovals(s *workload.State) {
-	if len(s.Evacuations) == 0 {
-		return
-	}
-	for ref, a := range d.approvals.steps {
-		usable := len(a.tickets) == 0
-		for incarnation := range a.tickets {
-			w, ok := d.workers[incarnation]
-			usable = usable || !ok || !s.Evacuated(w.DataCentre)
-		}
-		if !usable {
-			delete(d.approvals.steps, ref)
-		}
-	}
-}
-
 // evacuationStops returns the long-running tasks to stop in evacuated data centres, so that they
 // start elsewhere: as many as the MaxUnavailable of their steps allows beside the other stops of
 // this cycle, and as the plan leaves room for.
