Count abandoned runs towards the tasks of a step on a worker

Cause: the planner counted current runs only, and an abandoned run may still go on when its worker is heard again.

--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -41,6 +41,10 @@
 	}
 	for i := range c.progress.Tasks {
 		t := &c.progress.Tasks[i]
+		// An abandoned run may still go on when its worker is heard again.
+		for _, run := range t.Abandoned {
+			s.perWorker[run.Worker]++
+		}
 		if t.Phase != workload.Placed && t.Phase != workload.Stopping {
 			continue
 		}
--- a/internal/taskplan/plan_test.go
+++ b/internal/taskplan/plan_test.go
@@ -285,3 +285,24 @@
 	require.Equal(t, int64(27000), u.Waiting.CPUMilli)
 	require.Equal(t, int64(18000), u.Overdue.CPUMilli)
 }
+
+// Guards against a task that starts beside an abandoned run of its step on a worker that is heard
+// again: both count towards the tasks of the step that may run there.
+func TestAbandonedRunsCountTowardsMaxPerWorker(t *testing.T) {
+	f := newFixture(2, workload.Team{Name: "t"})
+	apart := step(2, 1000)
+	apart.Speculative, apart.MaxPerWorker = true, 1
+	f.submit("job", "batch", "t", now, apart)
+	p := f.plan()
+	require.Equal(t, map[string]int{"w0": 1, "w1": 1}, f.apply(p))
+	silent := p.Starts[0]
+	end := func(s workload.Start, outcome workload.Outcome) {
+		f.state.Apply(&workload.Command{Progress: &workload.Progress{Ends: []workload.End{{Task: s.Task, Run: s.Run, Worker: s.Worker, Outcome: outcome}}}}, now)
+	}
+	end(silent, workload.OutcomeAbandoned)
+	end(p.Starts[1], workload.OutcomeFailed)
+	require.Len(t, f.plan().Starts, 1, "one of the tasks has to wait for the end of the abandoned run")
+	require.NotEqual(t, silent.Worker, f.plan().Starts[0].Worker)
+	end(silent, workload.OutcomeLost)
+	require.Len(t, f.plan().Starts, 2)
+}
