--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -122,6 +122,10 @@
 	// previewedAt is the cluster time, in milliseconds, of the latest Where.
 	previewedAt int64
 	evacuations *evacuations
+	// calls is the context of the calls to the platform under this leadership, and endCalls ends
+	// it; nil before the first.
+	calls    context.Context
+	endCalls context.CancelFunc
 	// overloaded holds the pools that were overloaded in the latest plan.
 	overloaded map[string]bool
 }
@@ -144,6 +148,9 @@
 	for _, w := range d.workers {
 		w.notify()
 	}
+	if d.endCalls != nil {
+		d.endCalls()
+	}
 	d.term = term
 	d.leadingSince = now
 	d.workers = map[workload.WorkerIncarnation]*worker{}
--- a/internal/dispatch/late_answer_test.go
+++ b/internal/dispatch/late_answer_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirefork/samphirefork/internal/capacity"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
@@ -131,3 +133,38 @@
 	o.answers <- nil
 	waitForCalls(t, d)
 }
+
+// hangingProvider answers no order before the context of its call ends.
+type hangingProvider struct{ instantProvider }
+
+func (hangingProvider) Move(ctx context.Context, _, _ string, _ MachineOrder) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against an order that a partition holds up and that arrives behind those of the next
+// leader: its call must end with the leadership.
+func TestCallsEndWithTheLeadership(t *testing.T) {
+	r := newRig(2)
+	d := r.dispatchers[0]
+	d.provider = hangingProvider{}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go d.pollMachines(ctx)
+	require.Eventually(t, d.hasMachineList, 10*time.Second, time.Millisecond)
+	order := func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.machinesByName["m"] = &machine{MachineInfo: MachineInfo{Name: "m"}}
+		d.startMove(capacity.Move{Machine: "m", Pool: rigPool}, r.now)
+	}
+	for range 2 { // also under the next leadership of the same store
+		order()
+		begin := time.Now()
+		r.elect(1)
+		waitForCalls(t, d)
+		require.Less(t, time.Since(begin), moveCallTimeout/2)
+		r.elect(0)
+		r.cycle()
+	}
+}
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -22,10 +22,12 @@
 
 // pollMachines reads the machine list at intervals until ctx ends, while this store leads.
 func (d *Dispatcher) pollMachines(ctx context.Context) {
+	defer d.endCallsOfFormerLeader()
 	var last time.Time
 	interval := listRetryInterval
 	for wait.For(ctx, listPollInterval) {
 		if !d.log.Leadership().Leading {
+			d.endCallsOfFormerLeader()
 			continue
 		}
 		due := interval
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -70,7 +70,8 @@
 	// Token is the leader's term. Platforms that check it reject the calls of an earlier
 	// leader with ErrFenced.
 	Token uint64
-	// Permitted reports whether the holder still leads. It must be called after the last
+	// Permitted reports whether the holder still leads. The context of the call ends when it does
+	// not. Permitted must be called after the last
 	// wait before the order is sent, and the order must not be sent if it returns false:
 	// the process may have been suspended, and not every platform checks the token.
 	Permitted func() bool
@@ -82,6 +83,24 @@
 	return MachineOrder{Holder: d.settings.Holder, Token: term, Permitted: func() bool { return d.leadsIn(term) }}
 }
 
+// callContext returns a context for calls to the platform that ends with the leadership. An order
+// that a partition holds up must not arrive behind those of the next leader. The caller holds mu.
+func (d *Dispatcher) callContext(timeout time.Duration) (context.Context, context.CancelFunc) {
+	if d.calls == nil || d.calls.Err() != nil {
+		d.calls, d.endCalls = context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(d.calls, timeout)
+}
+
+// endCallsOfFormerLeader ends the calls to the platform once this store no longer leads.
+func (d *Dispatcher) endCallsOfFormerLeader() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.endCalls != nil {
+		d.endCalls()
+	}
+}
+
 // leadsIn reports whether this store leads in the given term.
 func (d *Dispatcher) leadsIn(term uint64) bool {
 	l := d.log.Leadership()
@@ -267,8 +286,8 @@
 	order, before := d.machineOrder(), d.byMachine[move.Machine]
 	d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
+	ctx, cancel := d.callContext(moveCallTimeout)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), moveCallTimeout)
 		defer cancel()
 		err := d.provider.Move(ctx, move.Machine, move.Pool, order)
 		d.finishMove(mt, move, before, err)
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -36,7 +36,9 @@
 }
 
 func (d *Dispatcher) callMaintain(mt *maintenance, m maintenanceStart, order MachineOrder) {
-	ctx, cancel := context.WithTimeout(context.Background(), maintainCallTimeout)
+	d.mu.Lock()
+	ctx, cancel := d.callContext(maintainCallTimeout)
+	d.mu.Unlock()
 	defer cancel()
 	d.finishMaintenanceCall(mt, m, d.provider.Maintain(ctx, m.Machine, m.Wave, order))
 }
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -35,11 +35,13 @@
 type rig struct {
 	// mu is held during each call of the log, as the store does for reads. A call within a
 	// read deadlocks.
-	mu     sync.Mutex
-	now    int64
-	state  *fleet.State
-	leader int
-	term   uint64
+	mu    sync.Mutex
+	now   int64
+	state *fleet.State
+	// leading guards leader and term, which calls to the platform read at any time.
+	leading sync.Mutex
+	leader  int
+	term    uint64
 	// refuse makes proposals fail with an unknown outcome. They are still applied when
 	// applyRefused is set.
 	refuse       bool
@@ -102,6 +104,8 @@
 }
 
 func (l rigLog) Leadership() fleet.Leadership {
+	l.r.leading.Lock()
+	defer l.r.leading.Unlock()
 	return fleet.Leadership{Leader: fmt.Sprint(l.r.leader), Term: l.r.term, Leading: l.r.leader == l.self}
 }
 
@@ -143,6 +147,8 @@
 
 // elect makes another store the leader.
 func (r *rig) elect(store int) {
+	r.leading.Lock()
+	defer r.leading.Unlock()
 	r.leader = store
 	r.term++
 }
