--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -86,8 +86,8 @@
 	workload.WaveMachine
 	// incarnation is that of the machine's worker.
 	incarnation workload.WorkerIncarnation
-	// repeated is true if an earlier call may have started the maintenance on another
-	// incarnation.
+	// repeated is true if an earlier call may have started the maintenance while another
+	// incarnation was on the machine.
 	repeated bool
 }
 
--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -17,8 +17,8 @@
 	maxTicketBytes = 1 << 10
 )
 
-// InvalidReportError reports a field of a report that is missing or not valid. The report was
-// not processed.
+// InvalidReportError reports a field that is missing or not valid, of a report or of an entry in
+// the list of machines. The report or entry was not processed.
 type InvalidReportError struct {
 	// Field is the JSON path of the field.
 	Field  string
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -19,7 +19,7 @@
 // Errors of DecodeSnapshot, and of EncodeCommand and DecodeCommand.
 var (
 	ErrSnapshot = errors.New("fleet: the snapshot is malformed")
-	ErrCommand  = errors.New("fleet: the command is malformed")
+	ErrCommand  = errors.New("fleet: the command is malformed or too large")
 )
 
 type snapshot struct {
--- a/internal/httptext/httptext.go
+++ b/internal/httptext/httptext.go
@@ -14,15 +14,20 @@
 // Error reports a part of a request that is not UTF-8 and can't be used. The request was not
 // handled.
 type Error struct {
-	// Part is "path", "query" or the name of a header.
+	// Part is "host", "path", "query" or the name of a header.
 	Part string
 }
 
 // Error implements error.
 func (e *Error) Error() string { return "httptext: " + e.Part + ": is not UTF-8" }
 
-// Check returns an *Error if the path, the query or one of the named headers is not UTF-8.
+// Check returns an *Error if the host, the path, the query or one of the named headers is not
+// UTF-8.
 func Check(r *http.Request, headers ...string) error {
+	// Package net/http checks the Host header, but not the host of a request for a whole URL.
+	if !utf8.ValidString(r.Host) {
+		return &Error{Part: "host"}
+	}
 	if !utf8.ValidString(r.URL.Path) {
 		return &Error{Part: "path"}
 	}
--- a/internal/httptext/httptext_test.go
+++ b/internal/httptext/httptext_test.go
@@ -14,6 +14,7 @@
 	cases := map[string]struct{ target, header, value, part string }{
 		"plain":                 {target: "/a/b?c=d"},
 		"letters of a language": {target: "/%C3%A9?c=%C3%A9", header: "Key", value: "\u00e9"},
+		"host":                  {target: "http://h\xff/a", part: "host"},
 		"path":                  {target: "/a%FF", part: "path"},
 		"value of a query":      {target: "/a?c=%FF", part: "query"},
 		"name in a query":       {target: "/a?%FF=c", part: "query"},
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -87,7 +87,7 @@
 	p.cmd.WallUnixMS = time.Now().UnixMilli()
 	data, decoded, err := encodeDecodable(p.cmd)
 	if err != nil {
-		n.log.Error().Err(err).Msg("command refused, no store could decode it")
+		n.receiveLog.Warn().Err(err).Msg("command refused, no store could apply it")
 		p.done <- outcome{err: errors.Wrap(err, "store: encode command")}
 		return batch
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -117,7 +117,7 @@
 type Node struct {
 	cfg settings.Store
 	log zerolog.Logger
-	// receiveLog is a rate-limited copy of log for lines about single messages.
+	// receiveLog is a rate-limited copy of log for lines about single messages and proposals.
 	receiveLog zerolog.Logger
 	metrics    nodeMetrics
 	started    time.Time
