--- a/internal/dispatch/liveness_test.go
+++ b/internal/dispatch/liveness_test.go
@@ -73,7 +73,7 @@
 	t.Run("entries of two lists are unreadable", func(t *testing.T) {
 		r, b, ref := newRigWithCrashedWorker(t)
 		for range 3 {
-			r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), Unreadable: []error{errors.New("odd entry")}}, r.now)
+			r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), LeftOut: []error{errors.New("odd entry")}}, r.now)
 		}
 		require.False(t, r.startsAtOnce(b, ref), "the machine may be the unreadable one")
 		require.True(t, r.dispatchers[0].machinesByName["m-b"].Up, "the other entries hold")
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -74,7 +74,7 @@
 	listed := make(map[string]MachineInfo, len(list.Machines))
 	for _, info := range list.Machines {
 		if _, twice := listed[info.Name]; twice {
-			list.Unreadable = append(list.Unreadable, invalidReport("machine", "%q is listed twice", info.Name))
+			list.LeftOut = append(list.LeftOut, invalidReport("machine", "%q is listed twice", info.Name))
 			continue
 		}
 		listed[info.Name] = info
@@ -87,12 +87,12 @@
 			m.MachineInfo = info
 		}
 	}
-	if len(list.Unreadable) > 0 {
-		d.ignoredLog.Warn().Int("entries", len(list.Unreadable)).Err(list.Unreadable[0]).Msg("machine list has entries that can't be used")
+	if len(list.LeftOut) > 0 {
+		d.ignoredLog.Warn().Int("entries", len(list.LeftOut)).Err(list.LeftOut[0]).Msg("machine list has entries that can't be used")
 	}
 	d.machinesListed = true
 	d.log.Read(func(s *fleet.State) {
-		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt, partial: len(list.Unreadable) > 0})
+		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt, partial: len(list.LeftOut) > 0})
 	})
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -59,8 +59,8 @@
 // MachineList is the platform's list of machines. Entries may come from other writers.
 type MachineList struct {
 	Machines []MachineInfo
-	// Unreadable holds a reason for each entry that was left out. Any machine may be among them.
-	Unreadable []error
+	// LeftOut holds a reason for each entry that can't be used. Any machine may be among them.
+	LeftOut []error
 }
 
 // MachineOrder is the authority under which a machine is moved or maintained.
--- /dev/null
+++ b/internal/dispatch/maintenancestate.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import "github.com/samphirefork/samphirefork/internal/workload"
+
+// maintenance tracks the waves of machine maintenance, and the calls to the platform, under
+// one leadership. Times are cluster time in milliseconds. Guarded by Dispatcher.mu.
+type maintenance struct {
+	leadingSince int64
+	// draining holds the machines that get no new tasks, with the number of their wave.
+	draining map[string]int64
+	// blockedSince holds the draining machines on which only long-running tasks remain that
+	// can't stop now.
+	blockedSince map[string]int64
+	// down holds the machines that were told to start their maintenance.
+	down map[string]downMachine
+	// ordered holds the machines whose maintenance was ordered under this leadership, with the
+	// incarnation of their worker at the first call.
+	ordered map[string]workload.WorkerIncarnation
+	// callsInFlight holds the machines for which a call to the platform is in flight.
+	callsInFlight map[string]bool
+	// retryAt is the earliest time of the next call for a machine, after a failed one.
+	retryAt map[string]int64
+	// hasReported holds the machines from which a worker has registered under this
+	// leadership.
+	hasReported map[string]bool
+	// fenced is true after ErrFenced: a later leader calls the platform, so this one stops.
+	fenced bool
+	// starting holds the machines whose maintenance this cycle starts.
+	starting []maintenanceStart
+	// begun holds the machines whose maintenance has begun and is not recorded yet, and
+	// recording is true while they are being recorded.
+	begun     []workload.WaveMachine
+	recording bool
+}
+
+// maintenanceStart is a machine whose maintenance is to start.
+type maintenanceStart struct {
+	workload.WaveMachine
+	// incarnation is that of the machine's worker.
+	incarnation workload.WorkerIncarnation
+	// repeated is true if an earlier call may have started the maintenance while another
+	// incarnation was on the machine.
+	repeated bool
+}
+
+// downMachine is a machine under maintenance.
+type downMachine struct {
+	// incarnation is that of the machine's worker before the maintenance.
+	incarnation workload.WorkerIncarnation
+	// returnBy is when the machine counts as back even if no worker has reported from it.
+	returnBy int64
+	// unconfirmedAt is not 0 if incarnation may be the worker after the maintenance. It is the
+	// time of the answer: a report that comes later shows that the machine is up.
+	unconfirmedAt int64
+}
+
+func newMaintenance(now int64) *maintenance {
+	return &maintenance{
+		leadingSince: now, draining: map[string]int64{}, blockedSince: map[string]int64{}, down: map[string]downMachine{},
+		ordered:       map[string]workload.WorkerIncarnation{},
+		callsInFlight: map[string]bool{}, retryAt: map[string]int64{}, hasReported: map[string]bool{},
+	}
+}
+
+// isReserved reports whether the machine gets no new tasks.
+func (mt *maintenance) isReserved(machine string, now int64) bool {
+	_, isDraining := mt.draining[machine]
+	return isDraining || mt.isDown(machine, now) || mt.callsInFlight[machine]
+}
+
+// isDown reports whether the machine is down for its maintenance.
+func (mt *maintenance) isDown(machine string, now int64) bool {
+	m, ok := mt.down[machine]
+	return ok && now < m.returnBy
+}
+
+// recordReport records that an incarnation has registered from the machine. One other than
+// that before the maintenance shows that the machine is back.
+func (mt *maintenance) recordReport(machine string, incarnation workload.WorkerIncarnation) {
+	mt.hasReported[machine] = true
+	if m, ok := mt.down[machine]; ok && m.incarnation != incarnation {
+		delete(mt.down, machine)
+	}
+}
+
+// confirmUp records a report of the worker that a machine had when an answer about its
+// maintenance came. One that is received confirmUpMS later was sent after that.
+func (mt *maintenance) confirmUp(machine string, incarnation workload.WorkerIncarnation, now int64) {
+	m, ok := mt.down[machine]
+	if ok && m.unconfirmedAt != 0 && m.incarnation == incarnation && now-m.unconfirmedAt > confirmUpMS {
+		delete(mt.down, machine)
+	}
+}
--- a/internal/workload/crashes.go
+++ b/internal/workload/crashes.go
@@ -19,8 +19,8 @@
 	suspectScore       = 2
 	// crashScoreLimit takes at least three crashes, and at most five.
 	crashScoreLimit = 5
-	// crashPauseMS bounds how many workers a long-running task can crash. A task that is down
-	// for longer counts as lost to its users.
+	// crashPauseMS is the pause of such a long-running task between two runs. It bounds how many
+	// workers the task can crash.
 	crashPauseMS = 4000
 )
 
