Maintenance: end only the worker that was there at the first order

Cause: a leader that repeats the order of an earlier one noted the worker that was there at its own first call. At its second call it took that worker, which may be the one after the maintenance, for the one before, and the 200 ("already done") ended it.

Change: a leadership notes which worker its order ends, and none if an earlier leader gave the first order. The answer ends the noted worker and no other.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -142,17 +142,19 @@
 	return stops
 }
 
-// orderMaintenance adds a machine to those whose maintenance this cycle starts.
+// orderMaintenance adds a machine to those whose maintenance this cycle starts. The first order
+// ends the worker that is on the machine now. If an earlier leader gave it, that worker is not
+// known: the present one may be the one after the maintenance.
 func (d *Dispatcher) orderMaintenance(w *workload.Wave, m string, incarnation workload.WorkerIncarnation) {
 	mt := d.maintenance
-	first, orderedHere := mt.ordered[m]
-	repeated := first != incarnation
-	if !orderedHere {
-		mt.ordered[m] = incarnation
-		repeated = w.Ordered[m] // by an earlier leader
+	if _, orderedHere := mt.ordered[m]; !orderedHere {
+		mt.ordered[m] = workload.WorkerIncarnation{}
+		if !w.Ordered[m] {
+			mt.ordered[m] = incarnation
+		}
 	}
 	mt.callsInFlight[m] = true
-	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, incarnation: incarnation, repeated: repeated})
+	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, ends: mt.ordered[m]})
 }
 
 // waveConcurrency returns the number of machines to drain at once so that the given number is
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -70,18 +70,19 @@
 	}
 }
 
-// markDown records that the maintenance of a machine has begun. Everything on the machine has
-// ended by then. If the answer is late, or is that to a repetition, the worker that reports
-// now may be the one after the maintenance: it goes on, and must only show that it is up.
+// markDown records that the maintenance of a machine has begun. The worker that was there at the
+// first order has ended by then. Another one that reports now may be the one after the
+// maintenance, since the answer may be late or that to a repetition: it goes on, and must only
+// show that it is up.
 func (d *Dispatcher) markDown(mt *maintenance, m maintenanceStart, now int64) {
-	down := downMachine{incarnation: m.incarnation}
+	down := downMachine{incarnation: m.ends}
 	d.log.Read(func(s *fleet.State) { down.returnBy = now + d.maxDownTimeMS(s.Workload, m.Machine) })
-	current, known := d.workerOn(m.Machine)
-	if known && !current.terminated && (m.repeated || current.Incarnation != m.incarnation) {
-		down.incarnation, down.unconfirmedAt = current.Incarnation, now
-	} else if w, ok := d.workers[m.incarnation]; ok {
+	if w, ok := d.workers[m.ends]; ok {
 		w.terminate()
 	}
+	if current, known := d.workerOn(m.Machine); known && !current.terminated {
+		down.incarnation, down.unconfirmedAt = current.Incarnation, now
+	}
 	mt.down[m.Machine] = down
 }
 
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -14,7 +14,7 @@
 	// down holds the machines that were told to start their maintenance.
 	down map[string]downMachine
 	// ordered holds the machines whose maintenance was ordered under this leadership, with the
-	// incarnation of their worker at the first call.
+	// incarnation that the first order ends. It is zero if an earlier leader gave that order.
 	ordered map[string]workload.WorkerIncarnation
 	// callsInFlight holds the machines for which a call to the platform is in flight.
 	callsInFlight map[string]bool
@@ -36,11 +36,9 @@
 // maintenanceStart is a machine whose maintenance is to start.
 type maintenanceStart struct {
 	workload.WaveMachine
-	// incarnation is that of the machine's worker.
-	incarnation workload.WorkerIncarnation
-	// repeated is true if an earlier call may have started the maintenance while another
-	// incarnation was on the machine.
-	repeated bool
+	// ends is the incarnation that was on the machine at the first order for it, zero if it is
+	// not known.
+	ends workload.WorkerIncarnation
 }
 
 // downMachine is a machine under maintenance.
--- /dev/null
+++ b/internal/dispatch/repeated_order_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+// addStoreWithProvider adds a store to the rig that calls the same platform.
+func (r *rig) addStoreWithProvider(o *fakeProvider) *Dispatcher {
+	s := Settings{Lease: rigLease, JobRetention: time.Minute, MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond}
+	d := New(rigLog{r, len(r.dispatchers)}, s, nil, o, metrics.NewRegistry(), newRigLogger())
+	r.dispatchers = append(r.dispatchers, d)
+	return d
+}
+
+// Guards against a new leader that repeats a maintenance order of its predecessor, gets no answer,
+// and takes the worker after the maintenance for the one before it at its second call: the
+// machine got no tasks for as long as that leader led.
+func TestMaintenanceOrderedByAnEarlierLeaderKeepsTheNewWorker(t *testing.T) {
+	for _, lost := range []int{0, 1, 3} {
+		for _, registered := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d answers lost, worker registered before the first call %t", lost, registered), func(t *testing.T) {
+				testMaintenanceAcrossLeaders(t, lost, registered)
+			})
+		}
+	}
+}
+
+// testMaintenanceAcrossLeaders plays a maintenance whose first leader gets no answer, and whose
+// second leader gets none to the given number of its calls.
+func testMaintenanceAcrossLeaders(t *testing.T, lost int, registered bool) {
+	r, o := newRigWithProvider(t)
+	next := r.addStoreWithProvider(o)
+	o.answers = make(chan error)
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	r.propose(&workload.Command{Wave: &workload.Wave{Number: 1, Machines: []string{"m-a"}, DurationMS: 60000, MaxDown: 1}})
+	r.cycle()
+	require.Equal(t, "m-a", <-o.maintained)
+	a.up = false
+	o.answers <- errNoAnswer
+	waitForCalls(t, r.dispatchers[0])
+	r.elect(1)
+	beat := func() {
+		r.advance(500)
+		a.heartbeat(1, false)
+		r.cycle()
+	}
+	if registered {
+		r.advance(2000)
+		a.restart()
+	} else {
+		r.advance(rigLease.Milliseconds() * 2)
+	}
+	beat()
+	for range lost {
+		for len(o.maintained) == 0 {
+			beat()
+		}
+		<-o.maintained
+		o.answers <- errNoAnswer
+		waitForCalls(t, next)
+		if !a.up {
+			a.restart()
+		}
+	}
+	for len(o.maintained) == 0 {
+		beat()
+	}
+	<-o.maintained
+	o.answers <- nil
+	waitForCalls(t, next)
+	require.Eventually(t, func() bool { return r.maintenanceStartedCount(next) == 1 }, 10*time.Second, time.Millisecond)
+	if !a.up {
+		a.restart()
+	}
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU}, LongRunning: true})
+	for range 20 {
+		r.advance(200)
+		a.heartbeat(1, false)
+		r.cycle()
+	}
+	require.Positive(t, a.leaseRemaining)
+	require.NotEmpty(t, a.running)
+	require.Empty(t, r.violation)
+}
