Machine list: a worker whose machine is in another pool has ended

The answer to an order that moves a machine to the spare pool is lost, and its call ends after 3 s.

Cause: the worker of the machine is silent by then, so the order is not repeated. The list shows the machine up, in the spare pool and without a worker, which counted as a worker that is only cut off. The machine stayed occupied by it, and could not be moved into a pool that needed it as long as the leader led.

Change: a silent worker has ended once a list that was requested later shows its machine in another pool: a move ends everything on the machine.

Measured: TestReleasedMachineCanBeMovedAgainAfterALostAnswer failed before and passes, 3 of 3.

--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -61,13 +61,13 @@
 func (d *Dispatcher) terminateMissing(s *workload.State, list machineList) {
 	list.complete = !list.partial && d.isComplete(list)
 	for incarnation, w := range d.workers {
-		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, list) {
+		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, w.Pool, list) {
 			w.terminateCrashed()
 			d.Wake()
 		}
 	}
 	for incarnation, runs := range s.RunsByWorker() {
-		if _, known := d.workers[incarnation]; !known && !d.terminatedUnseen[incarnation] && d.isTerminatedByList(incarnation, machineOf(runs), list) {
+		if _, known := d.workers[incarnation]; !known && !d.terminatedUnseen[incarnation] && d.isTerminatedByList(incarnation, machineOf(runs), "", list) {
 			d.terminatedUnseen[incarnation] = true
 			d.Wake()
 		}
@@ -97,10 +97,10 @@
 	return ""
 }
 
-// isTerminatedByList reports whether the list shows that an incarnation has ended. A
-// machine that is up with this worker may only be cut off from the network, and a worker
-// that restarted with the same identifier registers by itself.
-func (d *Dispatcher) isTerminatedByList(incarnation workload.WorkerIncarnation, machine string, list machineList) bool {
+// isTerminatedByList reports whether the list shows that an incarnation has ended. Its pool is
+// empty if it is not known. A machine that is up with this worker may only be cut off from the
+// network, and a worker that restarted with the same identifier registers by itself.
+func (d *Dispatcher) isTerminatedByList(incarnation workload.WorkerIncarnation, machine, pool string, list machineList) bool {
 	silentMS := list.requestedAt - d.silentSince(incarnation)
 	if machine == "" || silentMS <= heartbeatTimeoutMS {
 		delete(d.missingLists, incarnation)
@@ -121,6 +121,8 @@
 		reason = "its machine is not up"
 	case info.Worker != "" && info.Worker != incarnation.ID:
 		reason = "its machine has another worker"
+	case pool != "" && info.Pool != pool:
+		reason = "its machine is in another pool"
 	default:
 		delete(d.missingLists, incarnation)
 		return false
--- a/internal/dispatch/repeated_order_test.go
+++ b/internal/dispatch/repeated_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,52 @@
 	require.NotEmpty(t, a.running)
 	require.Empty(t, r.violation)
 }
+
+// Guards against a machine that was moved to the spare pool by an order whose answer is lost: it
+// counted as occupied by its former worker, and could not be moved back as long as the leader led.
+func TestReleasedMachineCanBeMovedAgainAfterALostAnswer(t *testing.T) {
+	r, o := newRigWithProvider(t)
+	d := r.dispatchers[0]
+	o.answers = make(chan error, cap(o.moved))
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		r.addWorker(id, "r1").heartbeat(0, false)
+	}
+	beat := func() {
+		for _, w := range r.workers {
+			w.heartbeat(0, false)
+		}
+		r.cycle()
+	}
+	r.advance(1100)
+	beat() // all are idle: one more than the least pool
+	released := strings.TrimSuffix(<-o.moved, ">"+rigSpare)
+	list := MachineList{Machines: []MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}}
+	for _, w := range r.workers {
+		info := MachineInfo{Name: "m-" + w.id, Pool: rigPool, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true, Worker: w.id}
+		if info.Name == released {
+			w.up, info.Pool, info.Worker = false, rigSpare, ""
+		}
+		list.Machines = append(list.Machines, info)
+	}
+	r.advance(moveCallTimeout.Milliseconds())
+	o.answers <- errNoAnswer
+	waitForCalls(t, d)
+	for range cap(o.answers) {
+		o.answers <- nil
+	}
+	d.applyList(list, r.now)
+	r.advance(200)
+	for i := range 4 {
+		r.submit(string(rune('a'+i)), workload.Step{Count: 40, Size: workload.Resources{CPUMilli: 2000}, EstimatedMS: 4000})
+	}
+	for range 5 {
+		beat()
+		waitForCalls(t, d)
+		r.advance(200)
+	}
+	moves := map[string]bool{}
+	for len(o.moved) > 0 {
+		moves[<-o.moved] = true
+	}
+	require.Equal(t, map[string]bool{"off>" + rigPool: true, released + ">" + rigPool: true}, moves)
+}
