Moves: keep a worker that reports from the target pool

Cause: finishMove compared the worker on the machine with the one at the order, as orderMaintenance did. A transfer that waits for a machine to run empty may be completed meanwhile, by an order of an earlier leader that the platform carries out late. The transfer then moved the machine to the pool it was in, and the answer ended its new worker for as long as the leader led.

Change: a worker of the target pool is one after the move and is kept, whether it was there at the order or not, and a transfer that is complete is dropped. The worker at the order no longer matters.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -201,7 +201,7 @@
 	for name, t := range d.transfers {
 		w, known := d.workerOn(name)
 		switch {
-		case !known || w.terminated || now-t.since > transferTimeoutMS || s.Evacuated(w.DataCentre):
+		case !known || w.terminated || w.Pool == t.pool || now-t.since > transferTimeoutMS || s.Evacuated(w.DataCentre):
 			delete(d.transfers, name)
 		case w.hasRuns(s):
 			in.AddIncoming(t.pool, w.Labels)
@@ -283,21 +283,21 @@
 func (d *Dispatcher) startMove(move capacity.Move, now int64) {
 	mt := d.maintenance
 	mt.callsInFlight[move.Machine] = true
-	order, before := d.machineOrder(), d.byMachine[move.Machine]
+	order := d.machineOrder()
 	d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
 	ctx, cancel := d.callContext(moveCallTimeout)
 	go func() {
 		defer cancel()
 		err := d.provider.Move(ctx, move.Machine, move.Pool, order)
-		d.finishMove(mt, move, before, err)
+		d.finishMove(mt, move, err)
 	}()
 }
 
 // finishMove applies the result of a move. mt is the maintenance of the leadership that
-// started it, and before the worker of the machine at that time. If the answer is late, another
-// worker may already report from the new pool.
-func (d *Dispatcher) finishMove(mt *maintenance, move capacity.Move, before workload.WorkerIncarnation, err error) {
+// started it. A worker that reports from the new pool is one after the move: the answer may be
+// late, or say that an earlier order has moved the machine.
+func (d *Dispatcher) finishMove(mt *maintenance, move capacity.Move, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := int64(d.log.Now())
@@ -314,7 +314,7 @@
 		return
 	}
 	w, known := d.workerOn(move.Machine)
-	if known && w.Incarnation != before && w.Pool == move.Pool {
+	if known && !w.terminated && w.Pool == move.Pool {
 		return
 	}
 	if known {
--- a/internal/dispatch/repeated_order_test.go
+++ b/internal/dispatch/repeated_order_test.go
@@ -140,3 +140,17 @@
 	}
 	require.Equal(t, map[string]bool{"off>" + rigPool: true, released + ">" + rigPool: true}, moves)
 }
+
+// Guards against a transfer that an order of an earlier leader has completed already: the answer
+// to its repetition ended the worker in the new pool.
+func TestCompletedTransferKeepsTheNewWorker(t *testing.T) {
+	r, _ := newRigWithProvider(t)
+	d := r.dispatchers[0]
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	d.transfers["m-a"] = transfer{pool: rigPool, since: r.now}
+	r.cycle()
+	waitForCalls(t, d)
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU}, LongRunning: true})
+	requireUsable(t, r, a)
+}
