Workers that count as ended by mistake register again

The causes that were found are mended; an end that is inferred can be wrong for others.

Cause: no report of a worker that counts as ended was accepted, however long it went on reporting.

Change: such a worker registers again once its lease has expired and nothing has taken its place. It runs nothing by then, so no task can run twice, and a warning is logged: each is a finding.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -260,11 +260,18 @@
 
 // acceptReport registers or updates the worker of a report. It returns nil for a report
 // that is out of date: its incarnation is terminated or has sent a later report, or a later
-// incarnation is known. It also returns nil if the report names another pool, machine or
+// incarnation is known. A terminated incarnation that still reports registers again once its
+// lease has expired. It also returns nil if the report names another pool, machine or
 // data centre than the earlier ones of its incarnation, or comes from no worker that is
 // expected: only another writer can send those. The caller holds mu.
 func (d *Dispatcher) acceptReport(rep Report, now int64) *worker {
 	w, ok := d.workers[rep.Incarnation]
+	if ok && d.hasOutlivedEnd(w, rep, now) {
+		d.logger.Warn().Str("worker", rep.Incarnation.ID).Int64("born", rep.Incarnation.Born).Str("machine", rep.Machine).
+			Int64("silent_ms", now-w.lastReportAt).Msg("worker that counted as ended still reports and registers again")
+		delete(d.workers, rep.Incarnation)
+		ok = false
+	}
 	if ok && (w.terminated || rep.Sequence <= w.Sequence) {
 		return nil
 	}
--- a/internal/dispatch/liveness_test.go
+++ b/internal/dispatch/liveness_test.go
@@ -121,3 +121,22 @@
 	require.False(t, r.dispatchers[1].hasSilentWorkers())
 	require.Empty(t, r.violation)
 }
+
+// Guards against a worker that counts as ended by mistake and gets no lease and no task for as
+// long as the leader leads, although it reports: the effect of review/4, whatever its cause.
+func TestWorkerThatCountsAsEndedRegistersAgain(t *testing.T) {
+	r := newRig(1)
+	a := r.addWorker("a", "r1")
+	ref := startLongTask(t, r, a)
+	d := r.dispatchers[0]
+	r.advance(heartbeatTimeoutMS + 100) // cut off from the network
+	d.applyList(MachineList{Machines: listWithMachine(false, "")}, r.now)
+	for end := r.now + rigLease.Milliseconds()*3/2; r.now < end; r.advance(200) {
+		a.heartbeat(0, false)
+		r.cycle()
+	}
+	require.Positive(t, a.leaseRemaining)
+	require.Contains(t, a.running, ref)
+	require.Greater(t, a.running[ref].run, 1)
+	require.Empty(t, r.violation)
+}
--- a/internal/dispatch/registration.go
+++ b/internal/dispatch/registration.go
@@ -35,6 +35,15 @@
 	d.updateMachine(w, now)
 }
 
+// hasOutlivedEnd reports whether a worker that counts as ended goes on reporting although its
+// lease has expired and nothing has taken its place. Its end was inferred from an answer or a
+// list of the platform, and was wrong. It runs nothing any more, so it can register like a
+// worker that is not known.
+func (d *Dispatcher) hasOutlivedEnd(w *worker, rep Report, now int64) bool {
+	return w.terminated && rep.Sequence > w.Sequence && now > w.leaseExpiresAt &&
+		d.byID[rep.Incarnation.ID] == rep.Incarnation && d.byMachine[rep.Machine] == rep.Incarnation
+}
+
 // supersede terminates a worker incarnation, if there is one, of which a later one reports.
 func (d *Dispatcher) supersede(w *worker) {
 	if w == nil || w.terminated {
