Maintenance: a late heartbeat does not show that a machine is back

Cause: the first report that a new leader received from a machine showed it as back from the maintenance that the former leader had begun. If it had been on its way for long, one more machine of the wave went down than the wave allows. Registration and later reports had different rules for when a machine is back.

Change: one rule for all reports. The two fields that kept the worker of a machine that is down are gone.

Measured: TestLateHeartbeatDoesNotEndAMaintenance failed before and passes; all tests of internal/dispatch pass.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -296,7 +296,9 @@
 		d.logger.Info().Str("worker", rep.Incarnation.ID).Dur("remaining", rep.DrainRemaining).Msg("worker drains")
 	}
 	w.update(rep, now)
-	d.maintenance.confirmUp(w.Machine, w.Incarnation, now)
+	if d.byMachine[w.Machine] == w.Incarnation {
+		d.maintenance.recordReport(w.Machine, now)
+	}
 	// The response may grant a lease that begins when this report was sent. The expiry is
 	// recorded now, because runs may be placed on the worker before the response leaves.
 	w.leaseExpiresAt = max(w.leaseExpiresAt, now+d.leaseBoundMS())
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -75,14 +75,11 @@
 // maintenance, since the answer may be late or that to a repetition: it goes on, and must only
 // show that it is up.
 func (d *Dispatcher) markDown(mt *maintenance, m maintenanceStart, now int64) {
-	down := downMachine{incarnation: m.ends}
-	d.log.Read(func(s *fleet.State) { down.returnBy = now + d.maxDownTimeMS(s.Workload, m.Machine) })
 	if w, ok := d.workers[m.ends]; ok {
 		w.terminate()
 	}
-	if current, known := d.workerOn(m.Machine); known && !current.terminated {
-		down.incarnation, down.unconfirmedAt = current.Incarnation, now
-	}
+	down := downMachine{answeredAt: now}
+	d.log.Read(func(s *fleet.State) { down.returnBy = now + d.maxDownTimeMS(s.Workload, m.Machine) })
 	mt.down[m.Machine] = down
 }
 
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -20,8 +20,8 @@
 	callsInFlight map[string]bool
 	// retryAt is the earliest time of the next call for a machine, after a failed one.
 	retryAt map[string]int64
-	// hasReported holds the machines from which a worker has registered under this
-	// leadership.
+	// hasReported holds the machines from which a worker has reported that has run since this
+	// leadership began.
 	hasReported map[string]bool
 	// fenced is true after ErrFenced: a later leader calls the platform, so this one stops.
 	fenced bool
@@ -43,13 +43,9 @@
 
 // downMachine is a machine under maintenance.
 type downMachine struct {
-	// incarnation is that of the machine's worker before the maintenance.
-	incarnation workload.WorkerIncarnation
-	// returnBy is when the machine counts as back even if no worker has reported from it.
-	returnBy int64
-	// unconfirmedAt is not 0 if incarnation may be the worker after the maintenance. It is the
-	// time of the answer: a report that comes later shows that the machine is up.
-	unconfirmedAt int64
+	// answeredAt is the time of the answer that its maintenance has begun, and returnBy when it
+	// counts as back even if no worker has reported from it.
+	answeredAt, returnBy int64
 }
 
 func newMaintenance(now int64) *maintenance {
@@ -72,20 +68,14 @@
 	return ok && now < m.returnBy
 }
 
-// recordReport records that an incarnation has registered from the machine. One other than
-// that before the maintenance shows that the machine is back.
-func (mt *maintenance) recordReport(machine string, incarnation workload.WorkerIncarnation) {
-	mt.hasReported[machine] = true
-	if m, ok := mt.down[machine]; ok && m.incarnation != incarnation {
-		delete(mt.down, machine)
+// recordReport records a report of the worker of a machine. It shows that the machine is back if
+// it was sent after the maintenance began, and a heartbeat may arrive late: one that is received
+// confirmUpMS after the answer, or after this leadership began, counts as sent after it.
+func (mt *maintenance) recordReport(machine string, now int64) {
+	if now-mt.leadingSince > confirmUpMS {
+		mt.hasReported[machine] = true
 	}
-}
-
-// confirmUp records a report of the worker that a machine had when an answer about its
-// maintenance came. One that is received confirmUpMS later was sent after that.
-func (mt *maintenance) confirmUp(machine string, incarnation workload.WorkerIncarnation, now int64) {
-	m, ok := mt.down[machine]
-	if ok && m.unconfirmedAt != 0 && m.incarnation == incarnation && now-m.unconfirmedAt > confirmUpMS {
+	if m, ok := mt.down[machine]; ok && now-m.answeredAt > confirmUpMS {
 		delete(mt.down, machine)
 	}
 }
--- a/internal/dispatch/registration.go
+++ b/internal/dispatch/registration.go
@@ -31,7 +31,6 @@
 	}
 	w.predecessor = nil
 	d.byMachine[w.Machine] = w.Incarnation
-	d.maintenance.recordReport(w.Machine, w.Incarnation)
 	d.updateMachine(w, now)
 }
 
--- a/internal/dispatch/repeated_order_test.go
+++ b/internal/dispatch/repeated_order_test.go
@@ -154,3 +154,41 @@
 	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU}, LongRunning: true})
 	requireUsable(t, r, a)
 }
+
+// Guards against a heartbeat that was sent before a maintenance and reaches the next leader late:
+// the machine counted as up again, and one more of its wave went down than the wave allows.
+func TestLateHeartbeatDoesNotEndAMaintenance(t *testing.T) {
+	r, o := newRigWithProvider(t)
+	next := r.addStoreWithProvider(o)
+	workers := map[string]*modelWorker{}
+	for _, id := range []string{"a", "b"} {
+		workers["m-"+id] = r.addWorker(id, "r1")
+		workers["m-"+id].heartbeat(0, false)
+	}
+	r.propose(&workload.Command{Wave: &workload.Wave{Number: 1, Machines: []string{"m-a", "m-b"}, DurationMS: 5000, MaxDown: 1}})
+	r.cycle()
+	down := workers[<-o.maintained]
+	waitForCalls(t, r.dispatchers[0])
+	require.Eventually(t, func() bool { return r.maintenanceStartedCount(r.dispatchers[0]) == 1 }, 10*time.Second, time.Millisecond)
+	r.elect(1)
+	r.advance(100)
+	down.heartbeat(1, true) // sent before the maintenance
+	down.up = false
+	beat := func() {
+		r.advance(200)
+		for _, w := range r.workers {
+			w.heartbeat(1, false)
+		}
+		r.cycle()
+		waitForCalls(t, next)
+	}
+	for range 8 {
+		beat()
+		require.Empty(t, o.maintained, "one machine may be down")
+	}
+	down.restart()
+	for range 10 {
+		beat()
+	}
+	require.NotEqual(t, down, workers[<-o.maintained])
+}
