Workers: a late leave message does not end one that goes on draining

A leave message names a worker and not one of its incarnations, and may come seconds late.

Cause: a worker that drains counted as gone 0.5 s after any leave message. One that starts again under its identifier and drains soon may meet the message of its earlier incarnation. It reports each 0.8 s, so its tasks counted as ended and started a second time elsewhere.

Change: the message ends a worker only if the time for which it has announced to go on draining is over. Otherwise it counts as silent until it reports, as one that doesn't drain.

Measured: TestLateLeaveMessageDoesNotEndADrainingWorker failed before ("run 2 starts on b while run 1 is on a") and passes. The rig's workers announced a minute and left at once, which no worker does; the one test that leaves now announces none.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -308,8 +308,8 @@
 // HandleLeave processes the leave message of a worker, whose process exits within 0.5 s:
 // its lease is shortened. The message names no incarnation and may arrive seconds late,
 // when a new incarnation uses the identifier. A worker drains before it leaves, so one that
-// does not drain only counts as silent until it reports again. An unknown worker is
-// ignored. HandleLeave returns a NotLeaderError when this store does not lead.
+// does not drain, or has announced that it goes on draining, only counts as silent until it
+// reports again. An unknown worker is ignored. HandleLeave returns a NotLeaderError when this store does not lead.
 func (d *Dispatcher) HandleLeave(id string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -322,12 +322,13 @@
 		return nil
 	}
 	w := d.workers[incarnation]
-	if w.Draining {
+	drained := w.Draining && w.drainRemainingMS(now) <= leaveGraceMS
+	if drained {
 		w.leaseExpiresAt = min(w.leaseExpiresAt, now+leaveGraceMS)
 	} else {
 		w.lastReportAt = min(w.lastReportAt, now-heartbeatTimeoutMS-1)
 	}
-	d.logger.Info().Str("worker", id).Int64("born", incarnation.Born).Bool("draining", w.Draining).Msg("worker leaves")
+	d.logger.Info().Str("worker", id).Int64("born", incarnation.Born).Bool("drained", drained).Msg("worker leaves")
 	d.Wake()
 	return nil
 }
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -40,8 +40,13 @@
 	if !j.Steps[ref.Step].Checkpoints {
 		return false
 	}
-	remainingMS := w.DrainRemaining.Milliseconds() - (now - w.lastReportAt)
-	return remainingMS < checkpointReserveMS
+	return w.drainRemainingMS(now) < checkpointReserveMS
+}
+
+// drainRemainingMS returns the least time, in milliseconds, for which a draining worker goes on
+// running by its last report.
+func (w *worker) drainRemainingMS(now int64) int64 {
+	return w.DrainRemaining.Milliseconds() - (now - w.lastReportAt)
 }
 
 // stalledRuns returns the runs whose reports show no progress, and records a failure of
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -78,12 +78,42 @@
 	require.Equal(t, 1, task.Run)
 }
 
+// Guards against a leave message of an earlier incarnation that arrives while the present one
+// drains: its tasks counted as ended and started a second time elsewhere.
+func TestLateLeaveMessageDoesNotEndADrainingWorker(t *testing.T) {
+	r := newRig(1)
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	r.advance(1000)
+	a.crash()
+	a.restart()
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 3000}, EstimatedMS: 4000})
+	r.factors = map[workload.TaskRef]int64{{Job: "job"}: 20}
+	a.heartbeat(0, false)
+	r.cycle()
+	a.heartbeat(0, false)
+	require.NotEmpty(t, a.running)
+	a.draining = true
+	a.heartbeat(0, false)
+	require.NoError(t, r.dispatchers[0].HandleLeave("a"))
+	b := r.addWorker("b", "r2")
+	for range 3 {
+		r.advance(400)
+		b.heartbeat(0, false)
+		r.cycle()
+		b.heartbeat(0, false)
+	}
+	a.heartbeat(0, false)
+	require.Empty(t, r.violation)
+	require.Empty(t, b.running)
+}
+
 // A worker that drained and leaves frees its tasks at once.
 func TestLeaveMessageOfADrainingWorkerFreesItsTasks(t *testing.T) {
 	r := newRig(1)
 	a := r.addWorker("a", "r1")
 	ref := startLongTask(t, r, a)
-	a.draining = true
+	a.draining, a.drained = true, true
 	a.heartbeat(0, false)
 	require.NoError(t, r.dispatchers[0].HandleLeave("a"))
 	a.crash()
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -188,8 +188,10 @@
 	up         bool
 	downAt     int64
 	draining   bool
-	failsAll   bool
-	stalls     bool
+	// drained is true when a draining worker may leave at any time.
+	drained  bool
+	failsAll bool
+	stalls   bool
 	// slowdown multiplies the duration of each task; 0 means the normal duration.
 	slowdown int64
 	// capacity is the processor capacity in millicores. It may shrink and grow.
@@ -308,7 +310,10 @@
 	rep := Report{
 		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: cmp.Or(w.machine, "m-"+w.id), Pool: rigPool, Rack: w.rack, DataCentre: w.dataCentre,
 		Capacity: workload.Resources{CPUMilli: w.capacity, MemoryMiB: 1 << 20}, Sequence: w.sequence, Draining: w.draining,
-		DrainRemaining: time.Minute, ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
+		ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
+	}
+	if !w.drained {
+		rep.DrainRemaining = time.Minute
 	}
 	for _, ref := range w.tasks() {
 		run := w.running[ref]
