Refuse JSON that escapes half a UTF-16 pair, and names with control characters

Control characters were never looked for.

Change: package strictjson checks both before it decodes, for all bodies, lists and declarations that come in on either interface. Names in reports and in the list of machines may have no control characters; checkpoints and tickets may.

--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/samphirefork/samphirefork/internal/strictjson"
 )
 
 // object is one JSON object of a file, with the line numbers of the object and of its
@@ -40,6 +42,11 @@
 
 func parseFile(file string, data []byte) ([]object, Errors) {
 	p := &parser{file: file, data: data}
+	var text *strictjson.TextError
+	if errors.As(strictjson.Check(data), &text) {
+		p.addError(text.Offset, "", "text "+text.Reason)
+		return nil, p.errs
+	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	var top json.RawMessage
 	if err := dec.Decode(&top); err != nil {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
+	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -71,10 +71,7 @@
 		return nil, err
 	}
 	var rep Report
-	if !utf8.Valid(msg.Body) {
-		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: "the report is not UTF-8"}
-	}
-	if err := json.Unmarshal(msg.Body, &rep); err != nil {
+	if err := strictjson.Unmarshal(msg.Body, &rep); err != nil {
 		return nil, &wire.ErrorBody{Code: wire.CodeBadMessage, Message: err.Error()}
 	}
 	if reason := rep.validate(msg.Worker); reason != "" {
--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -33,8 +35,8 @@
 }
 
 // Validate returns an *InvalidReportError for a report that no worker sends: it lacks the
-// worker, the pool or the sequence, has text that is not UTF-8 or too long, or an amount that
-// is negative or too large.
+// worker, the pool or the sequence, has text that is not UTF-8 or too long, a name with control
+// characters, or an amount that is negative or too large.
 func (r *Report) Validate() error {
 	switch {
 	case r.Incarnation.ID == "":
@@ -50,12 +52,12 @@
 		{"life.id", r.Incarnation.ID}, {"machine", r.Machine}, {"pool", r.Pool}, {"address", r.Address},
 		{"data_centre", r.DataCentre}, {"rack", r.Rack},
 	} {
-		if reason := textFault(name.text, maxNameBytes); reason != "" {
+		if reason := nameFault(name.text); reason != "" {
 			return invalidReport(name.field, "%s", reason)
 		}
 	}
 	for i, label := range r.Labels {
-		if reason := textFault(label, maxNameBytes); reason != "" {
+		if reason := nameFault(label); reason != "" {
 			return invalidReport(fmt.Sprintf("labels[%d]", i), "%s", reason)
 		}
 	}
@@ -81,7 +83,7 @@
 
 // runFault returns the reason why a run of a report is not valid, or "".
 func runFault(run workload.Run, checkpoint string) string {
-	if reason := textFault(run.Task.Job, maxNameBytes); reason != "" {
+	if reason := nameFault(run.Task.Job); reason != "" {
 		return "task " + reason
 	}
 	if reason := textFault(checkpoint, maxCheckpointBytes); reason != "" {
@@ -90,6 +92,15 @@
 	return ""
 }
 
+// nameFault returns the reason why a text can't be a name, or "". A name of a worker or machine
+// has no control characters: a report with one comes from another writer.
+func nameFault(text string) string {
+	if strings.ContainsFunc(text, unicode.IsControl) {
+		return "has a control character"
+	}
+	return textFault(text, maxNameBytes)
+}
+
 // textFault returns the reason why a text can't be committed, or "".
 func textFault(text string, maxBytes int) string {
 	switch {
@@ -103,10 +114,11 @@
 }
 
 // Validate returns an *InvalidReportError for a machine that can't be used: it has text that is
-// not UTF-8 or too long, or an amount that is negative or too large.
+// not UTF-8 or too long, a name with control characters, or an amount that is negative or too
+// large.
 func (m *MachineInfo) Validate() error {
 	for _, text := range append([]string{m.Name, m.Pool, m.Rack, m.DataCentre, m.Worker}, m.Labels...) {
-		if reason := textFault(text, maxNameBytes); reason != "" {
+		if reason := nameFault(text); reason != "" {
 			return invalidReport("machine", "%s", reason)
 		}
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
-	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -14,6 +12,7 @@
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/leader"
+	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -309,11 +308,8 @@
 	if refusal != nil {
 		return refusal
 	}
-	if !utf8.Valid(data) {
-		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not UTF-8")
-	}
-	if err := json.Unmarshal(data, v); err != nil {
-		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not valid JSON: "+err.Error())
+	if err := strictjson.Unmarshal(data, v); err != nil {
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body can't be decoded: "+err.Error())
 	}
 	return nil
 }
--- a/internal/operator/where.go
+++ b/internal/operator/where.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/httpbody"
 	"github.com/samphirefork/samphirefork/internal/leader"
+	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -38,7 +38,7 @@
 	body, err := httpbody.Read(w, r, maxWhereBytes, whereBodyTimeout)
 	var msg wire.WhereRequest
 	if err == nil {
-		err = json.Unmarshal(body, &msg.Job)
+		err = strictjson.Unmarshal(body, &msg.Job)
 	}
 	if err != nil {
 		writeJSON(w, http.StatusBadRequest, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, err.Error()))
--- a/internal/workerlink/http.go
+++ b/internal/workerlink/http.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -95,10 +95,7 @@
 		if err != nil {
 			return badRequest(c, err.Error())
 		}
-		if !utf8.Valid(data) {
-			return badRequest(c, "the announcement is not UTF-8")
-		}
-		if err := json.Unmarshal(data, &a); err != nil {
+		if err := strictjson.Unmarshal(data, &a); err != nil {
 			return badRequest(c, err.Error())
 		}
 		if err := a.validate(); err != nil {
