--- a/internal/store/invalid_test.go
+++ b/internal/store/invalid_test.go
@@ -14,6 +14,7 @@
 	"github.com/samphirefork/samphirefork/internal/raft"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/wal"
+	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
 // notUTF8 is a byte sequence that encodes as CBOR text and does not decode.
@@ -79,6 +80,43 @@
 	require.Equal(t, int64(3), s.node.metrics.skipped.Count())
 }
 
+// Guards against a group that never serves again on a log of an earlier landing: every store ended
+// at its entry, elected another leader, and ended again, so that terms rose and neither
+// configuration nor jobs were in reach. A store that joins later receives the entry, too.
+func TestGroupServesOnALogWithAnUndecodableEntry(t *testing.T) {
+	group := newGroup(t, 3, nil)
+	propose(t, group, "before")
+	for _, s := range group {
+		eventually(t, "replication", func() bool { return s.has("before") })
+	}
+	data, err := fleet.EncodeCommand(cancelCommand(notUTF8))
+	require.NoError(t, err)
+	for _, s := range group {
+		require.NoError(t, s.stop())
+		appendEntry(t, s, data)
+	}
+	for _, s := range group {
+		s.start(nil)
+	}
+	propose(t, group, "after")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	joined := settings.Member{ID: 4, Instance: "s4", DataCentre: "a", Address: listener.Addr().String()}
+	fourth := newTestStore(t, joined, nil, func(cfg *settings.Store) { cfg.Join = true })
+	fourth.start(listener)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	info := wire.MemberInfo{ID: joined.ID, Instance: joined.Instance, DataCentre: joined.DataCentre, Address: joined.Address}
+	require.NoError(t, leaderOf(t, group).node.ChangeMembers(ctx, wire.MembershipChange{Add: &info}))
+	propose(t, group, "joined")
+	term := leaderOf(t, group).node.Leadership().Term
+	for _, s := range append(group, fourth) {
+		eventually(t, "all commands but the skipped one", func() bool { return s.has("before") && s.has("after") && s.has("joined") })
+		require.Equal(t, int64(1), s.node.metrics.skipped.Count())
+	}
+	require.Equal(t, term, leaderOf(t, group).node.Leadership().Term)
+}
+
 // Guards against stores that fail for good at a committed command whose application panics,
 // and against a state that keeps a part of its changes.
 func TestPanickingEntryIsSkipped(t *testing.T) {
