Dispatch tests: guard the rig's time and state by its lock

The race detector reported TestDrainingRespectsUnavailableTasks, TestBlockedDrainIsSuspended and two new tests: the fixture advanced its time, and applied commands, without the lock under which calls to the platform read them.

Change: time, state and leader of the rig change under their locks only. No test checks less.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -162,7 +162,7 @@
 			r.advance(crashNoticeMS)
 			r.crashAndRestart(w)
 		}, workload.CrashScoreReported},
-		"lease expired": {func(r *rig, _ *modelWorker) { r.now += rigLease.Milliseconds() * 2 }, 0},
+		"lease expired": {func(r *rig, _ *modelWorker) { r.addTime(rigLease.Milliseconds() * 2) }, 0},
 		"drained": {func(r *rig, w *modelWorker) {
 			w.draining = true
 			w.heartbeat(0, false)
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -242,7 +242,7 @@
 	for i := range 60 {
 		f.submit(i)
 	}
-	f.r.term++
+	f.r.elect(f.r.leader)
 	f.r.cycle()
 	f.d.applyList(MachineList{Machines: provider.machines}, f.r.now)
 	for i := range 8 {
@@ -251,7 +251,7 @@
 	f.r.cycle()
 	f.r.cycle()
 	require.Zero(t, f.movedMachines(t))
-	f.r.now += reportingTimeoutMS
+	f.r.addTime(reportingTimeoutMS)
 	f.r.cycle()
 	f.r.cycle()
 	require.Positive(t, f.movedMachines(t), "the other machines may be lost")
@@ -275,7 +275,7 @@
 		}
 		f.r.cycle()
 	}
-	f.r.term++
+	f.r.elect(f.r.leader)
 	f.r.cycle()
 	f.d.applyList(MachineList{Machines: provider.machines}, f.r.now)
 	for i := range 4 {
@@ -292,7 +292,7 @@
 func TestFirstMachineListOfALeadershipIsKept(t *testing.T) {
 	r, o := newRigWithProvider(t)
 	d := r.dispatchers[0]
-	r.term++
+	r.elect(r.leader)
 	d.applyList(MachineList{Machines: []MachineInfo{{Name: "off", Pool: rigSpare, Capacity: workload.Resources{CPUMilli: rigCPU, MemoryMiB: 1 << 20}, Up: true}}}, r.now)
 	a := r.addWorker("a", "r1")
 	for range 40 {
@@ -343,7 +343,7 @@
 	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU}})
 	r.cycle()
 	d.liveWorkers = liveWorkers
-	r.now += responseTimeout.Milliseconds()
+	r.addTime(responseTimeout.Milliseconds())
 	orders, err := d.composeOrders(d.workers[workload.WorkerIncarnation{ID: "a", Born: w.born}], d.term, receivedAt)
 	require.NoError(t, err)
 	require.Len(t, orders.Starts, 1)
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -100,7 +100,7 @@
 	w.heartbeat(0, false)
 	r.advance(100)
 	w.heartbeat(0, false)
-	r.now += stallTimeoutMS + 200
+	r.addTime(stallTimeoutMS + 200)
 	r.cycle()
 	_, task, _ := r.state.Workload.Task(workload.TaskRef{Job: "job"})
 	require.Equal(t, workload.Placed, task.Phase)
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -34,7 +34,8 @@
 // The dispatchers share one log; one of them leads.
 type rig struct {
 	// mu is held during each call of the log, as the store does for reads. A call within a
-	// read deadlocks.
+	// read deadlocks. It guards now and state, which calls to the platform read at any time; only
+	// the test's goroutine changes now.
 	mu    sync.Mutex
 	now   int64
 	state *fleet.State
@@ -73,7 +74,7 @@
 func (l rigLog) Propose(_ context.Context, cmd fleet.Command) (fleet.Result, error) {
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
-	if l.r.leader != l.self {
+	if !l.Leadership().Leading {
 		return fleet.Result{}, fleet.ErrNotLeader
 	}
 	if l.r.refuse && !l.r.applyRefused {
@@ -135,6 +136,8 @@
 }
 
 func (r *rig) propose(cmd *workload.Command) workload.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	res := r.state.Apply(r.state.Applied+1, fleet.Command{Time: fleet.Time(r.now), Workload: cmd})
 	return *res.Workload
 }
@@ -153,9 +156,16 @@
 	r.term++
 }
 
+// addTime advances the time.
+func (r *rig) addTime(ms int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.now += ms
+}
+
 // advance advances the time and the work of the workers.
 func (r *rig) advance(ms int64) {
-	r.now += ms
+	r.addTime(ms)
 	for _, w := range r.workers {
 		w.work(ms)
 	}
--- a/internal/dispatch/size_bench_test.go
+++ b/internal/dispatch/size_bench_test.go
@@ -116,7 +116,7 @@
 			next := 1 << 20
 			for b.Loop() {
 				b.StopTimer()
-				f.r.now += 100
+				f.r.addTime(100)
 				next = f.endSome(next)
 				f.heartbeats(b)
 				b.StartTimer()
