Entry tests: a call whose limit passes before its dispatch is sent again

Cause, by the messages that the test prints now: "the time limit passed before the call started", after 0 runs. The answer is true; the test took for granted that a call is dispatched within its 400 ms.

Change: the test sends calls until one has reached the backend server, and requires that each other one is answered as not run. What it requires of a call that was dispatched, and of its retry, is as before.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -66,25 +67,46 @@
 				runs.Add(1)
 				tc.handler(w, r)
 			})
-			headers := []string{api.HeaderKey, testKey, api.HeaderTimeoutMS, "400", api.HeaderRequestID, "dc1.a"}
-			for _, code := range []api.Code{tc.code, tc.retryCode} {
-				got := te.mustCall(t, "/v1/call/plan", "x", headers...)
-				require.Equal(t, tc.verdict, got.verdict)
-				require.Equal(t, code, got.refusal.Code)
-			}
+			id, got := te.callUntilRun(t, &runs)
+			require.Equal(t, tc.verdict, got.verdict, "%+v after %d runs", got.refusal, runs.Load())
+			require.Equal(t, tc.code, got.refusal.Code, "%+v", got.refusal)
+			got = te.callWithin400(t, id)
+			require.Equal(t, tc.verdict, got.verdict, "%+v after %d runs", got.refusal, runs.Load())
+			require.Equal(t, tc.retryCode, got.refusal.Code, "%+v", got.refusal)
 			if tc.verdict == api.MayHaveRun {
 				require.EqualValues(t, 1, runs.Load())
 			}
 			te.register(t, "good", "plan", echoBackend)
 			for range 4 {
 				got := te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderIdempotent, "true")
-				require.Equal(t, api.Done, got.verdict, string(got.body))
+				require.Equal(t, api.Done, got.verdict, "%s after %d runs", got.body, runs.Load())
 				require.Equal(t, "x", string(got.body))
 			}
 		})
 	}
 }
 
+// callUntilRun sends calls, each with an identifier of its own, until one has reached the backend
+// server, and returns its identifier and answer. A call whose limit passes before, as it may on a
+// busy machine, must be answered as not run.
+func (te *testEntry) callUntilRun(t *testing.T, runs *atomic.Int64) (id string, got callResult) {
+	t.Helper()
+	for n := 0; ; n++ {
+		id = fmt.Sprintf("dc1.a%d", n)
+		got = te.callWithin400(t, id)
+		if runs.Load() > 0 {
+			return id, got
+		}
+		require.Equal(t, api.NotRun, got.verdict, "%+v", got.refusal)
+	}
+}
+
+// callWithin400 sends a call that must not run twice, with a time limit of 400 ms.
+func (te *testEntry) callWithin400(t *testing.T, id string) callResult {
+	t.Helper()
+	return te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderTimeoutMS, "400", api.HeaderRequestID, id)
+}
+
 // TestKeys guards against the admission of a call with a withdrawn, unknown or
 // missing key.
 func TestKeys(t *testing.T) {
