--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -309,7 +309,8 @@
 // its lease is shortened. The message names no incarnation and may arrive seconds late,
 // when a new incarnation uses the identifier. A worker drains before it leaves, so one that
 // does not drain, or has announced that it goes on draining, only counts as silent until it
-// reports again. An unknown worker is ignored. HandleLeave returns a NotLeaderError when this store does not lead.
+// reports again. An unknown worker is ignored. HandleLeave returns a NotLeaderError when this
+// store does not lead.
 func (d *Dispatcher) HandleLeave(id string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -20,8 +20,8 @@
 	callsInFlight map[string]bool
 	// retryAt is the earliest time of the next call for a machine, after a failed one.
 	retryAt map[string]int64
-	// hasReported holds the machines from which a worker has reported that has run since this
-	// leadership began.
+	// hasReported holds the machines from which a report was received that was sent under this
+	// leadership.
 	hasReported map[string]bool
 	// fenced is true after ErrFenced: a later leader calls the platform, so this one stops.
 	fenced bool
