Moves: a worker that an order without an answer may have ended gets no tasks

Cause: a call that ends without an answer may have been carried out. The machine counted as free again at once, since its worker had reported within 1.3 s, and got tasks. The end of the worker then counted as a crash under them, and two or three of these give a job up.

Change: until a report comes that was sent after the failure, the worker gets no tasks, and its end counts as no crash. A refusal changes nothing.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -269,7 +269,7 @@
 	var out []taskplan.Worker
 	for incarnation, w := range d.workers {
 		_, inTransfer := d.transfers[w.Machine]
-		if w.Draining || !w.isLive(now) || w.predecessor != nil || inTransfer || d.maintenance.isReserved(w.Machine, now) || s.Evacuated(w.DataCentre) {
+		if w.Draining || !w.isLive(now) || w.predecessor != nil || w.mayHaveEndedAt != 0 || inTransfer || d.maintenance.isReserved(w.Machine, now) || s.Evacuated(w.DataCentre) {
 			continue
 		}
 		out = append(out, taskplan.Worker{
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -296,6 +296,9 @@
 		d.logger.Info().Str("worker", rep.Incarnation.ID).Dur("remaining", rep.DrainRemaining).Msg("worker drains")
 	}
 	w.update(rep, now)
+	if now-w.mayHaveEndedAt > confirmUpMS {
+		w.mayHaveEndedAt = 0
+	}
 	if d.byMachine[w.Machine] == w.Incarnation {
 		d.maintenance.recordReport(w.Machine, now)
 	}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -308,6 +308,7 @@
 	if err != nil {
 		d.logger.Warn().Err(err).Str("machine", move.Machine).Str("to", move.Pool).Msg("move failed")
 		mt.retryAt[move.Machine] = now + machineCallRetryMS
+		d.noteFailedOrder(move.Machine, err, now)
 		if errors.Is(err, ErrFenced) {
 			mt.fenced = true
 		}
@@ -327,6 +328,20 @@
 	d.Wake()
 }
 
+// noteFailedOrder records that the worker of a machine may have ended, unless the error of an order
+// for the machine shows that it was not carried out. Until the worker reports again, it gets no
+// tasks: they would count as ones that crash their workers.
+func (d *Dispatcher) noteFailedOrder(machine string, err error, now int64) {
+	for _, refusal := range []error{ErrFenced, ErrMachineBusy, ErrNoMachine, ErrNotPermitted, ErrThrottled} {
+		if errors.Is(err, refusal) {
+			return
+		}
+	}
+	if w, known := d.workerOn(machine); known {
+		w.mayHaveEndedAt = now
+	}
+}
+
 // updateDemand computes the demand of each pool: the rate of arriving work, what
 // long-running and other tasks use, and the work that found no room in the plan. It also
 // records which pools are busy.
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -60,6 +60,7 @@
 		return
 	default:
 		mt.retryAt[m.Machine] = now + machineCallRetryMS
+		d.noteFailedOrder(m.Machine, err, now)
 		delete(mt.callsInFlight, m.Machine)
 		return
 	}
--- a/internal/dispatch/repeated_order_test.go
+++ b/internal/dispatch/repeated_order_test.go
@@ -192,3 +192,49 @@
 	}
 	require.NotEqual(t, down, workers[<-o.maintained])
 }
+
+// Guards against tasks that are placed on a worker which a move without an answer has ended, and
+// that then count as ones that crash their workers: their job was given up after two of them.
+func TestWorkerOfAMoveWithoutAnswerGetsNoTasks(t *testing.T) {
+	for name, carriedOut := range map[string]bool{"carried out": true, "not carried out": false} {
+		t.Run(name, func(t *testing.T) { testMoveWithoutAnswer(t, carriedOut) })
+	}
+}
+
+func testMoveWithoutAnswer(t *testing.T, carriedOut bool) {
+	r, o := newRigWithProvider(t)
+	d := r.dispatchers[0]
+	o.answers = make(chan error, cap(o.moved))
+	workers := map[string]*modelWorker{}
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		workers["m-"+id] = r.addWorker(id, "r1")
+		workers["m-"+id].heartbeat(0, false)
+	}
+	beat := func() {
+		for _, w := range r.workers {
+			w.heartbeat(0, false)
+		}
+		r.cycle()
+	}
+	r.advance(1100)
+	beat() // all are idle: one more than the least pool
+	w := workers[strings.TrimSuffix(<-o.moved, ">"+rigSpare)]
+	o.answers <- errNoAnswer
+	waitForCalls(t, d)
+	r.submit("job", workload.Step{Count: 5, Size: workload.Resources{CPUMilli: rigCPU}, LongRunning: true})
+	if carriedOut {
+		w.up = false
+	}
+	for begin := r.now; r.now-begin <= confirmUpMS; r.advance(300) {
+		beat()
+		require.Empty(t, r.state.Workload.RunsOn(workload.WorkerIncarnation{ID: w.id, Born: w.born}))
+	}
+	d.applyList(MachineList{Machines: []MachineInfo{{Name: "m-" + w.id, Pool: rigPool, Up: w.up}}}, r.now)
+	for range 3 {
+		beat()
+		r.advance(300)
+	}
+	require.Equal(t, !carriedOut, len(w.running) > 0)
+	require.False(t, d.workers[workload.WorkerIncarnation{ID: w.id, Born: w.born}].crashed)
+	require.Empty(t, r.violation)
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -20,6 +20,9 @@
 	// crashed is true when the incarnation was terminated without having drained, and not by
 	// an order of this leadership.
 	crashed bool
+	// mayHaveEndedAt is the time of the latest failure of an order that ends the worker if it was
+	// carried out all the same. It is 0 if there was none, or a later report shows the worker up.
+	mayHaveEndedAt int64
 	// predecessor is another worker that reports from the same machine, nil if there is none.
 	// As long as it does, this one gets no tasks.
 	predecessor *worker
@@ -94,9 +97,10 @@
 	w.notify()
 }
 
-// terminateCrashed marks the incarnation as ended by no order of this leadership.
+// terminateCrashed marks the incarnation as ended by no order of this leadership, as far as is
+// known.
 func (w *worker) terminateCrashed() {
-	w.crashed = !w.Draining
+	w.crashed = !w.Draining && w.mayHaveEndedAt == 0
 	w.terminate()
 }
 
