Entry: keep the text of the answer to a body that is not valid JSON

Cause: the message was reworded beside the change of the decoder.

Change: the text is as before, also for bodies with unreadable text.

Measured: TestCallerSession failed before and passes.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -309,7 +309,7 @@
 		return refusal
 	}
 	if err := strictjson.Unmarshal(data, v); err != nil {
-		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body can't be decoded: "+err.Error())
+		return api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body is not valid JSON: "+err.Error())
 	}
 	return nil
 }
