--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -44,7 +44,8 @@
 	// returns to service, and drainRetryMS the time until it is drained again.
 	blockedDrainMS = 6000
 	drainRetryMS   = 6000
-	// confirmUpMS is longer than most heartbeats take.
+	// confirmUpMS is the time from an order or a change of leader until a report that is received
+	// counts as sent after it. It is longer than most heartbeats take.
 	confirmUpMS = 1500
 	// machineCallRetryMS is the delay after a failed call to maintain or move a machine.
 	machineCallRetryMS = 400
@@ -154,7 +155,7 @@
 		}
 	}
 	mt.callsInFlight[m] = true
-	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, ends: mt.ordered[m]})
+	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, endedWorker: mt.ordered[m]})
 }
 
 // waveConcurrency returns the number of machines to drain at once so that the given number is
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -76,7 +76,7 @@
 // maintenance, since the answer may be late or that to a repetition: it goes on, and must only
 // show that it is up.
 func (d *Dispatcher) markDown(mt *maintenance, m maintenanceStart, now int64) {
-	if w, ok := d.workers[m.ends]; ok {
+	if w, ok := d.workers[m.endedWorker]; ok {
 		w.terminate()
 	}
 	down := downMachine{answeredAt: now}
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -36,9 +36,9 @@
 // maintenanceStart is a machine whose maintenance is to start.
 type maintenanceStart struct {
 	workload.WaveMachine
-	// ends is the incarnation that was on the machine at the first order for it, zero if it is
-	// not known.
-	ends workload.WorkerIncarnation
+	// endedWorker is the incarnation that was on the machine at the first order for it, zero if it
+	// is not known.
+	endedWorker workload.WorkerIncarnation
 }
 
 // downMachine is a machine under maintenance.
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -70,7 +70,7 @@
 			id, got := te.callUntilRun(t, &runs)
 			require.Equal(t, tc.verdict, got.verdict, "%+v after %d runs", got.refusal, runs.Load())
 			require.Equal(t, tc.code, got.refusal.Code, "%+v", got.refusal)
-			got = te.callWithin400(t, id)
+			got = te.callWithShortLimit(t, id)
 			require.Equal(t, tc.verdict, got.verdict, "%+v after %d runs", got.refusal, runs.Load())
 			require.Equal(t, tc.retryCode, got.refusal.Code, "%+v", got.refusal)
 			if tc.verdict == api.MayHaveRun {
@@ -93,7 +93,7 @@
 	t.Helper()
 	for n := 0; ; n++ {
 		id = fmt.Sprintf("dc1.a%d", n)
-		got = te.callWithin400(t, id)
+		got = te.callWithShortLimit(t, id)
 		if runs.Load() > 0 {
 			return id, got
 		}
@@ -101,8 +101,8 @@
 	}
 }
 
-// callWithin400 sends a call that must not run twice, with a time limit of 400 ms.
-func (te *testEntry) callWithin400(t *testing.T, id string) callResult {
+// callWithShortLimit sends a call that must not run twice, with a time limit of 400 ms.
+func (te *testEntry) callWithShortLimit(t *testing.T, id string) callResult {
 	t.Helper()
 	return te.mustCall(t, "/v1/call/plan", "x", api.HeaderKey, testKey, api.HeaderTimeoutMS, "400", api.HeaderRequestID, id)
 }
--- a/internal/store/invalid_test.go
+++ b/internal/store/invalid_test.go
@@ -80,8 +80,8 @@
 	require.Equal(t, int64(3), s.node.metrics.skipped.Count())
 }
 
-// Guards against a group that never serves again on a log of an earlier landing: every store ended
-// at its entry, elected another leader, and ended again, so that terms rose and neither
+// Guards against a group that never serves again on the log of an earlier version: every store ended
+// at an entry, elected another leader, and ended again, so that terms rose and neither
 // configuration nor jobs were in reach. A store that joins later receives the entry, too.
 func TestGroupServesOnALogWithAnUndecodableEntry(t *testing.T) {
 	group := newGroup(t, 3, nil)
