Membership test: repeat a removal that the leader refuses

A store shows an entry as applied before the leader has its acknowledgement; the leader then refuses to remove a voter, since it does not know of a majority of the others that holds all committed entries.

Change: the test repeats the removal after this refusal as after ErrNotLeader; after both the log is unchanged.

--- a/internal/membership/replace_test.go
+++ b/internal/membership/replace_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/disk"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/raft"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/store"
 	"github.com/samphirefork/samphirefork/internal/wire"
@@ -167,7 +168,8 @@
 	stores, _ := startVoters(t)
 	require.Eventually(t, func() bool { return commits(stores) }, replaceWait, 10*time.Millisecond)
 	var leader, removed, stalled managedStore
-	// A store that no longer leads refuses the change, and nothing has happened.
+	// A store that no longer leads refuses the change, as does a leader to which the
+	// acknowledgement of the stalled store is still on its way. Nothing has happened then.
 	proposed := func() bool {
 		leading := slices.IndexFunc(stores, func(s managedStore) bool { return s.node.Leadership().Leading })
 		if leading < 0 {
@@ -181,7 +183,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
 		err := leader.node.ChangeMembers(ctx, wire.MembershipChange{Remove: removed.id})
-		if errors.Is(err, fleet.ErrNotLeader) {
+		if errors.Is(err, fleet.ErrNotLeader) || errors.Is(err, raft.ErrNoQuorum) {
 			stalled.fs.Unlock()
 			return false
 		}
