Tell slow workers from long tasks by expected run times and steps

Cause: a worker counted as slow when the mean progress of its runs, in percent a second, was below 45% of its pool's. After a burst a worker is left with its long tasks, so sound workers counted as slow; their runs moved, lost their work and began anew elsewhere, up to three times, and the worker got no tasks for 3 s.

Change: the speed of a run is its expected run time over the time that it takes at its recent progress. A worker is judged by steps, since the tasks of one share a declared time: a step that is slow elsewhere too shows nothing, and one that has no runs elsewhere counts only beside two others. Slow runs on a sound worker are marked as long tasks and are evidence no more.

TestTasksOfALongStepStay and TestLongTasksStayWhenOthersHaveEnded failed before; TestRunsOfSmallJobsOnASlowWorkerMove holds before and after.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -77,7 +77,7 @@
 	if !w.hasReported(run) {
 		return 0
 	}
-	return w.lastReportAt - w.progress[run].firstAt
+	return w.lastReportAt - w.progress[run].first.at
 }
 
 // separateSuspects returns the starts that may be on their way to a worker together. The
--- a/internal/dispatch/straggler_test.go
+++ b/internal/dispatch/straggler_test.go
@@ -60,3 +60,81 @@
 	require.True(t, r.settle())
 	require.Equal(t, 1, r.startCounts[long])
 }
+
+// requireOneStartEach requires that no task of the job was started twice.
+func requireOneStartEach(t *testing.T, r *rig, job string) {
+	t.Helper()
+	for ref, starts := range r.startCounts {
+		require.False(t, ref.Job == job && starts > 1, "%v was started %d times", ref, starts)
+	}
+}
+
+// Guards against runs that move because all tasks of their step are long, whether the step
+// declares it or not: a slow worker is slow for other steps too.
+func TestTasksOfALongStepStay(t *testing.T) {
+	const factor = 4
+	for name, declaredMS := range map[string]int64{"declared": factor * rigLongTaskMS, "not declared": rigLongTaskMS} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(1)
+			r.addWorker("w0", "r0")
+			r.factors = map[workload.TaskRef]int64{}
+			for i := range 4 {
+				r.factors[workload.TaskRef{Job: "long", Index: i}] = factor * rigLongTaskMS / rigTaskMS
+			}
+			r.submit("long", workload.Step{Count: 4, Size: workload.Resources{CPUMilli: rigCPU / 4}, EstimatedMS: declaredMS})
+			r.runUndisturbed(500)
+			for i := range 3 {
+				r.addWorker(fmt.Sprintf("w%d", i+1), fmt.Sprintf("r%d", i+1))
+			}
+			r.submit("short", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}},
+				workload.Step{Count: 12, Size: workload.Resources{CPUMilli: rigCPU / 4}, EstimatedMS: rigLongTaskMS, After: []int{0}})
+			require.True(t, r.settle())
+			requireOneStartEach(t, r, "long")
+		})
+	}
+}
+
+// Guards against a slow worker that is not found because no step has runs elsewhere to
+// compare with.
+func TestRunsOfSmallJobsOnASlowWorkerMove(t *testing.T) {
+	r := newRig(1)
+	r.submit("warm", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 100}})
+	for i := range 4 {
+		r.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i))
+	}
+	require.True(t, r.settle())
+	r.workers[0].slowdown = 8
+	for i := range 16 {
+		r.submit(fmt.Sprint("job", i), workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}},
+			workload.Step{Count: 1, Size: workload.Resources{CPUMilli: rigCPU / 4}, EstimatedMS: rigLongTaskMS, After: []int{0}})
+	}
+	begun := r.now
+	require.True(t, r.settle())
+	require.Less(t, r.now-begun, int64(4*rigLongTaskMS), "a run on the slow worker takes 8 times its length")
+	require.Empty(t, r.violation)
+}
+
+// Guards against runs that move because the short tasks beside them have ended: those that
+// take several times as long as declared are the last on their worker.
+func TestLongTasksStayWhenOthersHaveEnded(t *testing.T) {
+	r := newRig(1)
+	r.submit("warm", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 100}})
+	r.addWorker("w0", "r0")
+	require.True(t, r.settle())
+	r.factors = map[workload.TaskRef]int64{}
+	for i := range 3 {
+		r.factors[workload.TaskRef{Job: "mixed", Step: 1, Index: i}] = 7
+	}
+	r.submit("mixed", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}},
+		workload.Step{Count: 8, Size: workload.Resources{CPUMilli: rigCPU / 8}, EstimatedMS: rigLongTaskMS, After: []int{0}})
+	r.runUndisturbed(2 * rigTaskMS)
+	for i := range 3 {
+		r.addWorker(fmt.Sprintf("w%d", i+1), fmt.Sprintf("r%d", i+1))
+	}
+	for i := range 3 {
+		r.submit(fmt.Sprint("short", i), workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}},
+			workload.Step{Count: 24, Size: workload.Resources{CPUMilli: rigCPU / 8}, EstimatedMS: rigLongTaskMS, After: []int{0}})
+	}
+	require.True(t, r.settle())
+	requireOneStartEach(t, r, "mixed")
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -60,13 +60,13 @@
 	pace      paceController
 }
 
-// runProgress is the progress of a run: when it was first reported, and when it last
-// changed.
+// runProgress is the progress of a run and when it last changed.
 type runProgress struct {
-	percent      int
-	changedAt    int64
-	firstPercent int
-	firstAt      int64
+	percent   int
+	changedAt int64
+	// first is the first report, and earlier and latest are two later ones, speedMarkMS or more
+	// apart.
+	first, earlier, latest mark
 	// takesLong is true when the run is slow and its worker is not.
 	takesLong bool
 }
@@ -122,11 +122,10 @@
 		running[r.Task] = r
 		last, ok := w.progress[r.Run]
 		if !ok {
-			last = runProgress{percent: r.Percent, changedAt: now, firstPercent: r.Percent, firstAt: now}
-		}
-		if last.percent != r.Percent {
-			last.percent, last.changedAt = r.Percent, now
+			first := mark{r.Percent, now}
+			last = runProgress{percent: r.Percent, changedAt: now, first: first, earlier: first, latest: first}
 		}
+		last.observe(r.Percent, now)
 		progress[r.Run] = last
 	}
 	w.running = running
