Log why a run is stopped, which others of its step are inactive, and when the stop is sent

Operators could not tell why a long-running task was interrupted: the line named neither a cause nor a worker. Each stop now names its cause, the budget of its step, the other tasks that are not active with the age of their worker's last report, and a second line says when the stop first leaves for its worker. Orders that end everything on a machine say what ran there by the last report. No decision is changed; the tests of internal/dispatch pass.

--- /dev/null
+++ b/internal/dispatch/activity.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+// maxLoggedTasks bounds the tasks that one log line names.
+const maxLoggedTasks = 12
+
+// activity is what the leader knows of a long-running task, by the state and the last report of
+// its worker.
+type activity string
+
+const (
+	// activityFull is a task that its worker reports at 100 percent.
+	activityFull activity = "active"
+	// activityWaiting is a task without a run, and activityStopping one whose run is to stop.
+	activityWaiting  activity = "waiting"
+	activityStopping activity = "stopping"
+	// activityStarting is a task whose worker does not report its run at 100 percent.
+	activityStarting activity = "starting"
+	// activitySilent is a task whose worker has sent no recent report to this leader.
+	activitySilent activity = "silent"
+)
+
+// activityOf returns the activity of a long-running task.
+func (d *Dispatcher) activityOf(ref workload.TaskRef, t *workload.Task, now int64) activity {
+	switch w := d.workers[t.Worker]; {
+	case t.Phase == workload.Stopping:
+		return activityStopping
+	case t.Phase != workload.Placed:
+		return activityWaiting
+	case w == nil || !w.isLive(now):
+		return activitySilent
+	case !d.isFullyActive(ref, t.Worker, now):
+		return activityStarting
+	}
+	return activityFull
+}
+
+// otherTasks calls f for each task of the step of ref except ref itself.
+func otherTasks(s *workload.State, ref workload.TaskRef, f func(workload.TaskRef, *workload.Task)) {
+	j, _, ok := s.Task(ref)
+	if !ok {
+		return
+	}
+	tasks := j.Occurrences[ref.Occurrence].Steps[ref.Step].Tasks
+	for i := range tasks {
+		other := ref
+		other.Index = i
+		if other != ref {
+			f(other, &tasks[i])
+		}
+	}
+}
+
+// describeInactive returns how many other tasks of a step are not fully active, and names them
+// with what is known and the age of their worker's last report.
+func (d *Dispatcher) describeInactive(s *workload.State, ref workload.TaskRef, now int64) (int, string) {
+	inactive, text := 0, []string{}
+	otherTasks(s, ref, func(other workload.TaskRef, t *workload.Task) {
+		known := d.activityOf(other, t, now)
+		if known == activityFull {
+			return
+		}
+		if inactive++; inactive > maxLoggedTasks {
+			return
+		}
+		line := fmt.Sprintf("%d.%d %s", other.Index, t.Run, known)
+		if w := d.workers[t.Worker]; w != nil && t.Phase != workload.Waiting {
+			line += fmt.Sprintf(" %d ms", now-w.lastReportAt)
+		}
+		text = append(text, line)
+	})
+	return inactive, strings.Join(text, ", ")
+}
+
+// reportAgeMS returns the time since the last report of an incarnation to this leader, or -1 if
+// there was none.
+func (d *Dispatcher) reportAgeMS(incarnation workload.WorkerIncarnation, now int64) int64 {
+	if w, ok := d.workers[incarnation]; ok {
+		return now - w.lastReportAt
+	}
+	return -1
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -89,9 +89,9 @@
 		return
 	}
 	d.markRecorded(upTo)
-	progress := d.plan(now)
+	progress, stops := d.plan(now)
 	if progress != nil && d.propose(ctx, progress) {
-		d.logPlacement(progress, now)
+		d.logPlacement(progress, stops, now)
 	}
 	d.releaseHeldReports(upTo, progress)
 	d.meters.cycles.UpdateSince(start)
@@ -162,14 +162,15 @@
 }
 
 // plan returns the occurrences that are due and the runs to start and stop, or nil when
-// there is nothing to commit.
-func (d *Dispatcher) plan(now int64) *workload.Progress {
+// there is nothing to commit. It also returns why runs are to stop.
+func (d *Dispatcher) plan(now int64) (*workload.Progress, []stopDecision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, err := d.checkLeadership(); err != nil {
-		return nil
+		return nil, nil
 	}
 	p := &workload.Progress{}
+	var stops []stopDecision
 	var stallChanges []stallChange
 	if now-d.prunedAt > pruneIntervalMS {
 		d.prunedAt = now
@@ -181,7 +182,7 @@
 		}
 		p.ForgetRunTimes = !d.learnsRunTimes() && !s.Workload.RunTimes.Empty()
 		p.Due = d.dueOccurrences(s.Workload, now)
-		p.Stops = d.runsToStop(s.Workload, now)
+		stops = d.runsToStop(s.Workload, now)
 		p.Cleared = d.clearedRuns(s.Workload)
 		d.updateLiveWorkers(s.Workload, now)
 		d.updateIdleTimes(s.Workload, now)
@@ -191,7 +192,7 @@
 		workers := d.availableWorkers(s.Workload, now)
 		plan, room := taskplan.ComputeWithRoom(d.planInput(s.Workload, workers, now))
 		p.Starts = plan.Starts
-		p.Stops = append(p.Stops, d.evacuationStops(s.Workload, room, p.Stops, now)...)
+		stops = append(stops, d.decideStops(s.Workload, stopForEvacuation, d.evacuationStops(s.Workload, room, runsOf(stops), now), now)...)
 		if plan.Truncated {
 			d.Wake()
 		}
@@ -202,10 +203,11 @@
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
+	p.Stops = runsOf(stops)
 	if len(p.Due)+len(p.Stops)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 && !p.ForgetRunTimes {
-		return nil
+		return nil, nil
 	}
-	return p
+	return p, stops
 }
 
 // planInput returns the input of a plan. The caller holds mu.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -378,10 +378,14 @@
 	if d.term != term || d.workers[w.Incarnation] != w {
 		return Orders{}, &NotLeaderError{Leader: d.log.Leadership().Leader}
 	}
-	held := time.Duration(int64(d.log.Now())-receivedAt) * time.Millisecond
+	now := int64(d.log.Now())
+	held := time.Duration(now-receivedAt) * time.Millisecond
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
+		for _, run := range o.Stops {
+			d.logStopOrder(s.Workload, w, run, now)
+		}
 		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -8,7 +8,7 @@
 )
 
 // logPlacement logs one line for each step whose tasks were placed, and the stopped runs.
-func (d *Dispatcher) logPlacement(p *workload.Progress, now int64) {
+func (d *Dispatcher) logPlacement(p *workload.Progress, stops []stopDecision, now int64) {
 	placed := map[stepKey]int{}
 	for _, s := range p.Starts {
 		placed[keyOf(s.Task)]++
@@ -26,9 +26,7 @@
 				Int64("objective_ms", j.ObjectiveMS).Uint64("term", d.term).Msg("tasks placed")
 		}
 	})
-	for _, r := range p.Stops {
-		d.logger.Info().Str("task", r.Task.String()).Int("run", r.Run).Msg("run is stopped")
-	}
+	d.logStops(stops)
 }
 
 // logAbandoned logs each run of which a copy may now start. It must not be called within a
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -154,7 +154,7 @@
 	for _, move := range capacity.Decide(in) {
 		if move.WaitUntilIdle {
 			d.transfers[move.Machine] = transfer{pool: move.Pool, since: now}
-			d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).Msg("machine gets no new tasks and then moves to another pool")
+			d.logMachineRuns(move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).Msg("machine gets no new tasks and then moves to another pool")
 			continue
 		}
 		d.startMove(move, now)
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -76,19 +76,20 @@
 
 // runsToStop advances the maintenance waves and returns all runs to stop: to drain machines
 // and workers, and those that are stalled or slow. The caller holds mu.
-func (d *Dispatcher) runsToStop(s *workload.State, now int64) []workload.Run {
-	var stops []workload.Run
+func (d *Dispatcher) runsToStop(s *workload.State, now int64) []stopDecision {
+	var forMaintenance []workload.Run
 	if open := d.openWaves(s); len(open) > 0 {
 		unavailable := d.unavailableCounts(s, now)
 		for _, number := range open {
-			stops = append(stops, d.advanceWave(s, s.Waves[number], unavailable, now)...)
+			forMaintenance = append(forMaintenance, d.advanceWave(s, s.Waves[number], unavailable, now)...)
 		}
 		d.startMaintenance()
 	}
-	stops = append(stops, d.drainStops(s, now)...)
-	stops = append(stops, d.withheldRuns(s)...)
-	stops = append(stops, d.stalledRuns(s, now)...)
-	return append(stops, d.stragglers(s, now)...)
+	stops := d.decideStops(s, stopForMaintenance, forMaintenance, now)
+	stops = append(stops, d.decideStops(s, stopForDrain, d.drainStops(s, now), now)...)
+	stops = append(stops, d.decideStops(s, stopWithheld, d.withheldRuns(s), now)...)
+	stops = append(stops, d.decideStops(s, stopStalled, d.stalledRuns(s, now), now)...)
+	return append(stops, d.decideStops(s, stopSlow, d.stragglers(s, now), now)...)
 }
 
 // openWaves returns the numbers of the waves that are not complete, in ascending order.
@@ -155,6 +156,7 @@
 		}
 	}
 	mt.callsInFlight[m] = true
+	d.logMachineRuns(m).Int64("wave", w.Number).Msg("maintenance is ordered")
 	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, endedWorker: mt.ordered[m]})
 }
 
@@ -287,7 +289,7 @@
 	if !active {
 		others--
 	}
-	return others < max(step.MaxUnavailable, 1), active
+	return others < budgetOf(step), active
 }
 
 // suspendBlockedDrain returns a machine to service whose drain is blocked for too long.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -55,7 +55,7 @@
 // have ended.
 func (w *worker) recordStartsSent(s *workload.State, starts []StartOrder) {
 	occupied := s.RunsOn(w.Incarnation)
-	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked} {
+	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked, w.stopLogged} {
 		for run := range runs {
 			if p, ok := occupied[run.Task]; !ok || p.Run != run.Run {
 				delete(runs, run)
--- a/internal/dispatch/where_test.go
+++ b/internal/dispatch/where_test.go
@@ -30,7 +30,7 @@
 func startsOf(r *stallRig, job workload.Submit) map[string]int {
 	r.submit(previewJobID, job.Steps...)
 	starts := map[string]int{}
-	if p := r.dispatchers[0].plan(r.now); p != nil {
+	if p, _ := r.dispatchers[0].plan(r.now); p != nil {
 		for _, s := range p.Starts {
 			if s.Task.Job == previewJobID {
 				starts[s.Worker.ID]++
