--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -47,6 +47,9 @@
 	// applyRefused is set.
 	refuse       bool
 	applyRefused bool
+	// commitLate makes proposals have an unknown outcome and be applied before the next one.
+	commitLate bool
+	late       []fleet.Command
 	// observe is called with each command that is applied, if it is set.
 	observe func(fleet.Command)
 
@@ -88,6 +91,11 @@
 	if cmd, err = fleet.DecodeCommand(data); err != nil {
 		return fleet.Result{}, err
 	}
+	if l.r.commitLate {
+		l.r.late = append(l.r.late, cmd)
+		return fleet.Result{}, fleet.ErrUncertain
+	}
+	l.r.applyLate()
 	if l.r.observe != nil {
 		l.r.observe(cmd)
 	}
@@ -98,6 +106,21 @@
 	return res, nil
 }
 
+// applyLate applies the commands whose commit was delayed. The caller holds mu.
+func (r *rig) applyLate() {
+	for _, cmd := range r.late {
+		r.state.Apply(r.state.Applied+1, cmd)
+	}
+	r.late = nil
+}
+
+// applyLateCommits applies the commands whose commit was delayed, as an election does.
+func (r *rig) applyLateCommits() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applyLate()
+}
+
 func (l rigLog) Read(f func(*fleet.State)) {
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
@@ -199,9 +222,11 @@
 	downAt     int64
 	draining   bool
 	// drained is true when a draining worker may leave at any time.
-	drained  bool
-	failsAll bool
-	stalls   bool
+	drained bool
+	// drainsUntil is the least time until which a draining worker goes on; 0 stands for a minute.
+	drainsUntil int64
+	failsAll    bool
+	stalls      bool
 	// slowdown multiplies the duration of each task; 0 means the normal duration.
 	slowdown int64
 	// capacity is the processor capacity in millicores. It may shrink and grow.
@@ -322,7 +347,10 @@
 		Capacity: workload.Resources{CPUMilli: w.capacity, MemoryMiB: 1 << 20}, Sequence: w.sequence, Draining: w.draining,
 		ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
 	}
-	if !w.drained {
+	switch {
+	case w.drainsUntil > 0:
+		rep.DrainRemaining = time.Duration(max(w.drainsUntil-w.r.now, 0)) * time.Millisecond
+	case !w.drained:
 		rep.DrainRemaining = time.Minute
 	}
 	for _, ref := range w.tasks() {
