Log stops of long-running runs that the state does not place, and what runs on a machine that moves

The line on what a machine ran stood at the wrong order, and a stop of a run that the state doesn't know of was not logged. No decision is changed.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -154,7 +154,7 @@
 	for _, move := range capacity.Decide(in) {
 		if move.WaitUntilIdle {
 			d.transfers[move.Machine] = transfer{pool: move.Pool, since: now}
-			d.logMachineRuns(move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).Msg("machine gets no new tasks and then moves to another pool")
+			d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).Msg("machine gets no new tasks and then moves to another pool")
 			continue
 		}
 		d.startMove(move, now)
@@ -284,7 +284,7 @@
 	mt := d.maintenance
 	mt.callsInFlight[move.Machine] = true
 	order := d.machineOrder()
-	d.logger.Info().Str("machine", move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
+	d.logMachineRuns(move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
 	ctx, cancel := d.callContext(moveCallTimeout)
 	go func() {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -55,13 +55,18 @@
 // have ended.
 func (w *worker) recordStartsSent(s *workload.State, starts []StartOrder) {
 	occupied := s.RunsOn(w.Incarnation)
-	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked, w.stopLogged} {
+	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked} {
 		for run := range runs {
 			if p, ok := occupied[run.Task]; !ok || p.Run != run.Run {
 				delete(runs, run)
 			}
 		}
 	}
+	for run := range w.stopLogged {
+		if _, reported := w.running[run.Task]; !reported {
+			delete(w.stopLogged, run)
+		}
+	}
 	for _, start := range starts {
 		w.startSent[start.Run] = true
 	}
--- a/internal/dispatch/stops.go
+++ b/internal/dispatch/stops.go
@@ -77,13 +77,13 @@
 // It logs only the first response with the stop.
 func (d *Dispatcher) logStopOrder(s *workload.State, w *worker, run workload.Run, now int64) {
 	j, t, ok := s.Task(run.Task)
-	if !ok || t.Run != run.Run || run.Task.Step >= len(j.Steps) || !j.Steps[run.Task.Step].LongRunning || w.stopLogged[run] {
+	if !ok || run.Task.Step >= len(j.Steps) || !j.Steps[run.Task.Step].LongRunning || w.stopLogged[run] {
 		return
 	}
 	w.stopLogged[run] = true
 	inactive, others := d.describeInactive(s, run.Task, now)
 	d.logger.Info().Str("task", run.Task.String()).Int("run", run.Run).Str("worker", w.Incarnation.ID).Int("percent", w.running[run.Task].Percent).
-		Bool("draining", w.Draining).Bool("cancelled", j.State.Final()).Int("budget", budgetOf(&j.Steps[run.Task.Step])).Int("inactive", inactive).Str("others", others).Msg("stop is sent")
+		Bool("draining", w.Draining).Bool("cancelled", j.State.Final()).Bool("placed", t.Run == run.Run && t.Worker == w.Incarnation).Int("budget", budgetOf(&j.Steps[run.Task.Step])).Int("inactive", inactive).Str("others", others).Msg("stop is sent")
 }
 
 // logMachineRuns begins a log line about an order that ends everything on a machine, with what its
