Keep the interruption budget of a step at the commit and at the delivery of each stop

Callers of a long-running service saw more of its tasks away at once than MaxUnavailable allows, while a maintenance wave ran beside workers that drain.

Cause: the budget was asked in one place, where waves plan. Drains, withheld starts and stalled runs stopped tasks without asking, after the waves had spent the budget in the same cycle; a commit applied late repeated a plan; and a stop reaches its worker up to a second or more after its decision, when others may be away. Class: a check on a view that is no longer the present one when the action takes effect.

Change: workload.Interruptions is the one gate of all stops, where they are planned and where the command is applied. A committed stop is checked again when a response would carry it, against what the workers report then; one that can't be sent and has not arrived is withdrawn, so that nothing waits for it. Draining workers' tasks leave within the budget until 1.5 s before the exit. The run's number is compared, and a plan uses the time after the ends are recorded.

--- a/internal/dispatch/activity.go
+++ b/internal/dispatch/activity.go
@@ -35,12 +35,23 @@
 		return activityWaiting
 	case w == nil || !w.isLive(now):
 		return activitySilent
-	case !d.isFullyActive(ref, t.Worker, now):
+	case !d.isFullyActive(ref, t, now):
 		return activityStarting
 	}
 	return activityFull
 }
 
+// isFullyActive reports whether a recent report of the worker shows the task's current run at 100
+// percent.
+func (d *Dispatcher) isFullyActive(ref workload.TaskRef, t *workload.Task, now int64) bool {
+	w, ok := d.workers[t.Worker]
+	if !ok || !w.isLive(now) {
+		return false
+	}
+	r, ok := w.running[ref]
+	return ok && r.Run.Run == t.Run && r.Percent >= fullPace
+}
+
 // otherTasks calls f for each task of the step of ref except ref itself.
 func otherTasks(s *workload.State, ref workload.TaskRef, f func(workload.TaskRef, *workload.Task)) {
 	j, _, ok := s.Task(ref)
@@ -57,9 +68,9 @@
 	}
 }
 
-// describeInactive returns how many other tasks of a step are not fully active, and names them
-// with what is known and the age of their worker's last report.
-func (d *Dispatcher) describeInactive(s *workload.State, ref workload.TaskRef, now int64) (int, string) {
+// describeInactive names the other tasks of a step that are not fully active, with what is known
+// and the age of their worker's last report.
+func (d *Dispatcher) describeInactive(s *workload.State, ref workload.TaskRef, now int64) string {
 	inactive, text := 0, []string{}
 	otherTasks(s, ref, func(other workload.TaskRef, t *workload.Task) {
 		known := d.activityOf(other, t, now)
@@ -75,7 +86,7 @@
 		}
 		text = append(text, line)
 	})
-	return inactive, strings.Join(text, ", ")
+	return strings.Join(text, ", ")
 }
 
 // reportAgeMS returns the time since the last report of an incarnation to this leader, or -1 if
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -84,14 +84,14 @@
 	if err != nil {
 		return
 	}
-	now, upTo := c.now, c.upTo
+	upTo := c.upTo
 	if !d.recordEnds(ctx, c) {
 		return
 	}
 	d.markRecorded(upTo)
-	progress, stops := d.plan(now)
+	progress, stops := d.plan(int64(d.log.Now()))
 	if progress != nil && d.propose(ctx, progress) {
-		d.logPlacement(progress, stops, now)
+		d.logPlacement(progress, stops, c.now)
 	}
 	d.releaseHeldReports(upTo, progress)
 	d.meters.cycles.UpdateSince(start)
@@ -182,7 +182,9 @@
 		}
 		p.ForgetRunTimes = !d.learnsRunTimes() && !s.Workload.RunTimes.Empty()
 		p.Due = d.dueOccurrences(s.Workload, now)
-		stops = d.runsToStop(s.Workload, now)
+		gate := d.newInterruptions(s.Workload, now)
+		stops = d.runsToStop(s.Workload, gate, now)
+		p.Withdrawn = d.stopsToWithdraw(s.Workload, now)
 		p.Cleared = d.clearedRuns(s.Workload)
 		d.updateLiveWorkers(s.Workload, now)
 		d.updateIdleTimes(s.Workload, now)
@@ -192,7 +194,8 @@
 		workers := d.availableWorkers(s.Workload, now)
 		plan, room := taskplan.ComputeWithRoom(d.planInput(s.Workload, workers, now))
 		p.Starts = plan.Starts
-		stops = append(stops, d.decideStops(s.Workload, stopForEvacuation, d.evacuationStops(s.Workload, room, runsOf(stops), now), now)...)
+		stops = append(stops, d.evacuationStops(s.Workload, gate, room, now)...)
+		p.Stops, p.Inactive = stopsOf(stops), gate.Inactive()
 		if plan.Truncated {
 			d.Wake()
 		}
@@ -203,8 +206,7 @@
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
-	p.Stops = runsOf(stops)
-	if len(p.Due)+len(p.Stops)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 && !p.ForgetRunTimes {
+	if len(p.Due)+len(p.Stops)+len(p.Withdrawn)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 && !p.ForgetRunTimes {
 		return nil, nil
 	}
 	return p, stops
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -383,9 +383,7 @@
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
-		for _, run := range o.Stops {
-			d.logStopOrder(s.Workload, w, run, now)
-		}
+		o.Stops = d.stopsToSend(s.Workload, w, o.Stops, now)
 		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -9,38 +9,33 @@
 	// covers two heartbeats: a task of 2 s at an eighth of its speed still advances by one
 	// percent in 160 ms, and restoring a checkpoint takes up to 600 ms.
 	stallTimeoutMS = 1500
-	// checkpointReserveMS is the time before a draining worker exits at which its
-	// checkpointing tasks are stopped, so that they resume elsewhere.
-	checkpointReserveMS = 1500
+	// drainReserveMS is the time before a draining worker exits at which its checkpointing and
+	// long-running tasks are stopped in any case, so that they go on elsewhere.
+	drainReserveMS = 1500
 )
 
-// drainStops returns the runs to stop on draining workers: long-running tasks at once,
-// since they don't end by themselves, and checkpointing tasks shortly before the worker
-// exits.
-func (d *Dispatcher) drainStops(s *workload.State, now int64) []workload.Run {
-	var stops []workload.Run
+// drainStops returns the stops on draining workers: of long-running tasks from the first report on,
+// since they don't end by themselves, and of checkpointing tasks shortly before the worker exits.
+func (d *Dispatcher) drainStops(s *workload.State, now int64) []workload.Stop {
+	var stops []workload.Stop
 	for incarnation, w := range d.workers {
 		if w.terminated || !w.Draining {
 			continue
 		}
+		leaves := w.leavesSoon(now)
 		for ref, p := range s.RunsOn(incarnation) {
 			j, _, ok := s.Task(ref)
-			if ok && !p.Stopping && (j.Steps[ref.Step].LongRunning || d.needsCheckpointStop(w, j, ref, now)) {
-				stops = append(stops, workload.Run{Task: ref, Run: p.Run})
+			if ok && !p.Stopping && (p.LongRunning || leaves && j.Steps[ref.Step].Checkpoints) {
+				stops = append(stops, workload.Stop{Run: workload.Run{Task: ref, Run: p.Run}, Forced: leaves})
 			}
 		}
 	}
 	return stops
 }
 
-// needsCheckpointStop reports whether a draining worker is about to exit while it runs a
-// checkpointing task. A task that is stopped now resumes from its checkpoint on another
-// worker.
-func (d *Dispatcher) needsCheckpointStop(w *worker, j *workload.Job, ref workload.TaskRef, now int64) bool {
-	if !j.Steps[ref.Step].Checkpoints {
-		return false
-	}
-	return w.drainRemainingMS(now) < checkpointReserveMS
+// leavesSoon reports whether the worker drains and is about to exit: what runs on it can't wait.
+func (w *worker) leavesSoon(now int64) bool {
+	return w.Draining && w.drainRemainingMS(now) < drainReserveMS
 }
 
 // drainRemainingMS returns the least time, in milliseconds, for which a draining worker goes on
@@ -49,10 +44,10 @@
 	return w.DrainRemaining.Milliseconds() - (now - w.lastReportAt)
 }
 
-// stalledRuns returns the runs whose reports show no progress, and records a failure of
+// stalledRuns returns the stops of runs whose reports show no progress, and records a failure of
 // their workers. A worker that sends no reports does not count as stalled.
-func (d *Dispatcher) stalledRuns(s *workload.State, now int64) []workload.Run {
-	var stops []workload.Run
+func (d *Dispatcher) stalledRuns(s *workload.State, now int64) []workload.Stop {
+	var stops []workload.Stop
 	for incarnation, w := range d.workers {
 		if !w.isLive(now) {
 			continue
@@ -72,7 +67,7 @@
 				Int64("unchanged_ms", w.lastReportAt-last.changedAt).Msg("run makes no progress and is stopped")
 			w.health.recordFailure(ref.Job, now)
 			d.recordFailure(ref, incarnation.ID)
-			stops = append(stops, run)
+			stops = append(stops, workload.Stop{Run: run, Forced: true})
 		}
 	}
 	return stops
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -124,31 +124,13 @@
 //
 // Load pattern: a third of the workers is evacuated while the others are nearly full. Stopped at
 // once, most long-running tasks would wait until machines are added, and not run meanwhile.
-func (d *Dispatcher) evacuationStops(s *workload.State, room *taskplan.Room, planned []workload.Run, now int64) []workload.Run {
-	leaving := d.longRunningToMove(s, now)
-	if len(leaving) == 0 {
-		return nil
-	}
-	unavailable := d.unavailableCounts(s, now)
-	stopped := make(map[workload.Run]bool, len(planned))
-	for _, run := range planned {
-		if _, t, ok := s.Task(run.Task); ok && !stopped[run] && d.isFullyActive(run.Task, t.Worker, now) {
-			unavailable[keyOf(run.Task)]++
-		}
-		stopped[run] = true
-	}
-	var stops []workload.Run
-	for _, run := range leaving {
-		j, t, _ := s.Task(run.Task)
-		allowed, active := d.mayInterrupt(&j.Steps[run.Task.Step], run.Task, t.Worker, unavailable, now)
-		if !allowed || stopped[run] || !room.IsAmple(s.PoolOf(j)) || !room.Take(run.Task) {
-			continue
-		}
-		if active {
-			unavailable[keyOf(run.Task)]++
+func (d *Dispatcher) evacuationStops(s *workload.State, gate *workload.Interruptions, room *taskplan.Room, now int64) []stopDecision {
+	var stops []stopDecision
+	for _, stop := range unforced(d.longRunningToMove(s, now)) {
+		j, _, _ := s.Task(stop.Task)
+		if gate.Allows(stop) && room.IsAmple(s.PoolOf(j)) && room.Take(stop.Task) {
+			stops = append(stops, d.admitStops(s, gate, stopForEvacuation, []workload.Stop{stop}, now)...)
 		}
-		d.logger.Info().Str("task", run.Task.String()).Int("run", run.Run).Str("worker", t.Worker.ID).Msg("long-running task leaves an evacuated data centre")
-		stops = append(stops, run)
 	}
 	return stops
 }
--- a/internal/dispatch/interruption_play_test.go
+++ b/internal/dispatch/interruption_play_test.go
@@ -152,6 +152,7 @@
 			p.stepWorker(w)
 		}
 	}
+	p.r.delayCommits(false)
 	for _, d := range p.r.dispatchers {
 		waitForCalls(t, d)
 	}
@@ -165,7 +166,7 @@
 		p.logf("store %d leads", p.r.leader)
 	}
 	if p.with.lateCommits {
-		p.r.commitLate = p.chance(0.2)
+		p.r.delayCommits(p.chance(0.2))
 	}
 	if p.with.evacuations && p.chance(0.003) {
 		dataCentre := fmt.Sprint("dc-", p.rng.Intn(3))
--- a/internal/dispatch/interruption_test.go
+++ b/internal/dispatch/interruption_test.go
@@ -90,10 +90,10 @@
 // is applied before that of the second, which interrupts another task.
 func TestLateCommitDoesNotSpendTheBudgetTwice(t *testing.T) {
 	r, _, workers := newServiceRig(t, 2, 1, 2)
-	r.commitLate = true
+	r.delayCommits(true)
 	r.startWave(workers[0])
 	r.cycle()
-	r.commitLate = false
+	r.delayCommits(false)
 	workers[1].draining = true
 	workers[1].heartbeat(0, false)
 	r.dispatchers[0].maintenance.fenced = true
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -14,6 +14,7 @@
 		placed[keyOf(s.Task)]++
 	}
 	d.log.Read(func(s *fleet.State) {
+		d.logStops(s.Workload, stops)
 		for key, tasks := range placed {
 			j, ok := s.Workload.Jobs[key.job]
 			if !ok || j.Occurrences[key.occurrence] == nil {
@@ -26,7 +27,9 @@
 				Int64("objective_ms", j.ObjectiveMS).Uint64("term", d.term).Msg("tasks placed")
 		}
 	})
-	d.logStops(stops)
+	for _, run := range p.Withdrawn {
+		d.logger.Info().Str("task", run.Task.String()).Int("run", run.Run).Msg("stop is withdrawn, too many tasks of its step are away")
+	}
 }
 
 // logAbandoned logs each run of which a copy may now start. It must not be called within a
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -74,22 +74,19 @@
 	return now-d.maintenance.leadingSince < d.maxDownTimeMS(s, machine)
 }
 
-// runsToStop advances the maintenance waves and returns all runs to stop: to drain machines
-// and workers, and those that are stalled or slow. The caller holds mu.
-func (d *Dispatcher) runsToStop(s *workload.State, now int64) []stopDecision {
-	var forMaintenance []workload.Run
-	if open := d.openWaves(s); len(open) > 0 {
-		unavailable := d.unavailableCounts(s, now)
-		for _, number := range open {
-			forMaintenance = append(forMaintenance, d.advanceWave(s, s.Waves[number], unavailable, now)...)
-		}
-		d.startMaintenance()
+// runsToStop advances the maintenance waves and returns all stops that the gate admits: to drain
+// machines and workers, and of runs that are stalled or slow. Maintenance comes last, since only
+// it can wait. The caller holds mu.
+func (d *Dispatcher) runsToStop(s *workload.State, gate *workload.Interruptions, now int64) []stopDecision {
+	stops := d.admitStops(s, gate, stopStalled, d.stalledRuns(s, now), now)
+	stops = append(stops, d.admitStops(s, gate, stopWithheld, d.withheldRuns(s), now)...)
+	stops = append(stops, d.admitStops(s, gate, stopForDrain, d.drainStops(s, now), now)...)
+	stops = append(stops, d.admitStops(s, gate, stopSlow, unforced(d.stragglers(s, now)), now)...)
+	for _, number := range d.openWaves(s) {
+		stops = append(stops, d.advanceWave(s, s.Waves[number], gate, now)...)
 	}
-	stops := d.decideStops(s, stopForMaintenance, forMaintenance, now)
-	stops = append(stops, d.decideStops(s, stopForDrain, d.drainStops(s, now), now)...)
-	stops = append(stops, d.decideStops(s, stopWithheld, d.withheldRuns(s), now)...)
-	stops = append(stops, d.decideStops(s, stopStalled, d.stalledRuns(s, now), now)...)
-	return append(stops, d.decideStops(s, stopSlow, d.stragglers(s, now), now)...)
+	d.startMaintenance()
+	return stops
 }
 
 // openWaves returns the numbers of the waves that are not complete, in ascending order.
@@ -107,7 +104,7 @@
 // advanceWave drains machines and starts their maintenance, and returns the runs to stop
 // for it. A new leader does not know what a machine runs until its worker has reported or
 // the leases of the earlier leader have expired.
-func (d *Dispatcher) advanceWave(s *workload.State, w *workload.Wave, unavailable map[stepKey]int, now int64) []workload.Run {
+func (d *Dispatcher) advanceWave(s *workload.State, w *workload.Wave, gate *workload.Interruptions, now int64) []stopDecision {
 	if d.maintenance.fenced || d.provider == nil {
 		return nil
 	}
@@ -117,7 +114,7 @@
 		d.selectMachines(s, w, min(limit, waveConcurrency(w, d.machinesToDrain(s, w, now), now)), now)
 	}
 	down := d.downCount(s, w, now)
-	var stops []workload.Run
+	var stops []stopDecision
 	for _, m := range w.Machines {
 		if d.maintenance.draining[m] != w.Number || w.Begun[m] || d.isMachineInTransit(s, m, now) {
 			continue
@@ -127,7 +124,7 @@
 			continue
 		}
 		if len(s.RunsOn(incarnation)) > 0 {
-			toStop := d.drainMachine(s, incarnation, unavailable, now)
+			toStop := d.drainMachine(s, incarnation, gate, now)
 			stops = append(stops, toStop...)
 			d.suspendBlockedDrain(w, m, len(toStop) == 0 && onlyLongRunning(s.RunsOn(incarnation)), now)
 			continue
@@ -260,36 +257,16 @@
 	return len(s.RunsOn(d.byMachine[machine]))
 }
 
-// drainMachine returns the long-running tasks of a machine to stop, as far as the
-// MaxUnavailable of their steps allows. Other tasks end by themselves.
-func (d *Dispatcher) drainMachine(s *workload.State, incarnation workload.WorkerIncarnation, unavailable map[stepKey]int, now int64) []workload.Run {
-	var stops []workload.Run
+// drainMachine returns the stops of the machine's long-running tasks that the gate admits. Other
+// tasks end by themselves.
+func (d *Dispatcher) drainMachine(s *workload.State, incarnation workload.WorkerIncarnation, gate *workload.Interruptions, now int64) []stopDecision {
+	var runs []workload.Run
 	for ref, p := range s.RunsOn(incarnation) {
-		j, _, ok := s.Task(ref)
-		if !ok || p.Stopping || !j.Steps[ref.Step].LongRunning {
-			continue
-		}
-		allowed, active := d.mayInterrupt(&j.Steps[ref.Step], ref, incarnation, unavailable, now)
-		if !allowed {
-			continue
+		if p.LongRunning && !p.Stopping {
+			runs = append(runs, workload.Run{Task: ref, Run: p.Run})
 		}
-		if active {
-			unavailable[keyOf(ref)]++
-		}
-		stops = append(stops, workload.Run{Task: ref, Run: p.Run})
-	}
-	return stops
-}
-
-// mayInterrupt reports whether the MaxUnavailable of the step allows to interrupt a run of its
-// task, and whether the task is fully active. One that isn't counts as unavailable already.
-func (d *Dispatcher) mayInterrupt(step *workload.Step, ref workload.TaskRef, incarnation workload.WorkerIncarnation, unavailable map[stepKey]int, now int64) (allowed, active bool) {
-	others := unavailable[keyOf(ref)]
-	active = d.isFullyActive(ref, incarnation, now)
-	if !active {
-		others--
 	}
-	return others < budgetOf(step), active
+	return d.admitStops(s, gate, stopForMaintenance, unforced(runs), now)
 }
 
 // suspendBlockedDrain returns a machine to service whose drain is blocked for too long.
@@ -336,40 +313,6 @@
 
 func keyOf(ref workload.TaskRef) stepKey { return stepKey{ref.Job, ref.Occurrence, ref.Step} }
 
-// unavailableCounts returns, for each long-running step, the number of tasks that are not
-// fully active.
-func (d *Dispatcher) unavailableCounts(s *workload.State, now int64) map[stepKey]int {
-	unavailable := map[stepKey]int{}
-	for id, j := range s.Active() {
-		for k, o := range j.Occurrences {
-			for step := range o.Steps {
-				if !j.Steps[step].LongRunning {
-					continue
-				}
-				for i := range o.Steps[step].Tasks {
-					t := &o.Steps[step].Tasks[i]
-					ref := workload.TaskRef{Job: id, Occurrence: k, Step: step, Index: i}
-					if t.Phase != workload.Placed || !d.isFullyActive(ref, t.Worker, now) {
-						unavailable[keyOf(ref)]++
-					}
-				}
-			}
-		}
-	}
-	return unavailable
-}
-
-// isFullyActive reports whether a recent report of the worker shows the long-running task
-// at 100 percent.
-func (d *Dispatcher) isFullyActive(ref workload.TaskRef, incarnation workload.WorkerIncarnation, now int64) bool {
-	w, ok := d.workers[incarnation]
-	if !ok || !w.isLive(now) {
-		return false
-	}
-	r, ok := w.running[ref]
-	return ok && r.Percent >= fullPace
-}
-
 // maxDownTimeMS returns how long a machine may be down for its maintenance. A machine that
 // is off does not report its return, so the platform's time for a maintenance is used.
 func (d *Dispatcher) maxDownTimeMS(s *workload.State, machine string) int64 {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -62,9 +62,9 @@
 			}
 		}
 	}
-	for run := range w.stopLogged {
-		if _, reported := w.running[run.Task]; !reported {
-			delete(w.stopLogged, run)
+	for run := range w.stopSentAt {
+		if reported, ok := w.running[run.Task]; !ok || reported.Run != run {
+			delete(w.stopSentAt, run)
 		}
 	}
 	for _, start := range starts {
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -114,6 +114,13 @@
 	r.late = nil
 }
 
+// delayCommits makes further proposals have an unknown outcome, or no longer.
+func (r *rig) delayCommits(delay bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commitLate = delay
+}
+
 // applyLateCommits applies the commands whose commit was delayed, as an election does.
 func (r *rig) applyLateCommits() {
 	r.mu.Lock()
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -53,13 +53,15 @@
 	return free
 }
 
-// withheldRuns returns the runs to stop because their starts were withheld.
-func (d *Dispatcher) withheldRuns(s *workload.State) []workload.Run {
-	var stops []workload.Run
+// withheldRuns returns the stops of runs whose starts were withheld. A run that its worker doesn't
+// report can't get to work.
+func (d *Dispatcher) withheldRuns(s *workload.State) []workload.Stop {
+	var stops []workload.Stop
 	for incarnation, w := range d.workers {
 		for run := range w.withheld {
 			if p, ok := s.RunsOn(incarnation)[run.Task]; ok && p.Run == run.Run && !p.Stopping {
-				stops = append(stops, run)
+				_, reported := w.running[run.Task]
+				stops = append(stops, workload.Stop{Run: run, Forced: !reported})
 			}
 		}
 	}
--- a/internal/dispatch/stops.go
+++ b/internal/dispatch/stops.go
@@ -19,73 +19,79 @@
 	stopForEvacuation  stopCause = "evacuation"
 )
 
-// stopDecision is a run to stop. inactive and others describe the other tasks of a long-running
-// step that are not fully active when the decision is taken.
+// stopDecision is a stop to commit. away, budget and others describe the other tasks of a
+// long-running step when the decision is taken.
 type stopDecision struct {
-	workload.Run
+	workload.Stop
 	cause       stopCause
 	worker      string
 	longRunning bool
 	budget      int
-	inactive    int
+	away        int
 	others      string
 	reportAgeMS int64
 }
 
-// decideStops returns the decisions to stop runs for one cause.
-func (d *Dispatcher) decideStops(s *workload.State, cause stopCause, runs []workload.Run, now int64) []stopDecision {
-	decisions := make([]stopDecision, 0, len(runs))
-	for _, run := range runs {
-		decision := stopDecision{Run: run, cause: cause}
-		if j, t, ok := s.Task(run.Task); ok {
-			step := &j.Steps[run.Task.Step]
-			decision.worker, decision.longRunning, decision.budget = t.Worker.ID, step.LongRunning, budgetOf(step)
-			decision.reportAgeMS = d.reportAgeMS(t.Worker, now)
-			if step.LongRunning {
-				decision.inactive, decision.others = d.describeInactive(s, run.Task, now)
-			}
+// newInterruptions returns the gate that all stops of one cycle pass.
+func (d *Dispatcher) newInterruptions(s *workload.State, now int64) *workload.Interruptions {
+	return workload.NewInterruptions(s, func(ref workload.TaskRef, t *workload.Task) bool { return d.isFullyActive(ref, t, now) })
+}
+
+// admitStops returns the decisions for those of the stops that the gate admits.
+func (d *Dispatcher) admitStops(s *workload.State, gate *workload.Interruptions, cause stopCause, stops []workload.Stop, now int64) []stopDecision {
+	var decisions []stopDecision
+	for _, stop := range stops {
+		j, t, ok := s.Task(stop.Task)
+		if !ok || !gate.Admit(stop) {
+			continue
+		}
+		step := &j.Steps[stop.Task.Step]
+		decision := stopDecision{
+			Stop: stop, cause: cause, worker: t.Worker.ID, longRunning: step.LongRunning, budget: step.InterruptionBudget(),
+			reportAgeMS: d.reportAgeMS(t.Worker, now),
+		}
+		if step.LongRunning {
+			decision.away, decision.others = gate.OthersAway(stop.Task), d.describeInactive(s, stop.Task, now)
 		}
 		decisions = append(decisions, decision)
 	}
 	return decisions
 }
 
-// budgetOf returns the number of tasks of a long-running step that may be interrupted at once.
-func budgetOf(step *workload.Step) int { return max(step.MaxUnavailable, 1) }
+func stopsOf(decisions []stopDecision) []workload.Stop {
+	stops := make([]workload.Stop, 0, len(decisions))
+	for i := range decisions {
+		stops = append(stops, decisions[i].Stop)
+	}
+	return stops
+}
 
-func runsOf(decisions []stopDecision) []workload.Run {
-	runs := make([]workload.Run, 0, len(decisions))
-	for _, decision := range decisions {
-		runs = append(runs, decision.Run)
+// unforced returns stops that the budgets of their steps may refuse.
+func unforced(runs []workload.Run) []workload.Stop {
+	stops := make([]workload.Stop, 0, len(runs))
+	for _, run := range runs {
+		stops = append(stops, workload.Stop{Run: run})
 	}
-	return runs
+	return stops
 }
 
-// logStops logs a line for each run that is stopped.
-func (d *Dispatcher) logStops(decisions []stopDecision) {
-	for _, decision := range decisions {
+// logStops logs a line for each committed stop, also of those that the state has refused.
+func (d *Dispatcher) logStops(s *workload.State, decisions []stopDecision) {
+	for i := range decisions {
+		decision := &decisions[i]
 		event := d.logger.Info().Str("task", decision.Task.String()).Int("run", decision.Run.Run).Str("worker", decision.worker).
 			Str("cause", string(decision.cause)).Int64("report_age_ms", decision.reportAgeMS)
 		if decision.longRunning {
-			event = event.Int("budget", decision.budget).Int("inactive", decision.inactive).Str("others", decision.others)
+			event = event.Bool("forced", decision.Forced).Int("budget", decision.budget).Int("away", decision.away).Str("others", decision.others)
+		}
+		if _, t, ok := s.Task(decision.Task); ok && t.Run == decision.Run.Run && t.Phase == workload.Placed {
+			event.Msg("stop of a run is refused, the budget of its step was spent in between")
+			continue
 		}
 		event.Msg("run is stopped")
 	}
 }
 
-// logStopOrder logs that a response tells a worker to stop a long-running task that it reports.
-// It logs only the first response with the stop.
-func (d *Dispatcher) logStopOrder(s *workload.State, w *worker, run workload.Run, now int64) {
-	j, t, ok := s.Task(run.Task)
-	if !ok || run.Task.Step >= len(j.Steps) || !j.Steps[run.Task.Step].LongRunning || w.stopLogged[run] {
-		return
-	}
-	w.stopLogged[run] = true
-	inactive, others := d.describeInactive(s, run.Task, now)
-	d.logger.Info().Str("task", run.Task.String()).Int("run", run.Run).Str("worker", w.Incarnation.ID).Int("percent", w.running[run.Task].Percent).
-		Bool("draining", w.Draining).Bool("cancelled", j.State.Final()).Bool("placed", t.Run == run.Run && t.Worker == w.Incarnation).Int("budget", budgetOf(&j.Steps[run.Task.Step])).Int("inactive", inactive).Str("others", others).Msg("stop is sent")
-}
-
 // logMachineRuns begins a log line about an order that ends everything on a machine, with what its
 // worker ran by the last report.
 func (d *Dispatcher) logMachineRuns(machine string) *zerolog.Event {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -40,8 +40,9 @@
 	// stopSent holds the runs that a response told the worker to stop while it did not
 	// report them.
 	stopSent map[workload.Run]bool
-	// stopLogged holds the long-running runs whose stop was logged when it was sent.
-	stopLogged map[workload.Run]bool
+	// stopSentAt holds when a response last carried the stop of a long-running run that the worker
+	// reported.
+	stopSentAt map[workload.Run]int64
 	// startSent holds the runs that a response told the worker to start, and revoked those
 	// that no response may carry any more.
 	startSent map[workload.Run]bool
@@ -76,7 +77,7 @@
 func newWorker(rep Report) *worker {
 	return &worker{
 		Report: rep, running: map[workload.TaskRef]RunningTask{},
-		progress: map[workload.Run]runProgress{}, stopSent: map[workload.Run]bool{}, stopLogged: map[workload.Run]bool{},
+		progress: map[workload.Run]runProgress{}, stopSent: map[workload.Run]bool{}, stopSentAt: map[workload.Run]int64{},
 		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{},
 		wake: make(chan struct{}, 1), pace: newPaceController(),
 	}
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -33,12 +33,17 @@
 }
 
 // Progress is a batch of ends of runs and of the leader's decisions. They are applied in
-// the order of the fields: Ends, Stops, Due, Cleared, Starts, Ordered, Begun,
+// the order of the fields: Ends, Stops, Withdrawn, Due, Cleared, Starts, Ordered, Begun,
 // ForgetRunTimes, PruneBefore.
 type Progress struct {
-	Ends  []End           `cbor:"1,keyasint,omitempty"`
-	Stops []Run           `cbor:"2,keyasint,omitempty"`
-	Due   []DueOccurrence `cbor:"3,keyasint,omitempty"`
+	Ends  []End  `cbor:"1,keyasint,omitempty"`
+	Stops []Stop `cbor:"2,keyasint,omitempty"`
+	// Inactive lists the placed runs in the steps of the stops that the leader does not know to be
+	// active.
+	Inactive []Run `cbor:"10,keyasint,omitempty"`
+	// Withdrawn lists long-running runs that were to stop and go on.
+	Withdrawn []Run           `cbor:"11,keyasint,omitempty"`
+	Due       []DueOccurrence `cbor:"3,keyasint,omitempty"`
 	// Cleared lists runs that have been active for long enough to show that their tasks do
 	// not crash their workers.
 	Cleared []Run   `cbor:"8,keyasint,omitempty"`
@@ -59,6 +64,15 @@
 	Run  int     `cbor:"2,keyasint" json:"run"`
 }
 
+// Stop stops a run. That of a long-running task changes nothing if its step has as many other
+// tasks away as its InterruptionBudget.
+type Stop struct {
+	Run
+	// Forced is true for a run that can't go on, whatever the budget: its worker exits, or it is
+	// not active and makes no progress.
+	Forced bool `cbor:"3,keyasint,omitempty"`
+}
+
 // Start starts a run of a waiting task. The members of a gang start in one batch and with
 // the same run number. A Start that no longer applies to the state changes nothing.
 type Start struct {
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -10,11 +10,8 @@
 	for i := range p.Ends {
 		s.applyEnd(&p.Ends[i])
 	}
-	for _, r := range p.Stops {
-		if _, t, ok := s.Task(r.Task); ok && t.Run == r.Run {
-			s.stopRun(r.Task, t)
-		}
-	}
+	s.applyStops(p.Stops, p.Inactive)
+	s.applyWithdrawn(p.Withdrawn)
 	for _, d := range p.Due {
 		if j, ok := s.active[d.Job]; ok && d.Occurrence >= 0 && d.Occurrence < j.Repetitions {
 			s.beginOccurrence(j, d.Occurrence, d.DueAt)
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -274,7 +274,7 @@
 	case 1:
 		return &Command{Cancel: &Cancel{ID: id, Queue: "q"}}
 	case 2:
-		return &Command{Progress: &Progress{Stops: []Run{{Task: ref, Run: run}}}}
+		return &Command{Progress: &Progress{Stops: []Stop{{Run: Run{Task: ref, Run: run}}}}}
 	case 3:
 		outcome := Outcome(rapid.IntRange(1, 8).Draw(rt, "outcome"))
 		return &Command{Progress: &Progress{Ends: []End{{Task: ref, Run: run, Worker: incarnation, Outcome: outcome}}}}
