Order no move or maintenance of a machine on which a long-running task is

A machine counted as empty by the state alone, at the time of the decision: its worker might report a run that the state had given up, a commit with an unknown outcome might place a task before the order left, and a new leader placed tasks on machines whose maintenance its predecessor may have ordered, until most machines had reported to it.

Change: the order is recorded only if no long-running task is placed on the machine, it waits while the machine's worker reports one, and both are asked again after the last wait before the order is sent. A new leader reserves ordered machines in its first cycle.

--- a/internal/dispatch/activity.go
+++ b/internal/dispatch/activity.go
@@ -52,6 +52,21 @@
 	return ok && r.Run.Run == t.Run && r.Percent >= fullPace
 }
 
+// reportsLongRunning reports whether the live worker of a machine reports a long-running task of an
+// active job, be it placed there or not.
+func (d *Dispatcher) reportsLongRunning(s *workload.State, machine string, now int64) bool {
+	w, ok := d.workerOn(machine)
+	if !ok || !w.isLive(now) {
+		return false
+	}
+	for ref := range w.running {
+		if j := s.Active()[ref.Job]; j != nil && ref.Step < len(j.Steps) && j.Steps[ref.Step].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // otherTasks calls f for each task of the step of ref except ref itself.
 func otherTasks(s *workload.State, ref workload.TaskRef, f func(workload.TaskRef, *workload.Task)) {
 	j, _, ok := s.Task(ref)
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/capacity"
+	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -70,17 +71,33 @@
 	// Token is the leader's term. Platforms that check it reject the calls of an earlier
 	// leader with ErrFenced.
 	Token uint64
-	// Permitted reports whether the holder still leads. The context of the call ends when it does
-	// not. Permitted must be called after the last
+	// Permitted reports whether the holder still leads and no long-running task is on the machine.
+	// The context of the call ends when the holder doesn't lead. Permitted must be called after the last
 	// wait before the order is sent, and the order must not be sent if it returns false:
 	// the process may have been suspended, and not every platform checks the token.
 	Permitted func() bool
 }
 
-// machineOrder returns the authority of the present leadership. The caller holds mu.
-func (d *Dispatcher) machineOrder() MachineOrder {
+// machineOrder returns the authority of the present leadership over a machine. The caller holds mu.
+func (d *Dispatcher) machineOrder(machine string) MachineOrder {
 	term := d.term
-	return MachineOrder{Holder: d.settings.Holder, Token: term, Permitted: func() bool { return d.leadsIn(term) }}
+	permitted := func() bool { return d.leadsIn(term) && !d.hasLongRunning(machine) }
+	return MachineOrder{Holder: d.settings.Holder, Token: term, Permitted: permitted}
+}
+
+// hasLongRunning reports whether a long-running task is placed on a machine or reported by its
+// worker. A commit whose outcome was unknown may have placed one after an order was decided.
+func (d *Dispatcher) hasLongRunning(machine string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, found := int64(d.log.Now()), false
+	d.log.Read(func(s *fleet.State) {
+		found = d.reportsLongRunning(s.Workload, machine, now)
+		for _, p := range s.Workload.RunsOn(d.byMachine[machine]) {
+			found = found || p.LongRunning
+		}
+	})
+	return found
 }
 
 // callContext returns a context for calls to the platform that ends with the leadership. An order
@@ -283,7 +300,7 @@
 func (d *Dispatcher) startMove(move capacity.Move, now int64) {
 	mt := d.maintenance
 	mt.callsInFlight[move.Machine] = true
-	order := d.machineOrder()
+	order := d.machineOrder(move.Machine)
 	d.logMachineRuns(move.Machine).Str("from", d.machinesByName[move.Machine].Pool).Str("to", move.Pool).
 		Interface("demand", d.demand[move.Pool]).Msg("machine moves")
 	ctx, cancel := d.callContext(moveCallTimeout)
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -19,8 +19,9 @@
 	ErrMachineBusy = errors.New("dispatch: the machine is not up")
 	// ErrNoMachine means that the machine does not exist or is not due in the wave.
 	ErrNoMachine = errors.New("dispatch: the machine does not exist or is not due in this wave")
-	// ErrNotPermitted means that the order was not sent, because the caller no longer leads.
-	ErrNotPermitted = errors.New("dispatch: the order was not sent, its sender no longer leads")
+	// ErrNotPermitted means that the order was not sent, because the caller no longer leads or a
+	// long-running task is on the machine.
+	ErrNotPermitted = errors.New("dispatch: the order was not sent, its sender no longer leads or a long-running task is on the machine")
 	// ErrThrottled means that the platform rejected the call because of its rate limit; a
 	// retry may succeed.
 	ErrThrottled = errors.New("dispatch: the platform rejected the call because of its rate limit")
@@ -109,6 +110,7 @@
 		return nil
 	}
 	limit := max(w.MaxDown, 1)
+	d.resumeOrdered(w)
 	d.selectOffMachines(s, w, now)
 	if d.allPoolsReporting(s, now) {
 		d.selectMachines(s, w, min(limit, waveConcurrency(w, d.machinesToDrain(s, w, now), now)), now)
@@ -129,6 +131,9 @@
 			d.suspendBlockedDrain(w, m, len(toStop) == 0 && onlyLongRunning(s.RunsOn(incarnation)), now)
 			continue
 		}
+		if d.reportsLongRunning(s, m, now) {
+			continue
+		}
 		withinLimit := w.Ordered[m] || down < limit
 		if !withinLimit || now < d.maintenance.retryAt[m] || d.maintenance.callsInFlight[m] {
 			continue
@@ -141,6 +146,16 @@
 	return stops
 }
 
+// resumeOrdered reserves the machines whose maintenance an earlier leader may have ordered: the
+// order may be on its way, and would end what is placed there.
+func (d *Dispatcher) resumeOrdered(w *workload.Wave) {
+	for _, m := range w.Machines {
+		if _, isDraining := d.maintenance.draining[m]; !isDraining && w.Ordered[m] && !w.Begun[m] {
+			d.maintenance.draining[m] = w.Number
+		}
+	}
+}
+
 // orderMaintenance adds a machine to those whose maintenance this cycle starts. The first order
 // ends the worker that is on the machine now. If an earlier leader gave it, that worker is not
 // known: the present one may be the one after the maintenance.
@@ -154,7 +169,7 @@
 	}
 	mt.callsInFlight[m] = true
 	d.logMachineRuns(m).Int64("wave", w.Number).Msg("maintenance is ordered")
-	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, endedWorker: mt.ordered[m]})
+	mt.starting = append(mt.starting, maintenanceStart{WaveMachine: workload.WaveMachine{Wave: w.Number, Machine: m}, endedWorker: mt.ordered[m], order: d.machineOrder(m)})
 }
 
 // waveConcurrency returns the number of machines to drain at once so that the given number is
@@ -194,9 +209,6 @@
 	var candidates []string
 	for _, m := range w.Machines {
 		switch _, isDraining := d.maintenance.draining[m]; {
-		case w.Ordered[m] && !w.Begun[m] && !isDraining:
-			d.maintenance.draining[m] = w.Number
-			inProgress++
 		case w.Begun[m]:
 			if d.maintenance.isDown(m, now) && !d.inSparePool(s, m) {
 				inProgress++
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -14,7 +14,7 @@
 // later leader then counts the machines as ones that may be down. The caller holds mu.
 func (d *Dispatcher) startMaintenance() {
 	mt := d.maintenance
-	starting, order := mt.starting, d.machineOrder()
+	starting := mt.starting
 	mt.starting = nil
 	if len(starting) == 0 {
 		return
@@ -24,23 +24,36 @@
 		for _, m := range starting {
 			p.Ordered = append(p.Ordered, m.WaveMachine)
 		}
-		recorded := d.propose(context.Background(), p)
+		committed := d.propose(context.Background(), p)
 		for _, m := range starting {
-			if !recorded {
+			switch {
+			case !committed:
 				d.finishMaintenanceCall(mt, m, fleet.ErrUncertain)
-				continue
+			case !d.isOrdered(m.WaveMachine):
+				d.finishMaintenanceCall(mt, m, ErrNotPermitted)
+			default:
+				go d.callMaintain(mt, m)
 			}
-			go d.callMaintain(mt, m, order)
 		}
 	}()
 }
 
-func (d *Dispatcher) callMaintain(mt *maintenance, m maintenanceStart, order MachineOrder) {
+// isOrdered reports whether the order for a machine is recorded.
+func (d *Dispatcher) isOrdered(m workload.WaveMachine) bool {
+	ordered := false
+	d.log.Read(func(s *fleet.State) {
+		w, ok := s.Workload.Waves[m.Wave]
+		ordered = ok && w.Ordered[m.Machine]
+	})
+	return ordered
+}
+
+func (d *Dispatcher) callMaintain(mt *maintenance, m maintenanceStart) {
 	d.mu.Lock()
 	ctx, cancel := d.callContext(maintainCallTimeout)
 	d.mu.Unlock()
 	defer cancel()
-	d.finishMaintenanceCall(mt, m, d.provider.Maintain(ctx, m.Machine, m.Wave, order))
+	d.finishMaintenanceCall(mt, m, d.provider.Maintain(ctx, m.Machine, m.Wave, m.order))
 }
 
 // finishMaintenanceCall applies the result of a call to maintain a machine.
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -39,6 +39,7 @@
 	// endedWorker is the incarnation that was on the machine at the first order for it, zero if it
 	// is not known.
 	endedWorker workload.WorkerIncarnation
+	order       MachineOrder
 }
 
 // downMachine is a machine under maintenance.
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -48,7 +48,8 @@
 	// not crash their workers.
 	Cleared []Run   `cbor:"8,keyasint,omitempty"`
 	Starts  []Start `cbor:"4,keyasint,omitempty"`
-	// Ordered lists machines whose maintenance is about to be ordered.
+	// Ordered lists machines whose maintenance is about to be ordered. One on which a long-running
+	// task is placed is not recorded, and its maintenance must not be ordered.
 	Ordered []WaveMachine `cbor:"7,keyasint,omitempty"`
 	// Begun lists machines whose maintenance has begun, or that are gone.
 	Begun []WaveMachine `cbor:"5,keyasint,omitempty"`
--- a/internal/workload/interruption.go
+++ b/internal/workload/interruption.go
@@ -136,3 +136,24 @@
 		}
 	}
 }
+
+// applyOrdered records the machines whose maintenance is about to be ordered, except those on which
+// a long-running task is placed.
+func (s *State) applyOrdered(ordered []WaveMachine) {
+	if len(ordered) == 0 {
+		return
+	}
+	occupied := map[string]bool{}
+	for _, runs := range s.runs {
+		for _, p := range runs {
+			if p.LongRunning {
+				occupied[p.Machine] = true
+			}
+		}
+	}
+	for _, m := range ordered {
+		if w, ok := s.Waves[m.Wave]; ok && !occupied[m.Machine] {
+			w.Ordered[m.Machine] = true
+		}
+	}
+}
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -21,11 +21,7 @@
 	for i := range p.Starts {
 		s.applyStart(&p.Starts[i])
 	}
-	for _, m := range p.Ordered {
-		if w, ok := s.Waves[m.Wave]; ok {
-			w.Ordered[m.Machine] = true
-		}
-	}
+	s.applyOrdered(p.Ordered)
 	for _, m := range p.Begun {
 		if w, ok := s.Waves[m.Wave]; ok {
 			w.Begun[m.Machine] = true
