Do not stop a long-running task for a late first report to a new leader

Callers lost a task of a service that was at work, for no reason: after a change of leader its run was stopped and started again elsewhere.

Cause: the first report that a new leader gets of a worker may be older than the start that its predecessor sent. It lists what has ended since and not the run, so that the start seems not to fit; it was withheld and the run stopped, also when the next report had shown it at work.

--- a/internal/dispatch/interruption_test.go
+++ b/internal/dispatch/interruption_test.go
@@ -161,3 +161,31 @@
 	waitForCalls(t, d)
 	require.Empty(t, o.maintained)
 }
+
+// Guards against a heartbeat that reaches a new leader late, before newer ones of its worker. It
+// lists a run that has ended since and not the one that was started: the start didn't seem to fit,
+// and the task was stopped while it was at work.
+func TestLateFirstReportStopsNoTaskAtWork(t *testing.T) {
+	r := newRig(2)
+	a := r.addWorker("a", "r1")
+	a.heartbeat(0, false)
+	waits := workload.Step{Count: 1, After: []int{0}, Label: "none", EstimatedMS: rigTaskMS}
+	r.submit("before", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 6000}, EstimatedMS: rigTaskMS}, waits)
+	r.cycle()
+	a.heartbeat(0, false)
+	late := a.report()
+	require.Len(t, late.Running, 1)
+	r.runUndisturbed(2 * rigTaskMS)
+	r.submit("service", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 6000}, LongRunning: true})
+	r.runUndisturbed(2 * rigTaskMS)
+	ref := workload.TaskRef{Job: "service"}
+	require.Contains(t, a.running, ref)
+	r.elect(1)
+	_, err := r.dispatchers[1].HandleReport(t.Context(), late)
+	require.NoError(t, err)
+	r.cycle()
+	a.heartbeat(1, false)
+	r.runUndisturbed(4 * rigTaskMS)
+	require.Contains(t, a.running, ref)
+	require.Equal(t, 1, r.startCounts[ref])
+}
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -53,15 +53,23 @@
 	return free
 }
 
-// withheldRuns returns the stops of runs whose starts were withheld. A run that its worker doesn't
-// report can't get to work.
-func (d *Dispatcher) withheldRuns(s *workload.State) []workload.Stop {
+// withheldRuns returns the stops of runs whose starts were withheld and that their workers don't
+// report: they can't get to work.
+//
+// The first reports to a new leader may be late, older than the start that an earlier leader sent,
+// and don't show that the run isn't there. Runs of long-running tasks wait for later ones; other
+// tasks start elsewhere at once, since their jobs are due.
+func (d *Dispatcher) withheldRuns(s *workload.State, now int64) []workload.Stop {
+	lateReports := now-d.leadingSince <= confirmUpMS
 	var stops []workload.Stop
 	for incarnation, w := range d.workers {
 		for run := range w.withheld {
-			if p, ok := s.RunsOn(incarnation)[run.Task]; ok && p.Run == run.Run && !p.Stopping {
-				_, reported := w.running[run.Task]
-				stops = append(stops, workload.Stop{Run: run, Forced: !reported})
+			p, placed := s.RunsOn(incarnation)[run.Task]
+			if !placed || p.Run != run.Run || p.Stopping || w.running[run.Task].Run == run {
+				continue
+			}
+			if !p.LongRunning || w.startSent[run] || !lateReports {
+				stops = append(stops, workload.Stop{Run: run, Forced: true})
 			}
 		}
 	}
