Judge the age of a worker's first report by the worker, not by the leadership

A worker that is cut off may send its first report to a new leader seconds after the leadership began, and that one may be late, too. What an earlier leader has sent counts as possibly carried out until later reports of the same worker.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -80,7 +80,7 @@
 // it can wait. The caller holds mu.
 func (d *Dispatcher) runsToStop(s *workload.State, gate *workload.Interruptions, now int64) []stopDecision {
 	stops := d.admitStops(s, gate, stopStalled, d.stalledRuns(s, now), now)
-	stops = append(stops, d.admitStops(s, gate, stopWithheld, d.withheldRuns(s, now), now)...)
+	stops = append(stops, d.admitStops(s, gate, stopWithheld, d.withheldRuns(s), now)...)
 	stops = append(stops, d.admitStops(s, gate, stopForDrain, d.drainStops(s, now), now)...)
 	stops = append(stops, d.admitStops(s, gate, stopSlow, unforced(d.stragglers(s, now)), now)...)
 	for _, number := range d.openWaves(s) {
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -56,19 +56,19 @@
 // withheldRuns returns the stops of runs whose starts were withheld and that their workers don't
 // report: they can't get to work.
 //
-// The first reports to a new leader may be late, older than the start that an earlier leader sent,
-// and don't show that the run isn't there. Runs of long-running tasks wait for later ones; other
-// tasks start elsewhere at once, since their jobs are due.
-func (d *Dispatcher) withheldRuns(s *workload.State, now int64) []workload.Stop {
-	lateReports := now-d.leadingSince <= confirmUpMS
+// The first report of a worker to a new leader may be late, older than the start that an earlier
+// leader sent, and doesn't show that the run isn't there. Runs of long-running tasks wait for later
+// ones; other tasks start elsewhere at once, since their jobs are due.
+func (d *Dispatcher) withheldRuns(s *workload.State) []workload.Stop {
 	var stops []workload.Stop
 	for incarnation, w := range d.workers {
+		mayBeLate := w.lastReportAt-w.firstReportAt <= confirmUpMS
 		for run := range w.withheld {
 			p, placed := s.RunsOn(incarnation)[run.Task]
 			if !placed || p.Run != run.Run || p.Stopping || w.running[run.Task].Run == run {
 				continue
 			}
-			if !p.LongRunning || w.startSent[run] || !lateReports {
+			if !p.LongRunning || w.startSent[run] || !mayBeLate {
 				stops = append(stops, workload.Stop{Run: run, Forced: true})
 			}
 		}
--- a/internal/dispatch/stop_delivery.go
+++ b/internal/dispatch/stop_delivery.go
@@ -55,7 +55,8 @@
 }
 
 // mayHaveStopped reports whether a stop of the task's run may have reached its worker, which must
-// be known. An earlier leader may have sent the stop of a run that was to stop already.
+// be known. An earlier leader may have sent the stop of a run that was to stop already, and the
+// worker's first report to this one may be older than that.
 func (d *Dispatcher) mayHaveStopped(ref workload.TaskRef, t *workload.Task) bool {
 	w := d.workers[t.Worker]
 	sentAt, sent := w.stopSentAt[workload.Run{Task: ref, Run: t.Run}]
@@ -63,7 +64,7 @@
 		if t.Phase != workload.Stopping {
 			return false
 		}
-		sentAt = d.leadingSince
+		sentAt = w.firstReportAt
 	}
 	return w.lastReportAt-sentAt <= stopConfirmMS
 }
