--- a/internal/dispatch/interruption_play_test.go
+++ b/internal/dispatch/interruption_play_test.go
@@ -87,6 +87,28 @@
 	a.interrupted[ref] = true
 }
 
+// applyLate applies the commands whose commit was delayed. The caller holds mu.
+func (r *rig) applyLate() {
+	for _, cmd := range r.late {
+		r.state.Apply(r.state.Applied+1, cmd)
+	}
+	r.late = nil
+}
+
+// delayCommits makes further proposals have an unknown outcome, or no longer.
+func (r *rig) delayCommits(delay bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commitLate = delay
+}
+
+// applyLateCommits applies the commands whose commit was delayed, as an election does.
+func (r *rig) applyLateCommits() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applyLate()
+}
+
 // disturbances are the kinds of events of a play beside its waves and lost answers.
 type disturbances struct {
 	failures, elections, crashes, drains, shrinks, lateCommits, evacuations bool
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -106,28 +106,6 @@
 	return res, nil
 }
 
-// applyLate applies the commands whose commit was delayed. The caller holds mu.
-func (r *rig) applyLate() {
-	for _, cmd := range r.late {
-		r.state.Apply(r.state.Applied+1, cmd)
-	}
-	r.late = nil
-}
-
-// delayCommits makes further proposals have an unknown outcome, or no longer.
-func (r *rig) delayCommits(delay bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.commitLate = delay
-}
-
-// applyLateCommits applies the commands whose commit was delayed, as an election does.
-func (r *rig) applyLateCommits() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.applyLate()
-}
-
 func (l rigLog) Read(f func(*fleet.State)) {
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
