TestSecondAttemptNeedsUnit: a failed test no longer waits for its call for ever

Its handler went on until a second call ran or the connection ended; after a failed assertion neither happens, and closing the server waited for it until the whole package timed out after 10 minutes.

--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -31,7 +31,8 @@
 	var runs atomic.Int64
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
-		for te.runningCalls("red") < 2 && r.Context().Err() == nil {
+		// A test that has failed must not wait for this call.
+		for te.runningCalls("red") < 2 && r.Context().Err() == nil && t.Context().Err() == nil {
 			wait.For(r.Context(), time.Millisecond)
 		}
 		echoBackend(w, r)
