--- a/review/standin-2/checks.go
+++ b/review/standin-2/checks.go
@@ -15,8 +15,8 @@
 
 // stuckJobs asks for the jobs finish after the end of the traffic. It returns those that are not
 // known or not answered, and those that have nothing running for stuckFor although their turn has
-// come, minions that they may run on have room for them twice over, and their tenant and service
-// use less than half of what they have.
+// come, minions that they may run on have room for them twice over, and their service uses less than
+// half of its capacity.
 func (w *world) stuckJobs(jobs []*job, pool string, mayRun func(*job, *minion) bool) []string {
 	time.Sleep(finish)
 	var broken []string
@@ -55,7 +55,8 @@
 	return broken
 }
 
-// isOwed reports whether nothing of the job runs although there is room for it twice over.
+// isOwed reports whether nothing of the job runs although there is room for it twice over, and under
+// half of the service's capacity is in use. The tenant's limit is four times that capacity or more.
 func (w *world) isOwed(j *job, minions []*minion, mayRun func(*job, *minion) bool) bool {
 	var capacity, used int64
 	room := int64(0)
