--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -111,6 +111,41 @@
 	return w.stuckJobs(jobs, mainPool, func(_ *job, m *minion) bool { return m.machine == allowed.name }), nil
 }
 
+// adviceScaleOut: a queue's policy allows its steps on one minion only, the oldest of 30. Seven empty
+// minions are added to the service.
+func adviceScaleOut(w *world, trouble bool) ([]string, error) {
+	advised := route("batch", queue, mainPool)
+	advised["advice"] = map[string]any{"decisionMs": 20, "perWorkerMs": 2, "validityMs": 5000}
+	w.validity = 5 * time.Second
+	var allowed *machine
+	w.policy = func(_ string, m *minion) bool { return m.machine == allowed.name }
+	err := w.prepareFixed(func() {
+		allowed = w.cloud.addPool(mainPool, "a", 1)[0]
+		time.Sleep(2 * time.Second)
+		w.cloud.addPool(mainPool, "a", 29)
+	}, advised)
+	if err != nil {
+		return nil, err
+	}
+	const growFrom, trafficFor = 4 * time.Second, 20 * time.Second
+	start := time.Now()
+	if trouble {
+		time.AfterFunc(growFrom, func() {
+			w.cloud.addPool(mainPool, "a", 7)
+			w.rec.say("scale_out: 7 empty minions are added to 30")
+		})
+	}
+	var jobs []*job
+	for i := 0; time.Since(start) < trafficFor; i++ {
+		j := w.newJob(queue, fmt.Sprintf("job %d", i), jobStep{Count: 2, CPU: 1000, MemMB: 1000, EstimatedMS: 600}, 600*time.Millisecond, true)
+		w.submit(j)
+		jobs = append(jobs, j)
+		time.Sleep(800 * time.Millisecond)
+	}
+	w.rec.say("the traffic ends")
+	return w.stuckJobs(jobs, mainPool, func(_ *job, m *minion) bool { return m.machine == allowed.name }), nil
+}
+
 // crashUnderWideSteps: a minion crashes that runs two jobs of many small tasks, whose specification
 // has the 4,000 bytes that the pages allow. The service has its minions in one zone.
 func crashUnderWideSteps(w *world, trouble bool) ([]string, error) {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]scenario{
 	"grey-minion":   greyMinion,
 	"advice-in-cut": adviceInCut,
+	"advice-grown":  adviceScaleOut,
 	"crash-wide":    crashUnderWideSteps,
 	"many-ends":     manyEnds,
 	"wide-advice":   wideAdvice,
