--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -16,7 +16,7 @@
 	queueHost      = "pule25.example"
 )
 
-var callers = &http.Client{Timeout: clientDeadline}
+var callers = &http.Client{Timeout: clientDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 300}}
 
 // call sends a request and returns the status, 0 without a response.
 func call(method, url, host, key string, body []byte) (int, []byte) {
@@ -44,7 +44,11 @@
 	return resp.StatusCode, data
 }
 
-const clientKey = "sjnbanfqasnmgkcuyj8p"
+// The tenant has two keys, of which one can be taken away.
+const (
+	clientKey  = "sjnbanfqasnmgkcuyj8p"
+	rotatedKey = "jbvk9m68k7b2ex5wa5xw"
+)
 
 // configure sends a configuration to the stores in turn until it is acknowledged.
 func (w *world) configure(config map[string]any) error {
@@ -122,10 +126,10 @@
 }
 
 // configuration returns a configuration with one tenant, whose limit is far above what it runs.
-func configuration(version int, routes, services []map[string]any) map[string]any {
+func configuration(version int, keys []string, routes, services []map[string]any) map[string]any {
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "cugo130", "apiKeys": []string{clientKey}, "priority": 1, "weight": 40, "upperLimit": resources{CPU: 1509425, MemMB: 2115493}}},
+		"tenants": []map[string]any{{"name": "cugo130", "apiKeys": keys, "priority": 1, "weight": 40, "upperLimit": resources{CPU: 1509425, MemMB: 2115493}}},
 	}
 }
