--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/standin-2 ] && [ -x target/samphire-platform-store ] && [ -x target/samphire-platform-entry ] || exit 2
-exec target/standin-2 -case crash-wide -bin target -record review/7/record.txt
+exec target/standin-2 -case revoke-kill -bin target -record review/7/record.txt
