Bound the orders of a response to a heartbeat by bytes

Cause: composeOrders put every start that the last report did not list into one response, 5.7 MB here. The worker takes at most 4 MiB, so that neither the lease nor an acknowledgement nor any order arrived, and the next response was the same.

Change: a response carries lease and acknowledgement, then stops, paces and starts up to 1 MiB as the platform encodes them, least recently sent first, and one of each kind at least; the worker reports again after 20 ms for the rest. The bound is halved while a worker shows none of the starts that it was sent, as on a slow link, and grows again after.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -381,9 +381,11 @@
 	now := int64(d.log.Now())
 	held := time.Duration(now-receivedAt) * time.Millisecond
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
+	budget := w.delivery.budget()
 	d.log.Read(func(s *fleet.State) {
 		o.Starts, o.Stops = w.reconcile(s.Workload)
-		o.Stops = d.stopsToSend(s.Workload, w, o.Stops, now)
+		o.Stops = d.stopsToSend(s.Workload, w, o.Stops, budget, now)
+		o.Paces = w.paceOrders(s.Workload, budget, receivedAt)
 		o.Starts = separateSuspects(s.Workload, o.Starts)
 		planned := len(o.Starts)
 		o.Starts = w.withholdUnfitting(s.Workload, o.Starts, d.leadingSince)
@@ -391,9 +393,9 @@
 		if len(o.Starts) < planned {
 			d.Wake()
 		}
-		w.recordStartsSent(s.Workload, o.Starts)
-		o.Paces = w.paceOrders(s.Workload, receivedAt)
-		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0, held)
+		o.Starts = w.admitStarts(budget, o.Starts)
+		w.recordSent(s.Workload, o.Starts, o.Stops)
+		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0, budget.exhausted, held)
 	})
 	l := d.log.Leadership()
 	if !l.Leading || l.Term != term {
--- a/internal/dispatch/heartbeat_interval.go
+++ b/internal/dispatch/heartbeat_interval.go
@@ -15,7 +15,8 @@
 	pacedInterval = 400 * time.Millisecond
 	// defaultInterval applies to a worker that expects no orders soon.
 	defaultInterval = 800 * time.Millisecond
-	// idleInterval applies to an idle worker, whose responses are held anyway.
+	// idleInterval applies to an idle worker, whose responses are held anyway, and to one for
+	// which there are more orders than its response could carry.
 	idleInterval = 20 * time.Millisecond
 	// intervalPerWorker times the number of live workers is the shortest interval, so that
 	// the leader gets at most about 1,000 heartbeats a second.
@@ -26,14 +27,15 @@
 )
 
 // heartbeatInterval returns the time until the worker's next heartbeat. held is the time
-// for which the response to the present one was held. It counts towards the interval: the
+// for which the response to the present one was held, and truncated is true if orders had to wait
+// for the next one. The held time counts towards the interval: the
 // worker would count as silent if it waited for both.
 //
 // A start order can reach a worker only in the response to a heartbeat, and a held response
 // delays the report of an ended run. So responses to idle workers are held, workers with
 // free capacity report often while their pool is busy, and full ones report when a run
 // ends.
-func (d *Dispatcher) heartbeatInterval(w *worker, s *workload.State, started bool, held time.Duration) time.Duration {
+func (d *Dispatcher) heartbeatInterval(w *worker, s *workload.State, started, truncated bool, held time.Duration) time.Duration {
 	floor := min(intervalPerWorker*time.Duration(d.liveWorkers), maxInterval)
 	occupied := s.RunsOn(w.Incarnation)
 	if len(occupied) == 0 && !started {
@@ -50,5 +52,8 @@
 	if d.busyPools[w.Pool] && free.CPUMilli > 0 && free.MemoryMiB > 0 && !w.Draining {
 		interval = busyPoolInterval
 	}
+	if truncated {
+		interval = idleInterval
+	}
 	return max(max(interval, floor)-held, idleInterval)
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,9 +21,6 @@
 		case w.hasReportedEnd(run), w.revoked[run]:
 		case p.Stopping:
 			stops = append(stops, run)
-			if !listed {
-				w.stopSent[run] = true
-			}
 		case !listed:
 			starts = append(starts, startOrder(s, run))
 		}
@@ -35,7 +32,7 @@
 		}
 	}
 	slices.SortFunc(starts, func(a, b StartOrder) int { return compareRuns(a.Run, b.Run) })
-	slices.SortFunc(stops, compareRuns)
+	slices.SortFunc(stops, w.compareCarried)
 	return starts, stops
 }
 
@@ -51,9 +48,10 @@
 	)
 }
 
-// recordStartsSent records the starts of a response and removes the records of runs that
+// recordSent records the starts and stops of a response and removes the records of runs that
 // have ended.
-func (w *worker) recordStartsSent(s *workload.State, starts []StartOrder) {
+func (w *worker) recordSent(s *workload.State, starts []StartOrder, stops []workload.Run) {
+	w.recordCarried(s, starts, stops)
 	occupied := s.RunsOn(w.Incarnation)
 	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked} {
 		for run := range runs {
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -56,9 +56,9 @@
 	p.changedAt = now
 }
 
-// paceOrders returns orders for the fillers that run below the full pace or were last told
-// another pace.
-func (w *worker) paceOrders(s *workload.State, now int64) []PaceOrder {
+// paceOrders returns orders, within the budget, for the fillers that run below the full pace or
+// were last told another pace.
+func (w *worker) paceOrders(s *workload.State, budget *orderBudget, now int64) []PaceOrder {
 	worst, fillers := w.worstTailAndFillers(s)
 	if len(fillers) == 0 {
 		w.pace = newPaceController()
@@ -72,10 +72,13 @@
 		if !ok {
 			last = fullPace
 		}
-		sent[run] = w.pace.percent
-		if last != w.pace.percent || w.pace.percent < fullPace {
-			orders = append(orders, PaceOrder{Run: run, Percent: w.pace.percent})
+		sent[run] = last
+		if last == w.pace.percent && w.pace.percent == fullPace || !budget.fits(len(orders), runBytes(run)) {
+			continue
 		}
+		budget.take(runBytes(run))
+		sent[run] = w.pace.percent
+		orders = append(orders, PaceOrder{Run: run, Percent: w.pace.percent})
 	}
 	w.pace.sent = sent
 	return orders
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"sort"
 	"sync"
@@ -28,6 +29,8 @@
 	// rigLateCopyMS is the time after a recorded end in which a copy of a speculative task
 	// may still start.
 	rigLateCopyMS = 1000
+	// rigMaxResponse is the size in bytes of the largest response that workers take.
+	rigMaxResponse = 4 << 20
 )
 
 // rig runs the real state machine and dispatchers with simulated workers in virtual time.
@@ -215,7 +218,11 @@
 	// slowdown multiplies the duration of each task; 0 means the normal duration.
 	slowdown int64
 	// capacity is the processor capacity in millicores. It may shrink and grow.
-	capacity       int64
+	capacity int64
+	// maxResponse is the size in bytes from which on a response does not arrive; 0 stands for
+	// rigMaxResponse. lastTaken is when a response last arrived.
+	maxResponse    int
+	lastTaken      int64
 	sequence       int64
 	highestTerm    uint64
 	leaseRemaining int64
@@ -357,7 +364,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	orders, err := w.r.dispatchers[store].HandleReport(ctx, w.report())
+	data, encodeErr := json.Marshal(orders)
+	if encodeErr != nil {
+		panic(encodeErr)
+	}
+	lost = lost || len(data) > cmp.Or(w.maxResponse, rigMaxResponse)
 	if err == nil && !lost {
+		w.lastTaken = w.r.now
 		w.applyOrders(orders)
 	}
 	if err == nil && lost {
--- a/internal/dispatch/stop_delivery.go
+++ b/internal/dispatch/stop_delivery.go
@@ -6,16 +6,20 @@
 // active shows that the stop has not arrived. It covers late reports, and the time that a stop takes.
 const stopConfirmMS = confirmUpMS + 500
 
-// stopsToSend returns the stops that the response to a worker may carry, and records when they are
-// sent. A committed stop of a long-running task may reach its worker much later than it was decided.
+// stopsToSend returns the stops that the response to a worker may carry within the budget, and records
+// when they are sent. A committed stop of a long-running task may reach its worker much later than it was decided.
 // It is held back while too many other tasks of the step are away by now.
-func (d *Dispatcher) stopsToSend(s *workload.State, w *worker, stops []workload.Run, now int64) []workload.Run {
+func (d *Dispatcher) stopsToSend(s *workload.State, w *worker, stops []workload.Run, budget *orderBudget, now int64) []workload.Run {
 	sent := stops[:0]
 	for _, run := range stops {
+		if !budget.fits(len(sent), runBytes(run)) {
+			break
+		}
 		if !d.maySend(s, w, run, now) {
 			d.logger.Debug().Str("task", run.Task.String()).Int("run", run.Run).Str("worker", w.Incarnation.ID).Msg("stop is held back")
 			continue
 		}
+		budget.take(runBytes(run))
 		d.recordStopSent(s, w, run, now)
 		sent = append(sent, run)
 	}
@@ -69,12 +73,16 @@
 	return w.lastReportAt-sentAt <= stopConfirmMS
 }
 
-// recordStopSent records that a response carries the stop of a run that the worker reports, and
-// logs the first one of a long-running run.
+// recordStopSent records that a response carries the stop of a run, and logs the first one of a
+// long-running run that the worker reports.
 func (d *Dispatcher) recordStopSent(s *workload.State, w *worker, run workload.Run, now int64) {
 	reported, listed := w.running[run.Task]
+	if !listed || reported.Run != run {
+		w.stopSent[run] = true
+		return
+	}
 	j, t, ok := s.Task(run.Task)
-	if !listed || reported.Run != run || !ok || run.Task.Step >= len(j.Steps) || !j.Steps[run.Task.Step].LongRunning {
+	if !ok || run.Task.Step >= len(j.Steps) || !j.Steps[run.Task.Step].LongRunning {
 		return
 	}
 	if _, repeated := w.stopSentAt[run]; !repeated {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -50,6 +50,7 @@
 	// withheld holds the runs that the last response did not repeat although an earlier one
 	// may have started them: the worker's capacity has shrunk, or its data centre is evacuated.
 	withheld map[workload.Run]bool
+	delivery delivery
 	// wake ends the hold of the worker's heartbeat.
 	wake chan struct{}
 	// pendingEnds are ended runs that wait for the next cycle.
@@ -78,7 +79,7 @@
 	return &worker{
 		Report: rep, running: map[workload.TaskRef]RunningTask{},
 		progress: map[workload.Run]runProgress{}, stopSent: map[workload.Run]bool{}, stopSentAt: map[workload.Run]int64{},
-		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{},
+		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{}, delivery: newDelivery(),
 		wake: make(chan struct{}, 1), pace: newPaceController(),
 	}
 }
@@ -133,6 +134,7 @@
 	}
 	w.running = running
 	w.progress = progress
+	w.delivery.observe(w)
 	w.queueEnds(rep.Ended)
 }
 
