Bound the commands of a plan by bytes

A plan ends after 1,000 starts and the rest of one step; the command that committed it exceeded 3 MiB, was refused, and was planned again.

Change: Progress.Split makes commands of 256 KiB of a plan. A ticket stands in a command once, the others refer to it. A gang's starts and the stops of a step stay together. A command that the log refuses keeps the others no more. Tickets are dropped when their run ends and shared in memory after decoding; a worker gets at most 10,000 tasks, so that its heartbeats stay within what stores read; records of sent stops and of questions for advice end with their runs and jobs.

Why it works: what is refused by the log is bounded where it is composed, and no longer shared between steps.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -99,3 +100,29 @@
 	r.runWithAdvice(t, 20_000)
 	require.Equal(t, 1, a.calls)
 }
+
+// wideTicketAdvisor approves all workers with tickets of the given size.
+type wideTicketAdvisor struct{ bytes int }
+
+func (a wideTicketAdvisor) Approve(_ context.Context, _ taskplan.StepRef, workers []workload.WorkerIncarnation) (map[workload.WorkerIncarnation]string, error) {
+	tickets := map[workload.WorkerIncarnation]string{}
+	for _, w := range workers {
+		tickets[w] = w.ID + strings.Repeat("t", a.bytes)
+	}
+	return tickets, nil
+}
+
+// Guards against starts that exceed the largest command with their tickets: it was refused in each
+// cycle, and no task of any queue started any more. A gang can't be split at all.
+func TestWideStepsWithLongTicketsStart(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		r, _ := newAdviceRig()
+		r.dispatchers[0].advisor = wideTicketAdvisor{1000}
+		r.submit("wide", workload.Step{Count: 3300, Size: workload.Resources{CPUMilli: 1}, Gang: gang})
+		r.submit("zzz", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1}})
+		r.runWithAdvice(t, 3000)
+		require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["zzz"].State, "gang %v", gang)
+		require.NotEqual(t, workload.JobQueued, r.state.Workload.Jobs["wide"].State, "gang %v", gang)
+		require.Empty(t, r.violation)
+	}
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/samphirefork/samphirefork/internal/fleet"
 	"github.com/samphirefork/samphirefork/internal/settings"
 	"github.com/samphirefork/samphirefork/internal/taskplan"
@@ -26,11 +28,15 @@
 	// maxDuePerCycle bounds the occurrences of repeated jobs that begin in one cycle. A job
 	// whose first occurrence is long past has all of them due at once.
 	maxDuePerCycle = 500
-	// maxStartsPerCycle and maxEndsPerCommand bound the size of a command. After a change
-	// of leader or the loss of a data centre thousands of runs start or end at once; in one
-	// command, they would keep the log from its heartbeats, or exceed its largest command.
+	// maxStartsPerCycle bounds the work of a cycle. After a change of leader or the loss of a
+	// data centre thousands of runs start or end at once.
 	maxStartsPerCycle = 1000
 	maxEndsPerCommand = 2000
+	// maxBatchBytes bounds a command: a larger one would keep the log from its heartbeats.
+	// maxGroupBytes bounds what belongs together in one command, which the log refuses from 3 MiB
+	// on.
+	maxBatchBytes = 256 << 10
+	maxGroupBytes = 2 << 20
 	// maxEndBytesPerCommand bounds the text of the ends in one command. One end has at most
 	// maxCheckpointBytes and maxNameBytes more.
 	maxEndBytesPerCommand = 1 << 20
@@ -90,7 +96,7 @@
 	}
 	d.markRecorded(upTo)
 	progress, stops := d.plan(int64(d.log.Now()))
-	if progress != nil && d.propose(ctx, progress) {
+	if progress != nil && d.commitPlan(ctx, progress) {
 		d.logPlacement(progress, stops, c.now)
 	}
 	d.releaseHeldReports(upTo, progress)
@@ -120,9 +126,36 @@
 	return c, nil
 }
 
+// commitPlan commits a plan in commands of bounded size, and returns false unless all of them are
+// known to be committed. A command that the log refuses does not keep back the others, which
+// belong to other steps.
+func (d *Dispatcher) commitPlan(ctx context.Context, p *workload.Progress) bool {
+	var batches []*workload.Progress
+	var tooLarge []workload.TaskRef
+	d.log.Read(func(s *fleet.State) { batches, tooLarge = p.Split(s.Workload, maxBatchBytes, maxGroupBytes) })
+	for _, ref := range tooLarge {
+		d.ignoredLog.Error().Str("job", ref.Job).Int("occurrence", ref.Occurrence).Int("step", ref.Step).Int("max_bytes", maxGroupBytes).
+			Msg("gang does not start, its starts exceed the largest command")
+	}
+	all := true
+	for _, batch := range batches {
+		err := d.tryPropose(ctx, batch)
+		if err != nil && !errors.Is(err, fleet.ErrCommand) {
+			return false
+		}
+		all = all && err == nil
+	}
+	return all
+}
+
 // propose commits a batch to the fleet log. It returns false unless the batch is known to
 // be committed.
 func (d *Dispatcher) propose(ctx context.Context, p *workload.Progress) bool {
+	return d.tryPropose(ctx, p) == nil
+}
+
+// tryPropose commits a batch to the fleet log, with the errors of fleet.ProposeWorkload.
+func (d *Dispatcher) tryPropose(ctx context.Context, p *workload.Progress) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	_, err := fleet.ProposeWorkload(ctx, d.log, &workload.Command{Progress: p})
@@ -130,7 +163,7 @@
 		d.logger.Warn().Err(err).Int("ends", len(p.Ends)).Int("starts", len(p.Starts)).Int("stops", len(p.Stops)).
 			Msg("commit of task progress failed or has an unknown outcome")
 	}
-	return err == nil
+	return err
 }
 
 // isLost reports whether the incarnation can't be running anything any more: it has ended
@@ -221,10 +254,11 @@
 	}
 }
 
-// pruneRecords removes the records of tasks whose job has ended and of incarnations that
+// pruneRecords removes the records of tasks and steps whose job has ended and of incarnations that
 // occupy nothing.
 func (d *Dispatcher) pruneRecords(s *workload.State) {
 	maps.DeleteFunc(d.failedOn, func(ref workload.TaskRef, _ map[string]bool) bool { return s.Active()[ref.Job] == nil })
+	maps.DeleteFunc(d.approvals.askedAt, func(ref taskplan.StepRef, _ int64) bool { return s.Active()[ref.Job] == nil })
 	unused := func(incarnation workload.WorkerIncarnation) bool { return len(s.RunsOn(incarnation)) == 0 }
 	maps.DeleteFunc(d.terminatedUnseen, func(incarnation workload.WorkerIncarnation, _ bool) bool { return unused(incarnation) })
 	maps.DeleteFunc(d.missingLists, func(incarnation workload.WorkerIncarnation, _ int) bool { return unused(incarnation) })
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -53,7 +53,7 @@
 func (w *worker) recordSent(s *workload.State, starts []StartOrder, stops []workload.Run) {
 	w.recordCarried(s, starts, stops)
 	occupied := s.RunsOn(w.Incarnation)
-	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked} {
+	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked, w.stopSent} {
 		for run := range runs {
 			if p, ok := occupied[run.Task]; !ok || p.Run != run.Run {
 				delete(runs, run)
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -31,6 +31,8 @@
 	rigLateCopyMS = 1000
 	// rigMaxResponse is the size in bytes of the largest response that workers take.
 	rigMaxResponse = 4 << 20
+	// rigMaxCommand is the size in bytes of the largest command that the log takes.
+	rigMaxCommand = 3 << 20
 )
 
 // rig runs the real state machine and dispatchers with simulated workers in virtual time.
@@ -91,6 +93,9 @@
 	if err != nil {
 		return fleet.Result{}, err
 	}
+	if len(data) > rigMaxCommand {
+		return fleet.Result{}, fleet.ErrCommand
+	}
 	if cmd, err = fleet.DecodeCommand(data); err != nil {
 		return fleet.Result{}, err
 	}
--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -15,7 +15,7 @@
 	maxNameBytes       = 256
 	maxLabels          = 64
 	maxCheckpointBytes = 64 << 10
-	// maxTicketBytes leaves room in one command for the tickets of maxStartsPerCycle tasks.
+	// maxTicketBytes bounds a ticket. A command and the state hold one for each approved worker.
 	maxTicketBytes = 1 << 10
 )
 
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -7,6 +7,10 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
+// maxTasksPerWorker bounds the heartbeat of a worker, which lists its tasks: stores read 4 MiB, and
+// one task takes about 100 bytes.
+const maxTasksPerWorker = 10_000
+
 // selector selects workers for the tasks of one step.
 type selector struct {
 	p       *planner
@@ -220,7 +224,7 @@
 // feasible reports whether the worker can take one more task of the step.
 func (s *selector) feasible(w *workerState) bool {
 	step := s.c.step
-	if w.startsLeft == 0 || !step.Occupies().Fits(w.free) {
+	if w.startsLeft == 0 || w.tasks >= maxTasksPerWorker || !step.Occupies().Fits(w.free) {
 		return false
 	}
 	if step.Label != "" && !slices.Contains(w.Labels, step.Label) {
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -85,6 +85,9 @@
 	Ticket string `cbor:"4,keyasint,omitempty"`
 	// Machine is the machine that the worker runs on.
 	Machine string `cbor:"5,keyasint,omitempty"`
+	// TicketOf is the position, from 1, of an earlier start of the batch that has the ticket; 0 when
+	// Ticket holds it.
+	TicketOf int `cbor:"6,keyasint,omitempty"`
 }
 
 // DueOccurrence begins an occurrence of a repeated job, which was due at cluster time
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -19,7 +19,7 @@
 	}
 	s.applyCleared(p.Cleared)
 	for i := range p.Starts {
-		s.applyStart(&p.Starts[i])
+		s.applyStart(&p.Starts[i], p.ticket(&p.Starts[i]))
 	}
 	s.applyOrdered(p.Ordered)
 	for _, m := range p.Begun {
@@ -35,9 +35,9 @@
 	}
 }
 
-// applyStart starts a run of a waiting task. Starts are planned on an earlier state: one
+// applyStart starts a run of a waiting task with a ticket. Starts are planned on an earlier state: one
 // whose job has ended or whose task can't start any more is dropped.
-func (s *State) applyStart(c *Start) {
+func (s *State) applyStart(c *Start, ticket string) {
 	j, t, ok := s.Task(c.Task)
 	if !ok || j.State.Final() || t.Phase != Waiting || c.Run <= t.Run {
 		return
@@ -49,7 +49,7 @@
 	o.Steps[c.Task.Step].setPhase(t, Placed)
 	t.Run = c.Run
 	t.Worker = c.Worker
-	t.Ticket = c.Ticket
+	t.Ticket = ticket
 	t.Machine = c.Machine
 	t.PlacedAt = s.now
 	if j.State == JobQueued {
@@ -76,7 +76,7 @@
 	}
 	s.removeRun(j, c.Task, t.Worker)
 	s.countCrash(t, c)
-	t.EndedAt = s.now
+	t.EndedAt, t.Ticket = s.now, ""
 	s.recordRunTime(j, t, progress, c)
 	next := Waiting
 	if t.DoneByCopy || c.Outcome == OutcomeDone && !step.LongRunning {
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -94,8 +94,10 @@
 
 func (s *State) rebuildStep(j *Job, occurrence, step int, p *StepProgress) {
 	p.waiting, p.onWorkers, p.done = 0, 0, 0
+	tickets := map[string]string{}
 	for i := range p.Tasks {
 		t := &p.Tasks[i]
+		t.Ticket = shared(tickets, t.Ticket)
 		p.addToCount(t.Phase, 1)
 		ref := TaskRef{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
 		for _, a := range t.Abandoned {
@@ -107,6 +109,19 @@
 	}
 }
 
+// shared returns the text in the memory of an equal one that came before. A decoded state has a
+// copy for each task.
+func shared(known map[string]string, text string) string {
+	if text == "" {
+		return ""
+	}
+	if same, ok := known[text]; ok {
+		return same
+	}
+	known[text] = text
+	return text
+}
+
 // addToCount adds to the number of tasks in a phase.
 func (p *StepProgress) addToCount(phase Phase, by int) {
 	switch phase {
