Draw no conclusion from a partial list of ends

Cause: a report lists 500 ends at a time. reconcile, neverStarted and crashScore took a run that is in neither list for one that is not there, whether the list was complete or not. A run that had ended but was not listed yet was withheld as it no longer fit, stopped, and recorded as one that had never started; its done came later and was dropped.

Change: a report says whether more ends may follow, and worker.reported alone says what it proves about a run, with unknown as its zero value.

Why it works: a run only counts as absent by a list that can't leave it out.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -43,7 +43,7 @@
 // neverSent reports whether no response can have carried the start of a run.
 func (d *Dispatcher) neverSent(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement) bool {
 	w, ok := d.workers[incarnation]
-	return ok && p.PlacedAt >= d.leadingSince && !w.startSent[workload.Run{Task: ref, Run: p.Run}]
+	return ok && !w.mayHaveStarted(workload.Run{Task: ref, Run: p.Run}, p, d.leadingSince)
 }
 
 // crashScore returns the evidence from the crash of its worker against the task of a run.
@@ -59,7 +59,7 @@
 		return 0
 	case heard && w.activeMS(run) >= activeProofMS:
 		return 0
-	case heard && !w.hasReported(run) && now-w.lastReportAt <= crashNoticeMS:
+	case heard && !w.MoreEnds && !w.hasReported(run) && now-w.lastReportAt <= crashNoticeMS:
 		return workload.CrashScoreUnreported
 	default:
 		return workload.CrashScoreReported
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -250,7 +250,9 @@
 	if w == nil {
 		return taken, nil
 	}
-	d.log.Read(func(s *fleet.State) { w.pendingEnds = append(w.pendingEnds, w.neverStarted(s.Workload)...) })
+	d.log.Read(func(s *fleet.State) {
+		w.pendingEnds = append(w.pendingEnds, w.neverStarted(s.Workload)...)
+	})
 	taken.hasEnds = len(w.pendingEnds) > 0
 	if taken.hasEnds || w.Draining {
 		d.Wake()
@@ -383,7 +385,7 @@
 	o := Orders{Term: term, Lease: d.settings.Lease, AckedEnds: w.recordedEnd}
 	budget := w.delivery.budget()
 	d.log.Read(func(s *fleet.State) {
-		o.Starts, o.Stops = w.reconcile(s.Workload)
+		o.Starts, o.Stops = w.reconcile(s.Workload, d.leadingSince)
 		o.Stops = d.stopsToSend(s.Workload, w, o.Stops, budget, now)
 		o.Paces = w.paceOrders(s.Workload, budget, receivedAt)
 		o.Starts = separateSuspects(s.Workload, o.Starts)
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -109,7 +109,7 @@
 		return starts
 	}
 	for _, start := range starts {
-		if w.startSent[start.Run] || s.RunsOn(w.Incarnation)[start.Task].PlacedAt <= since {
+		if w.mayHaveStarted(start.Run, s.RunsOn(w.Incarnation)[start.Task], since) {
 			w.withheld[start.Run] = true
 		} else {
 			w.revoked[start.Run] = true
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -8,20 +8,20 @@
 )
 
 // reconcile returns the runs to start and to stop so that the worker runs what the state
-// says, given its last report. A start is repeated until the worker reports the run;
-// repeating a start or stop has no effect on the worker.
-func (w *worker) reconcile(s *workload.State) ([]StartOrder, []workload.Run) {
+// says, given its last report. A start is repeated until the worker reports the run, unless the
+// run may have ended without being listed. Repeating a start or stop has no effect on the worker.
+// since is the start of this leadership.
+func (w *worker) reconcile(s *workload.State, since int64) ([]StartOrder, []workload.Run) {
 	var starts []StartOrder
 	var stops []workload.Run
 	for ref, p := range s.RunsOn(w.Incarnation) {
 		run := workload.Run{Task: ref, Run: p.Run}
-		reported, listed := w.running[ref]
-		listed = listed && reported.Run.Run == p.Run
+		state := w.reported(run)
 		switch {
-		case w.hasReportedEnd(run), w.revoked[run]:
+		case state == runEnded, w.revoked[run]:
 		case p.Stopping:
 			stops = append(stops, run)
-		case !listed:
+		case state == runAbsent, state == runUnknown && !w.mayHaveStarted(run, p, since):
 			starts = append(starts, startOrder(s, run))
 		}
 	}
@@ -78,10 +78,9 @@
 func (w *worker) revokeUnsent(s *workload.State, since int64) {
 	for ref, p := range s.RunsOn(w.Incarnation) {
 		run := workload.Run{Task: ref, Run: p.Run}
-		if _, listed := w.running[ref]; listed || w.startSent[run] || p.PlacedAt <= since || w.hasReportedEnd(run) {
-			continue
+		if _, listed := w.running[ref]; !listed && !w.mayHaveStarted(run, p, since) && !w.hasReportedEnd(run) {
+			w.revoked[run] = true
 		}
-		w.revoked[run] = true
 	}
 }
 
@@ -98,14 +97,14 @@
 	return ends
 }
 
-// neverStarted returns the ends of stopping runs that the worker does not report although
+// neverStarted returns the ends of stopping runs that are absent by the worker's report although
 // an earlier response told it to stop them: a worker refuses to start a run that it was
 // told to stop. It is called before a report is answered.
 func (w *worker) neverStarted(s *workload.State) []workload.End {
 	var ends []workload.End
 	for ref, p := range s.RunsOn(w.Incarnation) {
 		run := workload.Run{Task: ref, Run: p.Run}
-		if _, listed := w.running[ref]; listed || !p.Stopping || !w.stopSent[run] || w.hasReportedEnd(run) {
+		if !p.Stopping || !w.stopSent[run] || w.reported(run) != runAbsent {
 			continue
 		}
 		delete(w.stopSent, run)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -34,6 +34,8 @@
 	// and are not acknowledged yet.
 	Running []RunningTask `json:"running,omitempty"`
 	Ended   []EndedTask   `json:"ended,omitempty"`
+	// MoreEnds is true when runs may have ended that Ended does not list yet.
+	MoreEnds bool `json:"more_ends,omitempty"`
 }
 
 // RunningTask is a run that the worker is executing.
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -31,6 +31,9 @@
 	rigLateCopyMS = 1000
 	// rigMaxResponse is the size in bytes of the largest response that workers take.
 	rigMaxResponse = 4 << 20
+	// rigMaxEnds is the number of ended runs that a report lists at most, if the worker has no
+	// other limit.
+	rigMaxEnds = 500
 	// rigMaxCommand is the size in bytes of the largest command that the log takes.
 	rigMaxCommand = 3 << 20
 )
@@ -226,7 +229,9 @@
 	capacity int64
 	// maxResponse is the size in bytes from which on a response does not arrive; 0 stands for
 	// rigMaxResponse. lastTaken is when a response last arrived.
-	maxResponse    int
+	maxResponse int
+	// maxEnds is the number of ended runs that a report lists at most; 0 stands for rigMaxEnds.
+	maxEnds        int
 	lastTaken      int64
 	sequence       int64
 	highestTerm    uint64
@@ -339,10 +344,11 @@
 // report returns the worker's next heartbeat.
 func (w *modelWorker) report() Report {
 	w.sequence++
+	maxEnds := cmp.Or(w.maxEnds, rigMaxEnds)
 	rep := Report{
 		Incarnation: workload.WorkerIncarnation{ID: w.id, Born: w.born}, Machine: cmp.Or(w.machine, "m-"+w.id), Pool: rigPool, Rack: w.rack, DataCentre: w.dataCentre,
 		Capacity: workload.Resources{CPUMilli: w.capacity, MemoryMiB: 1 << 20}, Sequence: w.sequence, Draining: w.draining,
-		ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended...),
+		ColdRemaining: w.cold, Ended: append([]EndedTask(nil), w.ended[:min(len(w.ended), maxEnds)]...), MoreEnds: len(w.ended) >= maxEnds,
 	}
 	switch {
 	case w.drainsUntil > 0:
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -18,7 +18,7 @@
 		case p.Occupies.Fits(free):
 			free = free.Minus(p.Occupies)
 			fitting = append(fitting, start)
-		case w.startSent[start.Run] || p.PlacedAt <= since:
+		case w.mayHaveStarted(start.Run, p, since):
 			w.withheld[start.Run] = true
 		default:
 			w.revoked[start.Run] = true
