Judge a repeated call by what its first attempt may have done

Their key was revoked as the leader was killed, after it had stored them and before it answered.

Cause: an entry repeats a call whose outcome is open, and returned the verdict on the repetition as that on the call. The next leader judged it by the configuration in force, in which the key was gone, without looking for the job.

Change: a repetition is marked, with the time since the call was first sent. The leader answers it by the state: a job accepted since then is accepted; what is refused for all attempts is refused; anything else is unresolved, 504.

Why it works: no verdict is passed on that a first attempt could contradict.

--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// maxStepReportBytes bounds the report of a worker. It is twice the size of 500
-	// runs and ends of 200 bytes each.
-	maxStepReportBytes = 200 << 10
+	// maxStepReportBytes bounds the report of a worker: 10,000 runs of 200 bytes each.
+	maxStepReportBytes = 2 << 20
 	// stepReportTimeout exceeds the time for which the leader holds a reply, and
 	// equals the time after which workers give up on it.
 	stepReportTimeout = time.Second
@@ -113,6 +112,8 @@
 		return api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such queue")
 	case wire.VerdictNoJob:
 		return api.Refuse(http.StatusNotFound, api.CodeNotFound, "no such job")
+	case wire.VerdictUnresolved:
+		return api.UnknownOutcome(api.CodeNoQuorum, reply.Detail)
 	case wire.VerdictConflict:
 		return api.Refuse(http.StatusConflict, api.CodeRequestIDReused, reply.Detail)
 	case wire.VerdictOverloaded:
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -171,11 +171,12 @@
 	if !c.awaitContact(ctx) {
 		return reply, errors.Wrap(ErrNotRun, "no contact with a leader")
 	}
+	start := time.Now()
 	firstCtx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
 	defer cancel()
 	err := c.leader.Call(firstCtx, wire.TypeJobCall, call, &reply, 0)
 	if err == nil {
-		return reply, nil
+		return resolved(reply)
 	}
 	if notRun(err) {
 		return reply, errors.Wrap(ErrNotRun, err.Error())
@@ -183,22 +184,23 @@
 	if call.Op == wire.JobStatus || call.Op == wire.JobWaiting {
 		return reply, errors.Wrap(ErrMayHaveRun, err.Error())
 	}
-	return c.resolve(ctx, call, err)
+	return c.resolve(ctx, call, start, err)
 }
 
-// resolve repeats a call that a store may have accepted until a leader answers, contact with
-// the leader is lost, or ctx ends. last is the error of the attempt before.
+// resolve repeats a call, marked as a repetition, that a store may have accepted until a leader answers, contact with
+// the leader is lost, or ctx ends. start is the time of the first attempt, and last the error of the
+// attempt before.
 //
 // Load pattern: a data centre is cut off while its callers submit. No answer can come until
 // it heals; a caller that is told so at once can ask an entry that has a leader.
-func (c *Client) resolve(ctx context.Context, call wire.JobCall, last error) (wire.JobCallReply, error) {
+func (c *Client) resolve(ctx context.Context, call wire.JobCall, start time.Time, last error) (wire.JobCallReply, error) {
 	for c.Ready() && ctx.Err() == nil {
 		var reply wire.JobCallReply
 		attempt, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
-		err := c.leader.Call(attempt, wire.TypeJobCall, call, &reply, 0)
+		err := c.leader.Call(attempt, wire.TypeJobCall, call.AsRepetition(time.Since(start)), &reply, 0)
 		cancel()
 		if err == nil {
-			return reply, nil
+			return resolved(reply)
 		}
 		last = err
 		var unavailable *leader.ErrUnavailable
@@ -209,6 +211,14 @@
 	return wire.JobCallReply{}, errors.Wrap(ErrMayHaveRun, last.Error())
 }
 
+// resolved returns the reply, or ErrMayHaveRun for one that leaves the outcome open.
+func resolved(reply wire.JobCallReply) (wire.JobCallReply, error) {
+	if reply.Verdict == wire.VerdictUnresolved {
+		return wire.JobCallReply{}, errors.Wrap(ErrMayHaveRun, reply.Detail)
+	}
+	return reply, nil
+}
+
 // awaitContact waits until a leader has answered within sendTimeout, as long as
 // WaitForLeader says, and reports whether one has. A call that is sent without contact may
 // end with an unknown outcome; one that is not sent has certainly not run.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return wire.JobCallReply{}, err
 	}
+	if call.RepeatedAfterMS > 0 {
+		reply = s.resolveRepetition(call, reply)
+	}
 	committed := reply.Verdict == wire.VerdictOK && (call.Op == wire.JobSubmit || call.Op == wire.JobCancel)
 	if !committed && !s.log.Leadership().Leading {
 		return wire.JobCallReply{}, fleet.ErrNotLeader
--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -45,6 +45,15 @@
 // Unwrap returns Cause.
 func (e *ErrUnavailable) Unwrap() error { return e.Cause }
 
+// Repeatable is a request that tells the store when an earlier attempt may have been carried out.
+// The answer to a repetition is judged by a later state: a key or a queue may be gone that the first
+// attempt still had.
+type Repeatable interface {
+	// AsRepetition returns the request marked as a repetition of one that was first sent the given
+	// time ago.
+	AsRepetition(after time.Duration) any
+}
+
 // Client sends requests to the leader. It is safe for concurrent use.
 type Client struct {
 	pool   *wire.Pool
@@ -62,7 +71,8 @@
 }
 
 // Call sends req to the leader and decodes the reply into resp. hold is the time for
-// which the leader may hold its reply; it extends the time limit of each attempt.
+// which the leader may hold its reply; it extends the time limit of each attempt. A Repeatable
+// request is marked once an earlier attempt may have been carried out.
 //
 // The error is an *ErrUnavailable if the time left in ctx is not enough for a further
 // attempt. An error that a repetition can't resolve is returned at once: a
@@ -72,6 +82,7 @@
 // its handler failed, the error is an *ErrUnavailable instead, with Unsent false and
 // that error as its Cause.
 func (c *Client) Call(ctx context.Context, t wire.Type, req, resp any, hold time.Duration) error {
+	start := time.Now()
 	unsent := true
 	var last error
 	for {
@@ -94,6 +105,9 @@
 		if !wait.ForAttempt(ctx, retryDelay, minAttemptTime) {
 			return &ErrUnavailable{Unsent: unsent, Cause: last}
 		}
+		if r, ok := req.(Repeatable); ok && !unsent {
+			req = r.AsRepetition(time.Since(start))
+		}
 	}
 }
 
--- a/internal/wire/jobcall.go
+++ b/internal/wire/jobcall.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/samphirefork/samphirefork/internal/stall"
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
@@ -33,12 +35,23 @@
 	Queue string `cbor:"7,keyasint,omitempty"`
 	Team  string `cbor:"8,keyasint,omitempty"`
 	Job   string `cbor:"9,keyasint,omitempty"`
+	// RepeatedAfterMS is positive when an earlier attempt at the same call may have been carried out. It
+	// is the time since the first one, in milliseconds.
+	RepeatedAfterMS int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// AsRepetition implements leader.Repeatable.
+func (c JobCall) AsRepetition(after time.Duration) any {
+	c.RepeatedAfterMS = max(c.RepeatedAfterMS, after.Milliseconds(), 1)
+	return c
 }
 
 // JobVerdict is the answer to a JobCall.
 type JobVerdict uint8
 
-// Verdicts. Only VerdictOK means that a submitted job is stored.
+// Verdicts. VerdictOK means that a submitted job is stored, and VerdictUnresolved that an earlier
+// attempt at the call may have been or may yet be carried out. After any other the call has changed
+// nothing, in any of its attempts.
 const (
 	VerdictOK JobVerdict = iota + 1
 	VerdictNoQueue
@@ -48,6 +61,7 @@
 	VerdictConflict
 	VerdictOverloaded
 	VerdictNoConfig
+	VerdictUnresolved
 )
 
 // JobCallReply answers a JobCall.
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -167,3 +167,9 @@
 		p.Stopping = true
 	}
 }
+
+// IsOf reports whether the job is that of a submission, whatever queue and team it names.
+func (j *Job) IsOf(c Submit) bool {
+	c.ID, c.Queue, c.Team = j.ID, j.Queue, j.Team
+	return fingerprint(&c) == j.Fingerprint
+}
