--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -113,7 +113,7 @@
 			d.recordFailure(e.Task, e.Worker.ID)
 		}
 		if w, ok := d.workers[e.Worker]; ok {
-			w.health.recordEnd(e, now)
+			w.recordEnd(e, now)
 		}
 	}
 	d.log.Read(func(s *fleet.State) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -61,7 +61,9 @@
 	// slowUntil is the time until which a slow worker gets no new tasks.
 	slowUntil int64
 	health    health
-	pace      paceController
+	// endedAtWork holds the ended runs of the last report that were fully active before.
+	endedAtWork map[workload.Run]bool
+	pace        paceController
 }
 
 // runProgress is the progress of a run and when it last changed.
@@ -132,6 +134,7 @@
 		last.observe(r.Percent, now)
 		progress[r.Run] = last
 	}
+	w.noteEndedAtWork(rep.Ended, w.progress)
 	w.running = running
 	w.progress = progress
 	w.delivery.observe(w)
