Decide nothing on an incomplete or unknown answer of the platform

Cause: an answer that was cut off after its status 409 counted as one that the machine does not exist or is not of the wave, and the machine was committed as begun.

Change: an answer counts when it is complete, and a 409 by a reason that the platform names; the default is an open outcome, after which the order is given again. A wave goes on without a machine after a second refusal, and for one that is said not to exist only if a complete list lacks it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -110,7 +110,9 @@
 	// machine list was read under this leadership.
 	machinesByName map[string]*machine
 	machinesListed bool
-	demand         map[string]capacity.Demand
+	// latestList is the latest reading of that list.
+	latestList machineList
+	demand     map[string]capacity.Demand
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
 	transfers map[string]transfer
@@ -164,6 +166,7 @@
 	d.approvals = newApprovals()
 	d.machinesByName = map[string]*machine{}
 	d.machinesListed = false
+	d.latestList = machineList{}
 	d.demand = nil
 	d.transfers = map[string]transfer{}
 	d.emptying, d.emptyingPools = nil, nil
--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -29,6 +29,20 @@
 	partial, complete bool
 }
 
+// lacks reports whether the list shows that there is no such machine at a time after since.
+func (l *machineList) lacks(machine string, since int64) bool {
+	_, found := l.machines[machine]
+	return l.complete && !found && l.requestedAt > since
+}
+
+// needsFreshList reports whether a decision waits for a new reading of the machine list.
+func (d *Dispatcher) needsFreshList() bool {
+	d.mu.Lock()
+	waits := len(d.maintenance.refusedAt) > 0
+	d.mu.Unlock()
+	return waits || d.hasSilentWorkers()
+}
+
 // hasSilentWorkers reports whether a worker with tasks is silent and may still run them, so
 // that the platform's list can tell a crash from a network partition.
 func (d *Dispatcher) hasSilentWorkers() bool {
@@ -60,6 +74,7 @@
 // list, the tasks that ran there would wait 10 s for the leases to expire.
 func (d *Dispatcher) terminateMissing(s *workload.State, list machineList) {
 	list.complete = !list.partial && d.isComplete(list)
+	d.latestList = list
 	for incarnation, w := range d.workers {
 		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, w.Pool, list) {
 			w.terminateCrashed()
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -15,7 +15,8 @@
 	listTimeout       = 4 * time.Second
 	listRetryInterval = 500 * time.Millisecond
 	listPollInterval  = 50 * time.Millisecond
-	// silentListInterval is the time between readings while a worker with tasks is silent:
+	// silentListInterval is the time between readings while a worker with tasks is silent or a
+	// machine is said not to exist:
 	// a tenth of the longest lease, and 6 calls for 500 machines.
 	silentListInterval = time.Second
 )
@@ -34,7 +35,7 @@
 		switch {
 		case !d.hasMachineList():
 			due = listRetryInterval
-		case interval == listInterval && d.hasSilentWorkers():
+		case interval == listInterval && d.needsFreshList():
 			due = silentListInterval
 		}
 		if time.Since(last) < due {
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -349,7 +349,7 @@
 // for the machine shows that it was not carried out. Until the worker reports again, it gets no
 // tasks: they would count as ones that crash their workers.
 func (d *Dispatcher) noteFailedOrder(machine string, err error, now int64) {
-	for _, refusal := range []error{ErrFenced, ErrMachineBusy, ErrNoMachine, ErrNotPermitted, ErrThrottled} {
+	for _, refusal := range []error{ErrFenced, ErrMachineBusy, ErrNoMachine, ErrNotInWave, ErrNotPermitted, ErrThrottled} {
 		if errors.Is(err, refusal) {
 			return
 		}
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -20,11 +20,19 @@
 	machines   []MachineInfo
 	// connected delays each order until it is closed; nil delays none.
 	connected chan struct{}
+	// refuse returns the error of an order to maintain a machine of a wave that is not carried out; nil
+	// refuses none.
+	refuse func(machine string, wave int64) error
 	// answers delays the answer to each order until it yields an error or nil; nil delays none.
 	answers chan error
 }
 
-func (o *fakeProvider) Maintain(_ context.Context, machine string, _ int64, order MachineOrder) error {
+func (o *fakeProvider) Maintain(_ context.Context, machine string, wave int64, order MachineOrder) error {
+	if o.refuse != nil {
+		if err := o.refuse(machine, wave); err != nil {
+			return err
+		}
+	}
 	return o.send(order, o.maintained, machine)
 }
 
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -10,15 +10,17 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
-// Errors of a MachineProvider. After any other error the operation may have been carried
-// out.
+// Errors of a MachineProvider. Each stands for a complete answer that names its reason. After any
+// other error the operation may have been carried out.
 var (
 	// ErrFenced means that a later leader has called the platform for this machine.
 	ErrFenced = errors.New("dispatch: a later leader controls this machine")
 	// ErrMachineBusy means that the machine is not up; a retry may succeed.
 	ErrMachineBusy = errors.New("dispatch: the machine is not up")
-	// ErrNoMachine means that the machine does not exist or is not due in the wave.
-	ErrNoMachine = errors.New("dispatch: the machine does not exist or is not due in this wave")
+	// ErrNoMachine means that the machine or the pool does not exist.
+	ErrNoMachine = errors.New("dispatch: the machine or the pool does not exist")
+	// ErrNotInWave means that the machine is not due in the wave.
+	ErrNotInWave = errors.New("dispatch: the machine is not due in this wave")
 	// ErrNotPermitted means that the order was not sent, because the caller no longer leads or a
 	// long-running task is on the machine.
 	ErrNotPermitted = errors.New("dispatch: the order was not sent, its sender no longer leads or a long-running task is on the machine")
@@ -48,6 +50,9 @@
 	// confirmUpMS is the time from an order or a change of leader until a report that is received
 	// counts as sent after it. It is longer than most heartbeats take.
 	confirmUpMS = 1500
+	// confirmRefusalMS is the time after which an order is given once more that was refused for good.
+	// Only a second refusal decides that a wave goes on without the machine.
+	confirmRefusalMS = 2000
 	// machineCallRetryMS is the delay after a failed call to maintain or move a machine.
 	machineCallRetryMS = 400
 )
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -63,16 +63,18 @@
 	defer d.mu.Unlock()
 	now := int64(d.log.Now())
 	defer d.Wake()
+	refused := d.isRefusedForGood(mt, m.WaveMachine, err, now)
 	switch {
 	case err == nil:
 		d.markDown(mt, m, now)
-	case errors.Is(err, ErrNoMachine):
+	case refused:
+		d.logger.Info().Err(err).Int64("wave", m.Wave).Str("machine", m.Machine).Msg("wave goes on without a machine")
 	case errors.Is(err, ErrFenced):
 		mt.fenced = true
 		delete(mt.callsInFlight, m.Machine)
 		return
 	default:
-		mt.retryAt[m.Machine] = now + machineCallRetryMS
+		mt.retryAt[m.Machine] = max(mt.retryAt[m.Machine], now+machineCallRetryMS)
 		d.noteFailedOrder(m.Machine, err, now)
 		delete(mt.callsInFlight, m.Machine)
 		return
@@ -84,6 +86,28 @@
 	}
 }
 
+// isRefusedForGood reports whether the answer to an order shows that the machine has no maintenance in
+// its wave: it is refused a second time and, if the machine is said not to exist, the platform's
+// complete list does not contain it either. A wave that goes on without a machine never comes back
+// to it.
+func (d *Dispatcher) isRefusedForGood(mt *maintenance, m workload.WaveMachine, err error, now int64) bool {
+	if !errors.Is(err, ErrNoMachine) && !errors.Is(err, ErrNotInWave) {
+		delete(mt.refusedAt, m)
+		return false
+	}
+	since, known := mt.refusedAt[m]
+	if !known {
+		since = now
+		mt.refusedAt[m] = now
+	}
+	if now-since >= confirmRefusalMS && (errors.Is(err, ErrNotInWave) || d.latestList.lacks(m.Machine, since)) {
+		delete(mt.refusedAt, m)
+		return true
+	}
+	mt.retryAt[m.Machine] = now + confirmRefusalMS
+	return false
+}
+
 // markDown records that the maintenance of a machine has begun. The worker that was there at the
 // first order has ended by then. Another one that reports now may be the one after the
 // maintenance, since the answer may be late or that to a repetition: it goes on, and must only
--- a/internal/dispatch/maintenancestate.go
+++ b/internal/dispatch/maintenancestate.go
@@ -20,6 +20,8 @@
 	callsInFlight map[string]bool
 	// retryAt is the earliest time of the next call for a machine, after a failed one.
 	retryAt map[string]int64
+	// refusedAt holds when the order for a machine of a wave was first refused for good.
+	refusedAt map[workload.WaveMachine]int64
 	// hasReported holds the machines from which a report was received that was sent under this
 	// leadership.
 	hasReported map[string]bool
@@ -53,7 +55,7 @@
 	return &maintenance{
 		leadingSince: now, draining: map[string]int64{}, blockedSince: map[string]int64{}, down: map[string]downMachine{},
 		ordered:       map[string]workload.WorkerIncarnation{},
-		callsInFlight: map[string]bool{}, retryAt: map[string]int64{}, hasReported: map[string]bool{},
+		callsInFlight: map[string]bool{}, retryAt: map[string]int64{}, refusedAt: map[workload.WaveMachine]int64{}, hasReported: map[string]bool{},
 	}
 }
 
