--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -51,6 +51,7 @@
 		runs[w.Pool][w] = measuredRuns(s, incarnation, w)
 	}
 	var stops []workload.Run
+	siblings := doneSiblings{}
 	for _, onWorkers := range runs {
 		speeds := newPoolSpeeds(onWorkers)
 		for w, measured := range onWorkers {
@@ -64,7 +65,7 @@
 			}
 			for _, r := range measured {
 				elsewhereMS := r.expectedMS*percent/max(speeds.median, 1) + moveCostMS
-				if slow && r.remainingMS > elsewhereMS || d.behindSiblings(s, r) && !w.progress[r.run].takesLong {
+				if slow && r.remainingMS > elsewhereMS || siblings.isBehind(s, r) && !w.progress[r.run].takesLong {
 					stops = append(stops, d.moveRun(s, w, r)...)
 				}
 			}
@@ -81,17 +82,29 @@
 	return values[len(values)/2]
 }
 
-// behindSiblings reports whether the run still needs much longer than the completed tasks
-// of its step took.
-func (d *Dispatcher) behindSiblings(s *workload.State, r measuredRun) bool {
-	j := s.Jobs[r.run.Task.Job]
-	var runTimes []int64
-	for _, t := range j.Occurrences[r.run.Task.Occurrence].Steps[r.run.Task.Step].Tasks {
-		if t.Phase == workload.Done {
-			runTimes = append(runTimes, t.EndedAt-t.PlacedAt)
+// doneSiblings holds, by step, the median run time of the completed tasks in milliseconds, or -1 if
+// they are too few. It is computed once for each step: a step may have thousands of tasks.
+type doneSiblings map[stepKey]int64
+
+// isBehind reports whether the run still needs much longer than the completed tasks of its step
+// took.
+func (m doneSiblings) isBehind(s *workload.State, r measuredRun) bool {
+	key := keyOf(r.run.Task)
+	medianMS, known := m[key]
+	if !known {
+		var runTimes []int64
+		for _, t := range s.Jobs[key.job].Occurrences[key.occurrence].Steps[key.step].Tasks {
+			if t.Phase == workload.Done {
+				runTimes = append(runTimes, t.EndedAt-t.PlacedAt)
+			}
+		}
+		medianMS = -1
+		if len(runTimes) >= minDoneSiblings {
+			medianMS = median(runTimes)
 		}
+		m[key] = medianMS
 	}
-	return len(runTimes) >= minDoneSiblings && r.remainingMS > siblingFactor*median(runTimes)+moveCostMS
+	return medianMS >= 0 && r.remainingMS > siblingFactor*medianMS+moveCostMS
 }
 
 // moveRun returns the run as one to stop, so that its task starts on another worker, or nil
