--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -162,7 +162,7 @@
 }
 
 // evidence returns what the worker's runs show, without tasks that are known to take long on
-// any worker.
+// any worker, or were slow on as many workers as they may be moved between.
 //
 // The declared time holds for all tasks of a step, so that they are slow together if it is
 // wrong. A step that is slow on other workers too shows nothing about this one.
@@ -172,7 +172,7 @@
 	for _, r := range p.runs[w] {
 		step := stepOf(r.run.Task)
 		slow := p.steps[stepOnWorker{w, step}]
-		if counted[step] || w.progress[r.run].takesLong || slow && p.slowWorkers[step] > 1 {
+		if counted[step] || w.progress[r.run].takesLong || r.run.Run >= moveRunLimit || slow && p.slowWorkers[step] > 1 {
 			continue
 		}
 		counted[step] = true
--- a/internal/dispatch/straggler_test.go
+++ b/internal/dispatch/straggler_test.go
@@ -138,3 +138,21 @@
 	require.True(t, r.settle())
 	requireOneStartEach(t, r, "mixed")
 }
+
+// Guards against a worker that gets no tasks for as long as tasks run there that are slow wherever they
+// run: after some moves they show nothing about the worker.
+func TestTasksThatMayNotMoveAnyMoreShowNothingOfTheirWorker(t *testing.T) {
+	for run, slow := range map[int]bool{1: true, moveRunLimit: false} {
+		w, others := newWorker(Report{}), map[*worker][]measuredRun{}
+		for i := range 3 {
+			ref := workload.TaskRef{Job: fmt.Sprint("slow", i)}
+			others[w] = append(others[w], measuredRun{run: workload.Run{Task: ref, Run: run}, speedPercent: 1, expectedMS: rigTaskMS})
+			other := newWorker(Report{})
+			for k := range minRunsForSpeed {
+				ref := workload.TaskRef{Job: fmt.Sprint("sound", i, k)}
+				others[other] = append(others[other], measuredRun{run: workload.Run{Task: ref, Run: 1}, speedPercent: 100, expectedMS: rigTaskMS})
+			}
+		}
+		require.Equal(t, slow, newPoolSpeeds(others).evidence(w).isSlow(), "run %d", run)
+	}
+}
