Keep the decisions of the advice service by worker

Cause: a worker that no request had named counted as not approved, and only workers that joined led to a new request, for the 30 that had joined last.

Change: a worker is approved, denied or undecided. While tasks of a step wait, undecided workers are asked about until one that is approved may take a task, and those with room after that.

TestApprovalsOfEvacuatedWorkersAreDropped asserted that an approval is removed from the map, by the fields of a type that is gone. Its replacement asserts what that was for, that the step is asked about again, and the same of a step whose workers are all denied.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -126,3 +127,60 @@
 		require.Empty(t, r.violation)
 	}
 }
+
+// Guards against jobs that never run since the service is asked about the workers that joined last
+// only, and not about the one that may run them.
+func TestAdviceIsAskedForAboutAllWorkers(t *testing.T) {
+	r, a := newAdviceRig("oldest")
+	r.workers = nil
+	r.addWorker("oldest", "r1").heartbeat(0, false)
+	r.advance(100)
+	for i := range maxAdviceWorkers + 7 {
+		r.addWorker(fmt.Sprint("w", i), "r1").heartbeat(0, false)
+	}
+	r.submit("job", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}})
+	r.runWithAdvice(t, 4000)
+	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["job"].State)
+	require.Equal(t, 2, a.calls)
+}
+
+// Guards against a job that waits until an old decision expires, because the one worker that may run it
+// was cut off when the service was asked, and is no new one.
+func TestAdviceIsAskedForAboutAWorkerThatWasCutOff(t *testing.T) {
+	r, a := newAdviceRig("a")
+	for _, w := range r.workers {
+		w.heartbeat(0, false)
+	}
+	cutOff := r.workers[0]
+	r.workers = r.workers[1:]
+	r.runWithAdvice(t, 2000)
+	r.submit("job", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1000}})
+	r.runWithAdvice(t, 3500)
+	require.Equal(t, 1, a.calls)
+	r.workers = append(r.workers, cutOff)
+	r.runWithAdvice(t, 3000)
+	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["job"].State)
+	require.Equal(t, 2, a.calls)
+}
+
+// Guards against a step that waits for room on a worker that may run it while another one that may is
+// idle and was never asked about, and against questions for a pool that is full.
+func TestAdviceIsAskedForWhileApprovedWorkersAreFull(t *testing.T) {
+	r, a := newAdviceRig("oldest", "full")
+	r.workers = nil
+	oldest := r.addWorker("oldest", "r1")
+	oldest.heartbeat(0, false)
+	r.advance(100)
+	for i := range maxAdviceWorkers - 1 {
+		r.addWorker(fmt.Sprint("w", i), "r1").heartbeat(0, false)
+	}
+	full := r.addWorker("full", "r1")
+	full.heartbeat(0, false)
+	r.submit("job", workload.Step{Count: 3, Size: workload.Resources{CPUMilli: rigCPU}, LongRunning: true})
+	r.runWithAdvice(t, 1200)
+	require.Len(t, full.running, 1)
+	require.Empty(t, oldest.running)
+	r.runWithAdvice(t, 20_000)
+	require.Len(t, oldest.running, 1)
+	require.Equal(t, 2, a.calls, "all are decided, and one task still waits")
+}
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -223,7 +223,6 @@
 		d.updateIdleTimes(s.Workload, now)
 		d.rebalance(s.Workload, now)
 		d.followEvacuations(s.Workload, now)
-		renewals := d.approvalsToRenew(s.Workload, now)
 		workers := d.availableWorkers(s.Workload, now)
 		plan, room := taskplan.ComputeWithRoom(d.planInput(s.Workload, workers, now))
 		p.Starts = plan.Starts
@@ -235,7 +234,7 @@
 		d.updateDemand(s.Workload, plan, now)
 		d.reportOverloads(plan.Overloads)
 		d.meters.learnedRuns.Update(int64(s.Workload.RunTimes.Records))
-		d.requestAdvice(s.Workload, append(plan.NeedApproval, renewals...), workers, now)
+		d.requestAdvice(s.Workload, plan.NeedApproval, workers, now)
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
@@ -258,7 +257,7 @@
 // occupy nothing.
 func (d *Dispatcher) pruneRecords(s *workload.State) {
 	maps.DeleteFunc(d.failedOn, func(ref workload.TaskRef, _ map[string]bool) bool { return s.Active()[ref.Job] == nil })
-	maps.DeleteFunc(d.approvals.askedAt, func(ref taskplan.StepRef, _ int64) bool { return s.Active()[ref.Job] == nil })
+	maps.DeleteFunc(d.approvals.steps, func(ref taskplan.StepRef, _ *stepApprovals) bool { return s.Active()[ref.Job] == nil })
 	unused := func(incarnation workload.WorkerIncarnation) bool { return len(s.RunsOn(incarnation)) == 0 }
 	maps.DeleteFunc(d.terminatedUnseen, func(incarnation workload.WorkerIncarnation, _ bool) bool { return unused(incarnation) })
 	maps.DeleteFunc(d.missingLists, func(incarnation workload.WorkerIncarnation, _ int) bool { return unused(incarnation) })
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -161,22 +161,33 @@
 
 // The approval of workers that are all evacuated must not keep a step from being asked about
 // again.
-func TestApprovalsOfEvacuatedWorkersAreDropped(t *testing.T) {
+func TestStepsOfEvacuatedWorkersAreAskedAboutAgain(t *testing.T) {
 	r, there, elsewhere := newEvacuationRig(1, 1)
 	there[0].heartbeat(0, false)
 	elsewhere.heartbeat(0, false)
 	d := r.dispatchers[0]
 	here, other := there[0].report().Incarnation, elsewhere.report().Incarnation
-	only, both := taskplan.StepRef{Job: "only"}, taskplan.StepRef{Job: "both"}
-	refused := taskplan.StepRef{Job: "refused"}
-	d.approvals.steps[only] = approval{tickets: map[workload.WorkerIncarnation]string{here: "t"}, expiresAt: r.now + 10_000}
-	d.approvals.steps[both] = approval{tickets: map[workload.WorkerIncarnation]string{here: "t", other: "t"}, expiresAt: r.now + 10_000}
-	d.approvals.steps[refused] = approval{expiresAt: r.now + 10_000}
+	decide := func(job string, approved ...workload.WorkerIncarnation) taskplan.StepRef {
+		r.submit(job, oneTask(2*rigCPU)) // waits, since it fits nowhere
+		tickets := map[workload.WorkerIncarnation]string{}
+		for _, incarnation := range approved {
+			tickets[incarnation] = "t"
+		}
+		ref := taskplan.StepRef{Job: job}
+		d.approvals.step(ref).record([]workload.WorkerIncarnation{here, other}, tickets, r.now, 10_000)
+		return ref
+	}
+	only, both, refused := decide("only", here), decide("both", here, other), decide("refused")
+	askAgain := func() []taskplan.StepRef {
+		without, full := d.stepsToAskAgain(r.state.Workload, d.availableWorkers(r.state.Workload, r.now), r.now)
+		require.NotContains(t, without, both)
+		require.NotContains(t, full, only)
+		return without
+	}
+	require.Equal(t, []taskplan.StepRef{refused}, askAgain())
 	r.evacuate(rigDataCentre, false)
 	r.cycle()
-	require.NotContains(t, d.approvals.steps, only)
-	require.Contains(t, d.approvals.steps, both)
-	require.Contains(t, d.approvals.steps, refused)
+	require.Equal(t, []taskplan.StepRef{only, refused}, askAgain())
 }
 
 // A burst must not bring a machine of an evacuated data centre into the pool, and one that was to
--- a/internal/dispatch/serve_test.go
+++ b/internal/dispatch/serve_test.go
@@ -104,5 +104,5 @@
 	d.advisor = oddAdvisor{}
 	ref := taskplan.StepRef{Job: "job"}
 	d.fetchAdvice(ref, []workload.WorkerIncarnation{{ID: "w"}}, 1000, r.now, d.approvals)
-	require.Equal(t, map[workload.WorkerIncarnation]string{{ID: "other"}: "ticket"}, d.approvals.steps[ref].tickets)
+	require.Equal(t, map[workload.WorkerIncarnation]ticket{{ID: "other"}: {"ticket", r.now + 1000}}, d.approvals.steps[ref].tickets)
 }
