Bound the jobs under way by their memory

Change: the state counts about what the jobs under way take, with their specifications, steps and tasks. What exceeds that is refused at once with a time to come back, and teams are held to their shares as they are for jobs and tasks.

--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -149,7 +149,7 @@
 	dispatcher := dispatch.New(node, dispatch.Settings{
 		Lease: stepLease, JobRetention: stepJobRetention, Holder: cfg.Instance, Planning: cfg.Planning,
 	}, nil, nil, registry, log)
-	intakeServer := intake.NewServer(node, dispatcher.Wake, registry, log)
+	intakeServer := intake.NewServer(node, dispatcher.Wake, intake.DefaultMaxActiveBytes, registry, log)
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
 	return store.NewServer(node, registry, log, requestLedger, controllers, leader, dispatch.WorkerHandler{Dispatcher: dispatcher}, intakeServer).Run(ctx, listener)
 }
--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// maxActiveJobs and maxActiveTasks bound the jobs that have not ended, and so the memory
-	// of a store: a task takes about 0.3 KiB, and twice that while a snapshot is written.
+	// maxActiveJobs and maxActiveTasks bound the jobs that have not ended, and so the work of a
+	// plan. Their memory is bounded by Backlog.MaxBytes.
 	maxActiveJobs  = 20_000
 	maxActiveTasks = 200_000
 	// crowdedPercent is the part of either bound from which on each team is held to its share
@@ -25,6 +25,7 @@
 const (
 	RefusedTooManyJobs  RefusalReason = "too many jobs are under way"
 	RefusedTooManyTasks RefusalReason = "too many tasks are under way"
+	RefusedTooManyBytes RefusalReason = "the jobs under way take too much memory"
 	RefusedOverShare    RefusalReason = "the team has more than its share of the jobs under way"
 	RefusedOutOfTurn    RefusalReason = "the room is kept for callers that were refused before"
 )
@@ -40,10 +41,14 @@
 
 // Backlog is what a decision needs to know of the jobs under way.
 type Backlog struct {
-	// Jobs and Tasks are those that have not ended.
+	// Jobs and Tasks are those that have not ended, and Bytes about the memory that they take.
 	Jobs, Tasks int
-	// TeamJobs and TeamTasks are those of the submitting team.
+	Bytes       int64
+	// MaxBytes bounds Bytes; 0 is no bound.
+	MaxBytes int64
+	// TeamJobs, TeamTasks and TeamBytes are those of the submitting team.
 	TeamJobs, TeamTasks int
+	TeamBytes           int64
 	// Weight is that of the team, and Weights the sum over the teams with jobs under way or
 	// refused, and this one. Both are at least 1.
 	Weight, Weights int64
@@ -54,8 +59,9 @@
 
 // Request is what a decision needs to know of a submission.
 type Request struct {
-	// Tasks is the number of tasks of the job.
+	// Tasks is the number of tasks of the job, and Bytes about the memory that it takes.
 	Tasks int
+	Bytes int64
 	// Ahead is the number of callers within their teams' shares that were refused before this
 	// one and are due back, and AheadOverShare that of callers beyond them.
 	Ahead, AheadOverShare int
@@ -83,16 +89,21 @@
 // before it can be accepted.
 func refusal(b Backlog, r Request) (RefusalReason, int) {
 	freeJobs, freeTasks := maxActiveJobs-b.Jobs, maxActiveTasks-b.Tasks-r.Tasks
-	crowded := isCrowded(b.Jobs, b.Tasks)
+	freeBytes := b.MaxBytes - b.Bytes - r.Bytes
+	crowded := b.isCrowded()
 	switch {
-	case crowded && overShare(b.TeamJobs, maxActiveJobs, b):
+	case crowded && overShare(int64(b.TeamJobs), maxActiveJobs, b):
 		return RefusedOverShare, 1 + b.TeamJobs - int(shareOf(maxActiveJobs, b))
-	case crowded && overShare(b.TeamTasks, maxActiveTasks, b):
+	case crowded && overShare(int64(b.TeamTasks), maxActiveTasks, b):
+		return RefusedOverShare, 1
+	case crowded && b.MaxBytes > 0 && overShare(b.TeamBytes, b.MaxBytes, b):
 		return RefusedOverShare, 1
 	case freeJobs <= 0:
 		return RefusedTooManyJobs, 1 - freeJobs
 	case freeTasks < 0:
 		return RefusedTooManyTasks, 1 + b.Jobs*-freeTasks/max(b.Tasks, 1)
+	case b.MaxBytes > 0 && freeBytes < 0:
+		return RefusedTooManyBytes, 1 + int(int64(b.Jobs)*-freeBytes/max(b.Bytes, 1))
 	case !crowded:
 		return "", 0
 	case r.Ahead >= freeJobs:
@@ -103,18 +114,19 @@
 }
 
 // isCrowded reports whether teams are held to their shares of the bounds.
-func isCrowded(jobs, tasks int) bool {
-	return jobs*100 >= maxActiveJobs*crowdedPercent || tasks*100 >= maxActiveTasks*crowdedPercent
+func (b *Backlog) isCrowded() bool {
+	return b.Jobs*100 >= maxActiveJobs*crowdedPercent || b.Tasks*100 >= maxActiveTasks*crowdedPercent ||
+		b.MaxBytes > 0 && b.Bytes*100 >= b.MaxBytes*crowdedPercent
 }
 
 // overShare reports whether one more would give the team more than its share of a bound. A job
 // counts as one task here, so that a large job is not refused as long as its team has room.
-func overShare(has, bound int, b Backlog) bool {
+func overShare(has, bound int64, b Backlog) bool {
 	return float64(has+1) > shareOf(bound, b)
 }
 
 // shareOf returns the team's share of a bound.
-func shareOf(bound int, b Backlog) float64 {
+func shareOf(bound int64, b Backlog) float64 {
 	return float64(bound) * float64(b.Weight) / float64(b.Weights)
 }
 
--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -37,6 +37,9 @@
 		"room beyond what is kept":   {with(func(b *Backlog) { b.Jobs -= 3 }), Request{Ahead: 2}, Admission{}},
 		"nothing runs in the pool":   {with(func(b *Backlog) { b.ClearMS = 0 }), Request{}, Admission{maxRetryMS, RefusedTooManyJobs}},
 		"too large a job":            {with(func(b *Backlog) { b.Jobs, b.Tasks = 100, 190_000 }), Request{Tasks: 20_000}, Admission{6000, RefusedTooManyTasks}},
+		"too much memory":            {with(func(b *Backlog) { b.Jobs, b.Bytes, b.MaxBytes = 100, 900, 1000 }), Request{Bytes: 190}, Admission{11_000, RefusedTooManyBytes}},
+		"over its share of memory":   {with(func(b *Backlog) { b.Jobs, b.Bytes, b.MaxBytes, b.TeamBytes = 100, 900, 1000, 600 }), Request{Bytes: 1}, Admission{1000, RefusedOverShare}},
+		"memory is not bounded":      {with(func(b *Backlog) { b.Jobs, b.Bytes = 100, 1<<62 }), Request{Bytes: 1}, Admission{}},
 		"absurd weights":             {with(func(b *Backlog) { b.Jobs, b.Weight, b.Weights = 16_000, 1<<62, 1<<62+1 }), Request{}, Admission{}},
 		"a pool that takes for ever": {with(func(b *Backlog) { b.ClearMS = 1e30 }), Request{Ahead: 1 << 40}, Admission{maxRetryMS, RefusedTooManyJobs}},
 	}
--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -14,6 +14,9 @@
 // backlogs holds the jobs under way by team and the work ahead by pool. It is computed only
 // while the bounds are nearly reached. It is safe for concurrent use.
 type backlogs struct {
+	// maxBytes bounds the memory of the jobs under way; 0 is no bound.
+	maxBytes int64
+
 	mu         sync.Mutex
 	computedAt time.Time
 	teams      map[string]teamBacklog
@@ -21,14 +24,17 @@
 	clearMS    map[string]float64
 }
 
-type teamBacklog struct{ jobs, tasks int }
+type teamBacklog struct {
+	jobs, tasks int
+	bytes       int64
+}
 
 // backlog returns the backlog for a submission of the team to the queue. waiting returns the
 // teams that have refused submissions: they take part in the shares.
 func (b *backlogs) backlog(s *workload.State, q workload.Queue, team string, waiting func() map[string]bool, now time.Time) Backlog {
-	out := Backlog{Jobs: len(s.Active()), Tasks: s.ActiveTasks(), Weight: weightOf(s, team)}
+	out := Backlog{Jobs: len(s.Active()), Tasks: s.ActiveTasks(), Bytes: s.ActiveBytes(), MaxBytes: b.maxBytes, Weight: weightOf(s, team)}
 	out.Weights = out.Weight
-	if !isCrowded(out.Jobs, out.Tasks) {
+	if !out.isCrowded() {
 		return out
 	}
 	b.mu.Lock()
@@ -38,7 +44,7 @@
 		b.computedAt = now
 	}
 	t, known := b.teams[team]
-	out.TeamJobs, out.TeamTasks, out.ClearMS = t.jobs, t.tasks, b.clearMS[q.Pool]
+	out.TeamJobs, out.TeamTasks, out.TeamBytes, out.ClearMS = t.jobs, t.tasks, t.bytes, b.clearMS[q.Pool]
 	out.Weights = b.weights
 	if !known {
 		out.Weights += out.Weight
@@ -54,6 +60,7 @@
 		t := b.teams[j.Team]
 		t.jobs++
 		t.tasks += j.TotalTasks()
+		t.bytes += j.Bytes()
 		pool := s.PoolOf(j)
 		for _, o := range j.Occurrences {
 			for i := range o.Steps {
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -25,10 +25,10 @@
 // decide decides whether to accept a new job, and keeps the place of one that it refuses.
 func (g *gate) decide(s *workload.State, sub submission, now time.Time) Admission {
 	b := g.backlogs.backlog(s, sub.queue, sub.team, g.inShare.teams, now)
-	if !isCrowded(b.Jobs, b.Tasks) {
-		return Decide(b, Request{Tasks: tasksOf(sub.content)})
+	if !b.isCrowded() {
+		return Decide(b, Request{Tasks: tasksOf(sub.content), Bytes: sub.content.Bytes()})
 	}
-	r := Request{Tasks: tasksOf(sub.content), Ahead: g.inShare.ahead(sub.id, now), AheadOverShare: g.overShare.ahead(sub.id, now)}
+	r := Request{Tasks: tasksOf(sub.content), Bytes: sub.content.Bytes(), Ahead: g.inShare.ahead(sub.id, now), AheadOverShare: g.overShare.ahead(sub.id, now)}
 	a := Decide(b, r)
 	dueAt := now.Add(time.Duration(a.RetryAfterMS) * time.Millisecond)
 	switch a.Reason {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -35,12 +35,17 @@
 	attempts   attempts
 }
 
+// DefaultMaxActiveBytes bounds the memory of the jobs under way where no other bound is set.
+const DefaultMaxActiveBytes = 32 << 20
+
 // NewServer returns a server. It calls changed after each submission or cancellation that
-// the log has applied.
-func NewServer(log fleet.Log, changed func(), registry metrics.Registry, logger zerolog.Logger) *Server {
+// the log has applied. maxActiveBytes bounds the memory of the jobs that have not ended; 0 is no
+// bound. A store takes several times as much while it writes a snapshot.
+func NewServer(log fleet.Log, changed func(), maxActiveBytes int64, registry metrics.Registry, logger zerolog.Logger) *Server {
 	return &Server{
 		log: log, changed: changed, logger: logger, unresolved: newRecentIDs(unresolvedRetention),
 		attempts: attempts{underWay: map[string]*attempt{}},
+		gate:     gate{backlogs: backlogs{maxBytes: maxActiveBytes}},
 		calls:    metrics.GetOrRegisterTimer("intake_call_seconds", registry),
 		refused:  metrics.GetOrRegisterCounter("intake_refused_jobs_total", registry),
 	}
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -53,7 +53,7 @@
 
 func newServer() (*Server, *fakeLog) {
 	log := &fakeLog{state: fleet.NewState()}
-	return NewServer(log, func() {}, metrics.NewRegistry(), zerolog.Nop()), log
+	return NewServer(log, func() {}, 0, metrics.NewRegistry(), zerolog.Nop()), log
 }
 
 func applyConfig(log *fakeLog, version int64, queues ...workload.Queue) {
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -44,6 +44,8 @@
 	teamUse map[string]Resources
 	// activeTasks is the number of tasks of the active jobs, in all of their occurrences.
 	activeTasks int
+	// activeBytes is about the memory of the active jobs.
+	activeBytes int64
 }
 
 // NewState returns an empty state.
@@ -77,7 +79,7 @@
 		}
 	}
 	s.active = map[string]*Job{}
-	s.activeTasks = 0
+	s.activeTasks, s.activeBytes = 0, 0
 	s.runs = map[WorkerIncarnation]map[TaskRef]*Placement{}
 	s.teamUse = map[string]Resources{}
 	for _, j := range s.Jobs {
@@ -179,11 +181,13 @@
 func (s *State) addActive(j *Job) {
 	s.active[j.ID] = j
 	s.activeTasks += j.TotalTasks()
+	s.activeBytes += j.Bytes()
 }
 
 func (s *State) removeActive(j *Job) {
 	delete(s.active, j.ID)
 	s.activeTasks -= j.TotalTasks()
+	s.activeBytes -= j.Bytes()
 }
 
 // TotalTasks returns the number of tasks of the job in all of its occurrences.
@@ -199,6 +203,9 @@
 // whatever their phase.
 func (s *State) ActiveTasks() int { return s.activeTasks }
 
+// ActiveBytes returns about the memory that the active jobs take; see Job.Bytes.
+func (s *State) ActiveBytes() int64 { return s.activeBytes }
+
 // Active returns the jobs that have not ended, by identifier. The map must not be changed.
 func (s *State) Active() map[string]*Job { return s.active }
 
