Let many suspects share workers, and leave some to others

Cause: a crash before the runs of a wide step were reported made suspects of all its tasks. Each ran alone, on a worker that got nothing else, and on all workers of the pool.

Change: suspects of a first crash share workers while they are more than the workers, about the root of their number each; one that crashes again runs alone. A third of the workers are not kept free for suspects, and suspects are not moved for slowness.

Evidence: TestManySuspectsDoNotCloseAPool failed before and passes; TestCrashingTaskIsFoundAmongManySuspects: one bad task of 400 is given up within five crashes.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -377,3 +377,61 @@
 	}
 	requireGivenUp(t, r)
 }
+
+// Guards against a wide step that keeps all workers to itself for minutes, since a crash made suspects
+// of all of its tasks and each of them ran alone; found by soak seed 910.
+func TestManySuspectsDoNotCloseAPool(t *testing.T) {
+	const tasks = 400
+	r := newRig(1)
+	for i := range 4 {
+		r.addWorker(fmt.Sprint("w", i), "r1").heartbeat(0, false)
+	}
+	r.submitWide("wide", tasks, "")
+	r.cycle()
+	for _, w := range r.workers {
+		if w.heartbeat(0, false); len(w.running) > 0 {
+			w.crash()
+			r.advance(1000)
+			w.restart()
+			break
+		}
+	}
+	r.runUndisturbed(500)
+	suspects := 0
+	for i := range tasks {
+		if _, task, _ := r.state.Workload.Task(workload.TaskRef{Job: "wide", Index: i}); task.Suspect() {
+			suspects++
+		}
+	}
+	require.Greater(t, suspects, tasks/2)
+	for i := range 10 {
+		id := fmt.Sprint("small", i)
+		r.submit(id, workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}, EstimatedMS: rigTaskMS})
+		r.runUndisturbed(3 * rigTaskMS)
+		require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs[id].State, id)
+	}
+	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["wide"].State)
+	require.Empty(t, r.violation)
+}
+
+// Among many suspects, the one that crashes its workers is found and given up in time.
+func TestCrashingTaskIsFoundAmongManySuspects(t *testing.T) {
+	r := newRig(1)
+	for i := range 4 {
+		r.addWorker(fmt.Sprint("w", i), "r1").heartbeat(0, false)
+	}
+	culprit := workload.TaskRef{Job: "wide", Index: 123}
+	r.crashing = map[workload.TaskRef]bool{culprit: true}
+	r.submitWide("wide", 400, "")
+	for range 60_000 / 50 {
+		r.runUndisturbed(settleStepMS)
+		for _, w := range r.workers {
+			if !w.up && r.now-w.downAt >= 1000 {
+				w.restart()
+			}
+		}
+	}
+	require.Equal(t, workload.JobFailed, r.state.Workload.Jobs["wide"].State)
+	require.LessOrEqual(t, r.crashCounts[culprit], 5)
+	require.Empty(t, r.violation)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -80,22 +80,30 @@
 	return w.lastReportAt - w.progress[run].first.at
 }
 
-// separateSuspects returns the starts that may be on their way to a worker together. The
-// start of a suspect task is sent alone, once the worker has reported all other runs: a
-// crash can't tell apart runs of which none was reported.
+// separateSuspects returns the starts that may be on their way to a worker together. Suspect tasks
+// are sent once the worker has reported all other runs: a crash can't tell apart runs of which
+// none was reported. Those of a first crash are sent together, as the plan has placed them, and one
+// that has crashed again alone.
 func separateSuspects(s *workload.State, starts []StartOrder) []StartOrder {
-	var suspects, others []StartOrder
+	var crashedAgain, suspects, others []StartOrder
 	for _, start := range starts {
-		if _, t, ok := s.Task(start.Task); ok && t.Suspect() {
+		switch _, t, ok := s.Task(start.Task); {
+		case ok && t.CrashedAgain():
+			crashedAgain = append(crashedAgain, start)
+		case ok && t.Suspect():
 			suspects = append(suspects, start)
-		} else {
+		default:
 			others = append(others, start)
 		}
 	}
-	if len(suspects) == 0 || len(others) > 0 {
+	switch {
+	case len(others) > 0:
 		return others
+	case len(suspects) > 0:
+		return suspects
+	default:
+		return crashedAgain[:min(len(crashedAgain), 1)]
 	}
-	return suspects[:1]
 }
 
 // hasSuspect reports whether the worker is kept free for the run of a suspect task.
--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -108,9 +108,9 @@
 }
 
 // moveRun returns the run as one to stop, so that its task starts on another worker, or nil
-// if the task was started too often.
+// if the task was started too often, or is a suspect that keeps its worker free.
 func (d *Dispatcher) moveRun(s *workload.State, w *worker, r measuredRun) []workload.Run {
-	if _, t, _ := s.Task(r.run.Task); t.Run >= moveRunLimit {
+	if _, t, _ := s.Task(r.run.Task); t.Run >= moveRunLimit || t.Suspect() {
 		return nil
 	}
 	d.logger.Info().Str("task", r.run.Task.String()).Int("run", r.run.Run).Str("worker", w.Incarnation.ID).
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -159,8 +159,10 @@
 	// limit.
 	startsLeft int
 	tasks      int
-	// starts is the number of tasks that this plan starts on the worker.
-	starts int
+	// starts is the number of tasks that this plan starts on the worker, and suspects the number of
+	// suspect ones among them. hasSuspects is true if a suspect task is on the worker.
+	starts, suspects int
+	hasSuspects      bool
 	// longRunning counts the long-running tasks. A worker that has one can't be released
 	// from its pool.
 	longRunning int
@@ -213,6 +215,7 @@
 	for _, run := range p.in.State.RunsOn(w.Incarnation) {
 		state.free = state.free.Minus(run.Occupies)
 		state.tasks++
+		state.hasSuspects = state.hasSuspects || run.Suspect()
 		if run.LongRunning {
 			state.longRunning++
 		} else {
--- a/internal/taskplan/pool.go
+++ b/internal/taskplan/pool.go
@@ -13,7 +13,9 @@
 // wait for hundreds of workers. Comparing every worker for every task takes longer than an
 // election timeout then; a sorted group finds the tightest fit by binary search.
 type poolWorkers struct {
-	all []*workerState
+	// suspectWorkers is the number of workers that have a suspect task.
+	suspectWorkers int
+	all            []*workerState
 	// groups holds the workers by data centre and tier. Each group is sorted by compareFit.
 	groups map[groupKey][]*workerState
 	// dataCentres are the data centres of the workers, sorted.
@@ -53,7 +55,11 @@
 // sort computes the groups from the present state of the workers.
 func (p *poolWorkers) sort() {
 	p.groups, p.freeMilli, p.dataCentres = map[groupKey][]*workerState{}, map[string]int64{}, nil
+	p.suspectWorkers = 0
 	for _, w := range p.all {
+		if w.hasSuspects {
+			p.suspectWorkers++
+		}
 		if _, known := p.freeMilli[w.DataCentre]; !known {
 			p.dataCentres = append(p.dataCentres, w.DataCentre)
 		}
--- a/internal/taskplan/suspect.go
+++ b/internal/taskplan/suspect.go
@@ -1,20 +1,80 @@
 package taskplan
 
-import "github.com/samphirefork/samphirefork/internal/workload"
+import (
+	"math"
+
+	"github.com/samphirefork/samphirefork/internal/workload"
+)
+
+const (
+	// otherWorkersDivisor is the inverse of the share of a pool's workers that are not kept free for
+	// suspect tasks, one at least of several.
+	otherWorkersDivisor = 3
+	// maxSuspectsTogether bounds the suspects that share a worker: each of them runs alone if that
+	// worker crashes.
+	maxSuspectsTogether = 32
+)
 
 // separates reports whether the worker keeps a suspect task apart from others. A crash can't
 // tell two tasks apart that started together.
+//
+// A crash may make suspects of all tasks of a wide step, a thousand or more. Tested one by one on
+// each worker they would close the pool for minutes, so that suspects of a first crash share
+// workers while they are more than the workers for them: of N suspects, about the root of N each.
 func (s *selector) separates(w *workerState, task *workload.Task) bool {
-	return !task.Suspect() || w.starts == 0 || s.sharesWorkers
+	if s.sharesWorkers {
+		return true
+	}
+	if !task.Suspect() {
+		return w.suspects == 0
+	}
+	if w.starts == 0 {
+		return w.hasSuspects || s.workers.suspectWorkers < s.workers.maxSuspectWorkers()
+	}
+	return w.suspects > 0 && w.suspects < s.suspectsTogether() && !task.CrashedAgain()
+}
+
+// maxSuspectWorkers returns how many workers of the pool may have suspect tasks at the same time.
+func (p *poolWorkers) maxSuspectWorkers() int {
+	n := len(p.all)
+	return max(n-max(n/otherWorkersDivisor, 1), 1)
 }
 
-// reserve keeps further tasks off a worker that this plan gives to a suspect one.
+// reserve keeps further tasks off a worker that this plan gives to a suspect one, but for other
+// suspects that may share it.
 func (s *selector) reserve(w *workerState, task *workload.Task) {
-	if task.Suspect() && !s.sharesWorkers {
+	if !task.Suspect() || s.sharesWorkers {
+		return
+	}
+	if !w.hasSuspects {
+		w.hasSuspects = true
+		s.workers.suspectWorkers++
+	}
+	w.suspects++
+	if task.CrashedAgain() {
 		w.startsLeft = 0
 	}
 }
 
+// suspectsTogether returns how many suspects of a first crash may share a worker.
+func (s *selector) suspectsTogether() int {
+	if s.together > 0 {
+		return s.together
+	}
+	waiting := 0
+	for i := range s.c.progress.Tasks {
+		t := &s.c.progress.Tasks[i]
+		if t.Phase == workload.Waiting && t.Suspect() && !t.CrashedAgain() {
+			waiting++
+		}
+	}
+	s.together = 1
+	if waiting > len(s.workers.all) {
+		s.together = min(int(math.Ceil(math.Sqrt(float64(waiting)))), maxSuspectsTogether)
+	}
+	return s.together
+}
+
 // ranksHigher reports whether worker a is preferred to worker b for the task: for a suspect
 // one, the worker whose crash ends the fewest tasks, long-running ones first.
 func (c *choice) ranksHigher(a, b *workerState) bool {
--- a/internal/workload/crashes.go
+++ b/internal/workload/crashes.go
@@ -6,7 +6,7 @@
 // must be told from the runs that were lost with it: a worker runs dozens of tasks at once,
 // and all of them are lost in the same crash. The crash score of a task is the evidence
 // against it. From suspectScore on, the task runs apart from other tasks, where a further
-// crash takes none of them with it. At crashScoreLimit its job fails, unless the task is
+// crash takes none of them with it, but for other suspects of a first crash if there are many. At crashScoreLimit its job fails, unless the task is
 // long-running: such a task has no limit, and the crashes may be those of its worker. It starts
 // again after a pause.
 const (
@@ -27,6 +27,9 @@
 // Suspect reports whether the task may be one that crashes its workers.
 func (t *Task) Suspect() bool { return t.CrashScore >= suspectScore }
 
+// CrashedAgain reports whether a suspect task was at work in a further crash. It then runs alone.
+func (t *Task) CrashedAgain() bool { return t.CrashScore > suspectScore }
+
 // Pausing reports whether the task waits, after crashes of its workers, for its next start.
 func (t *Task) Pausing(now int64) bool {
 	return t.Phase == Waiting && t.CrashScore >= crashScoreLimit && now-t.EndedAt < crashPauseMS
