Resume paused fillers, and repeat the order of a full pace

With a tail between 60 and 85% without any filler they stayed paused for good. The order of a full pace was sent once, and a filler whose response was lost stayed slow.

Change: paused fillers try the least pace again after 3 s of a tail below 85%, and the full pace is repeated for 3 s.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -20,6 +20,12 @@
 	// paceIntervalMS is the shortest time between two changes: the tail latency is measured
 	// over the last half second, so that a change shows only after it.
 	paceIntervalMS = 500
+	// resumeIntervalMS is the time after which paused fillers try minPace again while the tail latency
+	// allows it, although it stays above raisePaceBelow: it may do so without any filler.
+	resumeIntervalMS = 3000
+	// paceRepeatMS is the time for which the last order of a full pace is repeated, since a response
+	// may be lost and workers don't report their paces.
+	paceRepeatMS = 3000
 )
 
 // paceController sets the pace of a worker's fillers, the tasks that fill idle capacity.
@@ -45,6 +51,8 @@
 		p.percent = 0
 	case worst > halvePaceAbove:
 		p.percent /= 2
+	case p.percent == 0 && worst >= raisePaceBelow && now-p.changedAt >= resumeIntervalMS:
+		p.percent = minPace
 	case worst < raisePaceBelow && p.percent < fullPace:
 		p.percent = min(p.percent+paceStep, fullPace)
 	default:
@@ -57,7 +65,7 @@
 }
 
 // paceOrders returns orders, within the budget, for the fillers that run below the full pace or
-// were last told another pace.
+// were told another pace a short time ago.
 func (w *worker) paceOrders(s *workload.State, budget *orderBudget, now int64) []PaceOrder {
 	worst, fillers := w.worstTailAndFillers(s)
 	if len(fillers) == 0 {
@@ -73,7 +81,8 @@
 			last = fullPace
 		}
 		sent[run] = last
-		if last == w.pace.percent && w.pace.percent == fullPace || !budget.fits(len(orders), runBytes(run)) {
+		settled := last == w.pace.percent && w.pace.percent == fullPace && (w.pace.changedAt == 0 || now-w.pace.changedAt >= paceRepeatMS)
+		if settled || !budget.fits(len(orders), runBytes(run)) {
 			continue
 		}
 		budget.take(runBytes(run))
