Count the suspects of a pool, not of a step

Cause: whether suspects share workers was decided by their number in one step. A crash under hundreds of jobs with a task each still had them run one by one.

Change: the suspects of a first crash that wait for a pool are counted once a plan.

Evidence: TestManySuspectsDoNotCloseAPool has the case of many jobs beside that of one wide step; both pass.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -381,12 +381,19 @@
 // Guards against a wide step that keeps all workers to itself for minutes, since a crash made suspects
 // of all of its tasks and each of them ran alone; found by soak seed 910.
 func TestManySuspectsDoNotCloseAPool(t *testing.T) {
-	const tasks = 400
+	for name, jobs := range map[string]int{"one wide step": 1, "many jobs": 400} {
+		t.Run(name, func(t *testing.T) { playManySuspects(t, jobs, 400/jobs) })
+	}
+}
+
+func playManySuspects(t *testing.T, jobs, tasksEach int) {
 	r := newRig(1)
 	for i := range 4 {
 		r.addWorker(fmt.Sprint("w", i), "r1").heartbeat(0, false)
 	}
-	r.submitWide("wide", tasks, "")
+	for i := range jobs {
+		r.submitWide(fmt.Sprint("wide", i), tasksEach, "")
+	}
 	r.cycle()
 	for _, w := range r.workers {
 		if w.heartbeat(0, false); len(w.running) > 0 {
@@ -398,19 +405,21 @@
 	}
 	r.runUndisturbed(500)
 	suspects := 0
-	for i := range tasks {
-		if _, task, _ := r.state.Workload.Task(workload.TaskRef{Job: "wide", Index: i}); task.Suspect() {
-			suspects++
+	for i := range jobs {
+		for k := range tasksEach {
+			if _, task, ok := r.state.Workload.Task(workload.TaskRef{Job: fmt.Sprint("wide", i), Index: k}); ok && task.Suspect() {
+				suspects++
+			}
 		}
 	}
-	require.Greater(t, suspects, tasks/2)
+	require.Greater(t, suspects, jobs*tasksEach/2)
 	for i := range 10 {
 		id := fmt.Sprint("small", i)
 		r.submit(id, workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}, EstimatedMS: rigTaskMS})
 		r.runUndisturbed(3 * rigTaskMS)
 		require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs[id].State, id)
 	}
-	require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["wide"].State)
+	require.Empty(t, r.state.Workload.Active())
 	require.Empty(t, r.violation)
 }
 
--- a/internal/taskplan/fit.go
+++ b/internal/taskplan/fit.go
@@ -30,8 +30,6 @@
 	// sharesWorkers is true when suspect members of a gang may run beside each other,
 	// because there are not enough workers to keep them apart.
 	sharesWorkers bool
-	// together caches suspectsTogether; 0 until it is computed.
-	together int
 }
 
 func (p *planner) newSelector(c candidate, tickets map[workload.WorkerIncarnation]string) *selector {
--- a/internal/taskplan/pool.go
+++ b/internal/taskplan/pool.go
@@ -13,9 +13,10 @@
 // wait for hundreds of workers. Comparing every worker for every task takes longer than an
 // election timeout then; a sorted group finds the tightest fit by binary search.
 type poolWorkers struct {
-	// suspectWorkers is the number of workers that have a suspect task.
-	suspectWorkers int
-	all            []*workerState
+	// suspectWorkers is the number of workers that have a suspect task, and suspectsTogether the number
+	// of suspects that may share one; 0 until it is computed.
+	suspectWorkers, suspectsTogether int
+	all                              []*workerState
 	// groups holds the workers by data centre and tier. Each group is sorted by compareFit.
 	groups map[groupKey][]*workerState
 	// dataCentres are the data centres of the workers, sorted.
--- a/internal/taskplan/suspect.go
+++ b/internal/taskplan/suspect.go
@@ -56,23 +56,45 @@
 	}
 }
 
-// suspectsTogether returns how many suspects of a first crash may share a worker.
+// suspectsTogether returns how many suspects of a first crash may share a worker of the pool.
 func (s *selector) suspectsTogether() int {
-	if s.together > 0 {
-		return s.together
+	p := s.workers
+	if p.suspectsTogether == 0 {
+		p.suspectsTogether = 1
+		if waiting := s.p.waitingSuspects(s.c.pool); waiting > len(p.all) {
+			p.suspectsTogether = min(int(math.Ceil(math.Sqrt(float64(waiting)))), maxSuspectsTogether)
+		}
 	}
+	return p.suspectsTogether
+}
+
+// waitingSuspects returns the number of suspects of a first crash that wait for the pool.
+func (p *planner) waitingSuspects(pool string) int {
 	waiting := 0
-	for i := range s.c.progress.Tasks {
-		t := &s.c.progress.Tasks[i]
-		if t.Phase == workload.Waiting && t.Suspect() && !t.CrashedAgain() {
-			waiting++
+	for _, j := range p.in.State.Active() {
+		if p.in.State.PoolOf(j) != pool {
+			continue
+		}
+		for _, o := range j.Occurrences {
+			for i := range o.Steps {
+				waiting += waitingSuspects(&o.Steps[i])
+			}
 		}
 	}
-	s.together = 1
-	if waiting > len(s.workers.all) {
-		s.together = min(int(math.Ceil(math.Sqrt(float64(waiting)))), maxSuspectsTogether)
+	return waiting
+}
+
+func waitingSuspects(step *workload.StepProgress) int {
+	waiting := 0
+	if step.Waiting() == 0 {
+		return 0
+	}
+	for i := range step.Tasks {
+		if t := &step.Tasks[i]; t.Phase == workload.Waiting && t.Suspect() && !t.CrashedAgain() {
+			waiting++
+		}
 	}
-	return s.together
+	return waiting
 }
 
 // ranksHigher reports whether worker a is preferred to worker b for the task: for a suspect
