Start no run that is being recorded as lost

Cause: a worker's lease had run out, and the end of its runs as lost was on its way to the log. The worker was heard again 30 ms before the commit, and the response repeated the starts that it had never received, since the state still placed the runs there. The tasks started elsewhere 80 ms later.

Change: a run is revoked the moment it is declared lost, also for a worker that registers after that.

Evidence: TestWorkerHeardDuringTheCommitOfItsLostRunsStartsNone failed before, with all three tasks started, for a lease that had run out and for a worker that a new leader had never heard; it passes. Why it works: what is decided under the lock is also what responses composed under it go by.

--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -260,6 +260,7 @@
 	maps.DeleteFunc(d.approvals.steps, func(ref taskplan.StepRef, _ *stepApprovals) bool { return s.Active()[ref.Job] == nil })
 	unused := func(incarnation workload.WorkerIncarnation) bool { return len(s.RunsOn(incarnation)) == 0 }
 	maps.DeleteFunc(d.terminatedUnseen, func(incarnation workload.WorkerIncarnation, _ bool) bool { return unused(incarnation) })
+	maps.DeleteFunc(d.declaredLost, func(incarnation workload.WorkerIncarnation, _ map[workload.Run]bool) bool { return unused(incarnation) })
 	maps.DeleteFunc(d.missingLists, func(incarnation workload.WorkerIncarnation, _ int) bool { return unused(incarnation) })
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -97,6 +98,8 @@
 	// machine of a silent incarnation was missing.
 	terminatedUnseen map[workload.WorkerIncarnation]bool
 	missingLists     map[workload.WorkerIncarnation]int
+	// declaredLost holds the runs that were declared lost, by incarnation; see declareLost.
+	declaredLost map[workload.WorkerIncarnation]map[workload.Run]bool
 	// failedOn holds, for each task, the workers on which its runs failed, stalled, were
 	// too slow or were abandoned.
 	failedOn map[workload.TaskRef]map[string]bool
@@ -160,6 +163,7 @@
 	d.byMachine = map[string]workload.WorkerIncarnation{}
 	d.terminatedUnseen = map[workload.WorkerIncarnation]bool{}
 	d.missingLists = map[workload.WorkerIncarnation]int{}
+	d.declaredLost = map[workload.WorkerIncarnation]map[workload.Run]bool{}
 	d.failedOn = map[workload.TaskRef]map[string]bool{}
 	d.busyPools = map[string]bool{}
 	d.maintenance = newMaintenance(now)
@@ -291,6 +295,7 @@
 			return nil
 		}
 		w = newWorker(rep)
+		maps.Copy(w.revoked, d.declaredLost[rep.Incarnation])
 		w.idleSince, w.firstReportAt = now, now
 		d.register(w, now)
 		d.logger.Info().Str("worker", rep.Incarnation.ID).Int64("born", rep.Incarnation.Born).Str("machine", rep.Machine).
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -39,6 +39,7 @@
 			}
 			for ref, p := range runs {
 				ends = append(ends, d.endOfLostRun(incarnation, ref, p, now))
+				d.declareLost(incarnation, workload.Run{Task: ref, Run: p.Run})
 			}
 		}
 	})
@@ -46,6 +47,19 @@
 	return append(ends, abandoned...), upTo
 }
 
+// declareLost records a run whose end is about to be committed although its worker has not reported
+// it. The worker may be heard again before the commit: no response may start the run then, since its
+// task starts elsewhere.
+func (d *Dispatcher) declareLost(incarnation workload.WorkerIncarnation, run workload.Run) {
+	if d.declaredLost[incarnation] == nil {
+		d.declaredLost[incarnation] = map[workload.Run]bool{}
+	}
+	d.declaredLost[incarnation][run] = true
+	if w, ok := d.workers[incarnation]; ok {
+		w.revoked[run] = true
+	}
+}
+
 // requeueEnds keeps reported ends that may not be committed for the next cycle. Applying an
 // end twice has no effect. Lost, crashed and abandoned runs are derived from the state again.
 func (d *Dispatcher) requeueEnds(term uint64, ends []workload.End) {
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -373,3 +373,36 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice, since a worker whose lease has run out, or that a new leader has
+// never heard, is heard again while the end of its runs is being committed: its response started them.
+func TestWorkerHeardDuringTheCommitOfItsLostRunsStartsNone(t *testing.T) {
+	for name, elect := range map[string]bool{"lease has run out": false, "never heard": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(2)
+			a := r.addWorker("a", "r1")
+			a.heartbeat(0, false)
+			r.advance(100)
+			r.submit("job", workload.Step{Count: 3, Size: workload.Resources{CPUMilli: 1000}, EstimatedMS: rigTaskMS})
+			r.cycle()
+			a.heartbeat(0, true) // the response with the starts is lost
+			if elect {
+				r.elect(1)
+				r.cycle()
+			}
+			b := r.addWorker("b", "r2")
+			d := r.dispatchers[r.leader]
+			r.advance(d.leaseBoundMS() + 100)
+			b.heartbeat(r.leader, false)
+			c, err := d.beginCycle()
+			require.NoError(t, err)
+			require.Len(t, c.ends, 3)
+			a.heartbeat(r.leader, false)
+			require.Empty(t, a.running)
+			require.True(t, d.recordEnds(context.Background(), c))
+			require.True(t, r.settle())
+			require.Empty(t, r.violation)
+			require.Equal(t, workload.JobCompleted, r.state.Workload.Jobs["job"].State)
+		})
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -104,7 +104,7 @@
 	var ends []workload.End
 	for ref, p := range s.RunsOn(w.Incarnation) {
 		run := workload.Run{Task: ref, Run: p.Run}
-		if !p.Stopping || !w.stopSent[run] || w.reported(run) != runAbsent {
+		if _, listed := w.running[ref]; listed || !p.Stopping || !w.stopSent[run] || w.reported(run) != runAbsent {
 			continue
 		}
 		delete(w.stopSent, run)
