--- a/internal/dispatch/delivery.go
+++ b/internal/dispatch/delivery.go
@@ -13,7 +13,7 @@
 	maxOrderBytes = 1 << 20
 	// minOrderBytes is the least bound for a worker that does not carry out its starts.
 	minOrderBytes = 16 << 10
-	// maxEscapedBytes is the size of one byte of text in the encoding of the platform.
+	// maxEscapedBytes is the largest size of one byte of text in JSON, that of an escape.
 	maxEscapedBytes = 6
 	// orderOverheadBytes covers the separators and numbers of an order.
 	orderOverheadBytes = 96
@@ -80,6 +80,7 @@
 	return true
 }
 
+// take subtracts the size of an order that is added to the response.
 func (b *orderBudget) take(size int) { b.left -= size }
 
 // admitStarts returns the starts that fit into the response, in the order of compareCarried.
@@ -120,8 +121,8 @@
 	return cmp.Or(cmp.Compare(w.delivery.carried[a], w.delivery.carried[b]), compareRuns(a, b))
 }
 
-// recordCarried records the orders of a response, and removes the records of runs that the worker
-// neither occupies nor reports.
+// recordCarried records the orders of a response, and removes the records of runs that neither occupy
+// the worker nor are reported by it.
 func (w *worker) recordCarried(s *workload.State, starts []StartOrder, stops []workload.Run) {
 	d := &w.delivery
 	d.responses++
--- a/internal/dispatch/stop_delivery.go
+++ b/internal/dispatch/stop_delivery.go
@@ -7,7 +7,8 @@
 const stopConfirmMS = confirmUpMS + 500
 
 // stopsToSend returns the stops that the response to a worker may carry within the budget, and records
-// when they are sent. A committed stop of a long-running task may reach its worker much later than it was decided.
+// when they are sent. A committed stop of a long-running task may reach its worker much later than it
+// was decided.
 // It is held back while too many other tasks of the step are away by now.
 func (d *Dispatcher) stopsToSend(s *workload.State, w *worker, stops []workload.Run, budget *orderBudget, now int64) []workload.Run {
 	sent := stops[:0]
--- a/internal/taskplan/suspect.go
+++ b/internal/taskplan/suspect.go
@@ -20,7 +20,7 @@
 //
 // A crash may make suspects of all tasks of a wide step, a thousand or more. Tested one by one on
 // each worker they would close the pool for minutes, so that suspects of a first crash share
-// workers while they are more than the workers for them: of N suspects, about the root of N each.
+// workers while they are more than the pool has workers: of N suspects, about the root of N each.
 func (s *selector) separates(w *workerState, task *workload.Task) bool {
 	if s.sharesWorkers {
 		return true
@@ -84,6 +84,7 @@
 	return waiting
 }
 
+// waitingSuspects returns the number of those in one step.
 func waitingSuspects(step *workload.StepProgress) int {
 	waiting := 0
 	if step.Waiting() == 0 {
