Bound messages of peers that have not proved the secret

Callers saw a store or an entry end, out of memory. Cause: the port for other processes took frames of 4 MiB from anyone who upgraded a connection, before the handshake had shown that it knows the secret, and for two seconds each.

Change: a connection takes frames of 4 KiB until both sides have authenticated, and then of MaxFrameBytes. A hello and a proof have less than 400 bytes with the longest instance name in use.

--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -74,7 +74,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "wire: dial peer")
 	}
-	ws.SetReadLimit(MaxFrameBytes)
 	peer, err := handshake(ctx, ws, creds, "dial", "accept")
 	if err != nil {
 		_ = ws.CloseNow()
@@ -94,7 +93,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "wire: accept WebSocket connection")
 	}
-	ws.SetReadLimit(MaxFrameBytes)
 	peer, err := handshake(ctx, ws, creds, "accept", "dial")
 	if err != nil {
 		_ = ws.CloseNow()
@@ -103,9 +101,13 @@
 	return newConn(ws, peer, handler), nil
 }
 
-// handshake exchanges nonces and proofs and returns the peer's instance name. The
-// proof covers the sender's role, so that a peer cannot reflect this side's own proof.
+// maxHandshakeBytes bounds a frame of a peer that has not proved that it knows the secret.
+const maxHandshakeBytes = 4 << 10
+
+// handshake exchanges nonces and proofs and returns the peer's instance name. Only then
+// does the connection take frames of up to MaxFrameBytes. The proof covers the sender's role, so that a peer cannot reflect this side's own proof.
 func handshake(ctx context.Context, ws *websocket.Conn, creds Credentials, role, peerRole string) (string, error) {
+	ws.SetReadLimit(maxHandshakeBytes)
 	local := hello{Version: Version, Instance: creds.Instance, Nonce: make([]byte, nonceBytes)}
 	if _, err := rand.Read(local.Nonce); err != nil {
 		return "", errors.Wrap(err, "wire: generate nonce")
@@ -133,6 +135,7 @@
 	if !hmac.Equal(got.MAC, mac(creds.Secret, peerRole, remote, local)) {
 		return "", ErrUnauthenticated
 	}
+	ws.SetReadLimit(MaxFrameBytes)
 	return remote.Instance, nil
 }
 
