--- a/internal/dispatch/validate.go
+++ b/internal/dispatch/validate.go
@@ -13,7 +13,7 @@
 // other processes, in messages of bounded size.
 const (
 	maxNameBytes       = 256
-	maxLabels          = 64
+	MaxLabels          = 64
 	maxCheckpointBytes = 64 << 10
 	// maxTicketBytes bounds a ticket. A command and the state hold one for each approved worker.
 	maxTicketBytes = 1 << 10
@@ -45,8 +45,8 @@
 		return invalidReport("pool", "is missing")
 	case r.Sequence <= 0:
 		return invalidReport("sequence", "is not positive")
-	case len(r.Labels) > maxLabels:
-		return invalidReport("labels", "has more than %d elements", maxLabels)
+	case len(r.Labels) > MaxLabels:
+		return invalidReport("labels", "has more than %d elements", MaxLabels)
 	}
 	for _, name := range [...]struct{ field, text string }{
 		{"life.id", r.Incarnation.ID}, {"machine", r.Machine}, {"pool", r.Pool}, {"address", r.Address},
