Bound the connections of the clients of all servers

Callers saw a process that accepted no more connections, and a store could no longer open files or links to its peers: a client that opened connections and sent nothing, or half a head, took all descriptors. On the product's servers a head could have 1 MiB, connections between requests were kept for good, and an answer that is not read was never given up.

Change: package httpserver builds all servers and listeners. A Guard counts the connections of a process. At the limit, derived from its descriptors and its memory, the connection that has waited longest for its client is closed for a new one; one whose request is handled is not, nor one between processes of the fleet that has authenticated. The kernel keeps a bounded number of unread bytes for each connection. A client that takes no bytes of an answer for 30 s loses its connection. Why it works: what a connection takes is bounded, and so is their number; a client that does send its request is never the one that has waited longest.

--- a/cmd/samphire-store/main.go
+++ b/cmd/samphire-store/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"github.com/samphirefork/samphirefork/internal/controller"
 	"github.com/samphirefork/samphirefork/internal/disk"
 	"github.com/samphirefork/samphirefork/internal/dispatch"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/intake"
 	"github.com/samphirefork/samphirefork/internal/ledger"
 	"github.com/samphirefork/samphirefork/internal/settings"
@@ -134,7 +134,7 @@
 		node.Close()
 		return err
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := httpserver.Listen(cfg.Listen, httpserver.ProcessLimits())
 	if err != nil {
 		node.Close()
 		return errors.Wrap(err, "listen")
@@ -151,5 +151,5 @@
 	}, nil, nil, registry, log)
 	intakeServer := intake.NewServer(node, dispatcher.Wake, intake.DefaultMaxActiveBytes, registry, log)
 	log.Info().Uint64("member", cfg.ID).Str("listen", cfg.Listen).Msg("store started")
-	return store.NewServer(node, registry, log, requestLedger, controllers, leader, dispatch.WorkerHandler{Dispatcher: dispatcher}, intakeServer).Run(ctx, listener)
+	return store.NewServer(node, nil, registry, log, requestLedger, controllers, leader, dispatch.WorkerHandler{Dispatcher: dispatcher}, intakeServer).Run(ctx, listener)
 }
--- a/internal/entry/conns.go
+++ b/internal/entry/conns.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -71,6 +72,7 @@
 		e.log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("connection from peer refused")
 		return
 	}
+	httpserver.Trust(r.Context())
 	if !e.peerConns.add(conn) {
 		conn.Close()
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/admission"
 	"github.com/samphirefork/samphirefork/internal/api"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/httptext"
 	"github.com/samphirefork/samphirefork/internal/leader"
 	"github.com/samphirefork/samphirefork/internal/settings"
@@ -34,6 +35,8 @@
 	// drainTimeout bounds the wait for requests in flight during a planned stop. No
 	// call and no wait for a job lasts longer.
 	drainTimeout = 75 * time.Second
+	// headerTimeout is the time in which the head of a request must arrive.
+	headerTimeout = 10 * time.Second
 )
 
 // Options holds the log of an entry and the parts that tests replace: the clock,
@@ -183,11 +186,12 @@
 // it can't listen, if serving fails, or if requests of callers have not ended 75 s
 // after ctx.
 func (e *Entry) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", e.settings.Listen)
+	limits := httpserver.ProcessLimits()
+	callers, err := httpserver.Listen(e.settings.Listen, limits)
 	if err != nil {
 		return errors.Wrap(err, "entry: listen for callers")
 	}
-	peers, err := net.Listen("tcp", e.settings.PeerListen)
+	peers, err := httpserver.Listen(e.settings.PeerListen, limits)
 	if err != nil {
 		_ = callers.Close()
 		return errors.Wrap(err, "entry: listen for peers")
@@ -206,11 +210,12 @@
 		loops.Add(1)
 		go func() { defer loops.Done(); loop(loopCtx) }()
 	}
-	server := &http.Server{Handler: e.echo, ReadHeaderTimeout: 10 * time.Second}
-	peerServer := &http.Server{Handler: http.HandlerFunc(e.acceptPeer), ReadHeaderTimeout: 10 * time.Second}
+	guard := httpserver.NewGuard(httpserver.ProcessLimits(), e.metrics.registry)
+	server := guard.Server(e.echo, httpserver.Options{HeaderTimeout: headerTimeout})
+	peerServer := guard.Server(http.HandlerFunc(e.acceptPeer), httpserver.Options{HeaderTimeout: headerTimeout})
 	serveErr := make(chan error, 2)
-	go func() { serveErr <- server.Serve(callers) }()
-	go func() { serveErr <- peerServer.Serve(peers) }()
+	go func() { serveErr <- server.Serve(guard.Limit(callers)) }()
+	go func() { serveErr <- peerServer.Serve(guard.LimitPeers(peers)) }()
 	e.log.Info().Str("listen", callers.Addr().String()).Str("peer_listen", peers.Addr().String()).Msg("entry is serving")
 	var err error
 	select {
--- a/internal/membership/replace_test.go
+++ b/internal/membership/replace_test.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- store.NewServer(node, metrics.NewRegistry(), zerolog.Nop(), manager).Run(ctx, listener)
+		done <- store.NewServer(node, nil, metrics.NewRegistry(), zerolog.Nop(), manager).Run(ctx, listener)
 	}()
 	s := managedStore{id: id, node: node, fs: fs, done: done, stop: sync.OnceFunc(func() {
 		cancel()
--- a/internal/store/restart_bench_test.go
+++ b/internal/store/restart_bench_test.go
@@ -34,7 +34,7 @@
 	require.NoError(b, err)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- NewServer(node, metrics.NewRegistry(), zerolog.Nop()).Run(ctx, listener) }()
+	go func() { done <- NewServer(node, nil, metrics.NewRegistry(), zerolog.Nop()).Run(ctx, listener) }()
 	require.Eventually(b, func() bool { return node.Leadership().Leading }, deadline, time.Millisecond)
 	for i := range changes {
 		_, err := fleet.ProposeWorkload(ctx, node, &workload.Command{Configure: &workload.Config{
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/metricstext"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
@@ -40,6 +41,7 @@
 	mux        wire.Mux
 	creds      wire.Credentials
 	log        zerolog.Logger
+	guard      *httpserver.Guard
 	http       *http.Server
 	stopping   atomic.Bool
 
@@ -49,7 +51,7 @@
 }
 
 // NewServer returns a server for the node and the other components of the process.
-func NewServer(node *Node, registry metrics.Registry, log zerolog.Logger, components ...Component) *Server {
+func NewServer(node *Node, guard *httpserver.Guard, registry metrics.Registry, log zerolog.Logger, components ...Component) *Server {
 	s := &Server{
 		node:       node,
 		components: components,
@@ -68,7 +70,11 @@
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", s.ready)
 	e.GET("/metrics", metricstext.Handler(registry))
-	s.http = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	if guard == nil {
+		guard = httpserver.NewGuard(httpserver.ProcessLimits(), registry)
+	}
+	s.guard = guard
+	s.http = guard.Server(e, httpserver.Options{HeaderTimeout: readHeaderTimeout})
 	return s
 }
 
@@ -91,7 +97,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(s.guard.LimitPeers(listener)); !errors.Is(err, http.ErrServerClosed) {
 			cancel(errors.Wrap(err, "store: serve"))
 		}
 	}()
@@ -134,6 +140,7 @@
 		s.log.Warn().Err(err).Str("remote", c.Request().RemoteAddr).Msg("connection of a peer refused")
 		return nil
 	}
+	httpserver.Trust(c.Request().Context())
 	if !s.add(conn) {
 		conn.Close()
 		return nil
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.done = make(chan error, 1)
-	server := NewServer(node, registry, zerolog.Nop())
+	server := NewServer(node, nil, registry, zerolog.Nop())
 	go func() { s.done <- server.Run(ctx, listener) }()
 }
 
