Bound the memory of the bodies of all requests

Callers saw a process end, out of memory: clients sent hundreds of bodies of legal size at once and stopped one byte short. Cause: each body was read as it came, into a buffer that doubles, for as long as its client chose. Nothing bounded all of them together, and what was decoded from a whole one came on top. The product's announce/worker had no time limit, and a body that no handler reads was waited for without end.

Evidence: with the same crowds and bounds, these failed on: TestBodiesOfCallers (400 bodies of 256 KiB, one byte missing: 170 to 197 MiB of an entry, 400 whole jobs with long lists 380 MiB; bound 96 MiB), TestBodiesOfWorkersAndOperators (60 bodies of 4 MiB: 358 to 502 MiB of a store; bound 128 MiB), TestBodies of internal/crowd (200 bodies of 1 MiB to step jobs, reports, announcements of workers and operators' changes: 234 to 448 MiB; bound 96 MiB). TestEverythingIsGivenBack needs the new metrics; TestRefusalsOfJobsAreTrue and TestRepeatedOrdersAreNotRefused passed before, as nothing was refused.

Change: the guard of a process replaces the body of each request. Whoever reads it takes room for all that the request will need first, or waits; the smallest goes first, bodies of up to 16 KiB and the kinds of clients have room of their own, and a body that has stalled for 0.1 s gives way while others wait. The room is given back when the handler returns. A request whose body was not read for want of room gets an answer that promises nothing: 504 for a submission, 503 for an order or a heartbeat, and the product's refusals keep their weaker verdict unless it is the first attempt. Why it works: the memory of bodies has a fixed size, whatever has begun can be read to its end, and who makes no progress can't keep the others waiting.

Result: at most 85 MiB of an entry and 35 MiB of a store in these tests, 45 MiB in the product's.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirefork/samphirefork/gen/samphirefork/v1/samphireforkv1connect"
 	"github.com/samphirefork/samphirefork/internal/admission"
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/httpserver"
@@ -37,8 +39,21 @@
 	drainTimeout = 75 * time.Second
 	// headerTimeout is the time in which the head of a request must arrive.
 	headerTimeout = 10 * time.Second
+	// maxBodyBytes bounds the bodies of handlers that set no limit of their own.
+	maxBodyBytes = 2 << 20
 )
 
+// laneOf returns the kind of client of a request by its path.
+func laneOf(r *http.Request) httpserver.Lane {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/step-workers/"), strings.HasPrefix(r.URL.Path, "/v1/announce/"):
+		return httpserver.LaneWorkers
+	case strings.HasPrefix(r.URL.Path, "/v1/operator/"), strings.HasPrefix(r.URL.Path, "/"+samphireforkv1connect.OperatorName+"/"):
+		return httpserver.LaneOperators
+	}
+	return httpserver.LaneCallers
+}
+
 // Options holds the log of an entry and the parts that tests replace: the clock,
 // the seed of random choices and the stop grace.
 type Options struct {
@@ -210,8 +225,8 @@
 		loops.Add(1)
 		go func() { defer loops.Done(); loop(loopCtx) }()
 	}
-	guard := httpserver.NewGuard(httpserver.ProcessLimits(), e.metrics.registry)
-	server := guard.Server(e.echo, httpserver.Options{HeaderTimeout: headerTimeout})
+	guard := httpserver.NewGuard(httpserver.ProcessLimits(), e.metrics.registry, e.log, httpserver.LaneCallers, httpserver.LaneWorkers, httpserver.LaneOperators)
+	server := guard.Server(e.echo, httpserver.Options{HeaderTimeout: headerTimeout, MaxBodyBytes: maxBodyBytes, Lane: laneOf})
 	peerServer := guard.Server(http.HandlerFunc(e.acceptPeer), httpserver.Options{HeaderTimeout: headerTimeout})
 	serveErr := make(chan error, 2)
 	go func() { serveErr <- server.Serve(guard.Limit(callers)) }()
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -17,7 +17,7 @@
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
-	"github.com/samphirefork/samphirefork/internal/httpbody"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
 
@@ -243,9 +243,11 @@
 // readLimited reads a request body of at most limit bytes that arrives within
 // bodyTimeout.
 func readLimited(c echo.Context, limit int64) ([]byte, *api.Refusal) {
-	body, err := httpbody.Read(c.Response(), c.Request(), limit, bodyTimeout)
+	body, err := httpserver.Read(c.Request(), limit, bodyTimeout)
 	switch {
-	case errors.Is(err, httpbody.ErrTooLarge):
+	case errors.Is(err, httpserver.ErrBusy):
+		return nil, api.RetryLater(api.CodeOverloaded, "this entry has no memory for the request", defaultRetryAfter)
+	case errors.Is(err, httpserver.ErrTooLarge):
 		return nil, api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body is too large")
 	case err != nil:
 		return nil, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body was cut off")
--- a/internal/httpserver/connection_test.go
+++ b/internal/httpserver/connection_test.go
@@ -10,17 +10,15 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
-// patience bounds the wait for what has to come in the end, on however slow a machine.
-const patience = 20 * time.Second
-
 // Guards against a new client that finds no place beside idle ones, against the end of a connection whose
 // request is handled, and against connections that are not given back.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	registry := metrics.NewRegistry()
-	guard := NewGuard(Limits{MemoryBytes: 1 << 30, Descriptors: minReservedDescriptors + minConnections}, registry)
+	guard := NewGuard(Limits{MemoryBytes: 1 << 30, Descriptors: minReservedDescriptors + minConnections}, registry, zerolog.Nop(), LaneCallers)
 	handling, finish := make(chan struct{}), make(chan struct{})
 	s := httptest.NewUnstartedServer(nil)
 	s.Listener = guard.Limit(s.Listener)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -1,6 +1,6 @@
 // Package httpserver builds the HTTP servers of all processes, whose clients can't exhaust the memory or
 // the descriptors of the process. A Guard bounds what the clients of all its servers take together: open
-// connections, and the time for which they may hold them.
+// connections, memory of request bodies, and the time for which they may hold either.
 //
 // docs/design/misbehaving-clients.md says what was weighed.
 package httpserver
@@ -16,9 +16,10 @@
 	// connectionBytes is the memory of a connection with the buffers of package net/http and a
 	// goroutine, and the bytes that it has received.
 	connectionBytes = 40 << 10
-	// The inverse of the shares of the memory limit that connections, and bytes that were received and not
-	// read, may take.
+	// The inverse of the shares of the memory limit that connections, request bodies, and bytes that were
+	// received and not read may take.
 	connectionDivisor = 2
+	bodyDivisor       = 4
 	unreadDivisor     = 8
 	// minReservedDescriptors are left for files and for connections that the process opens itself; where
 	// there are more than a thousand, it is one in reservedDivisor.
@@ -72,6 +73,9 @@
 	return max(minReceiveBuffer, min(share, maxReceiveBuffer))
 }
 
+// bodyBytes returns the memory for request bodies.
+func (l Limits) bodyBytes() int64 { return l.MemoryBytes / bodyDivisor }
+
 const (
 	// writeTimeout is the time in which a client has to read what one write to its connection sends.
 	writeTimeout = 30 * time.Second
@@ -84,4 +88,7 @@
 	lingerBytes   = 256 << 10
 	// maxUntrustedPeers is the number of connections whose handshake is under way. One takes milliseconds.
 	maxUntrustedPeers = 128
+	// drainTimeout is the time for the rest of a body that its handler has not read, in which net/http
+	// tries to keep the connection.
+	drainTimeout = 500 * time.Millisecond
 )
--- a/internal/operator/where.go
+++ b/internal/operator/where.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
-	"github.com/samphirefork/samphirefork/internal/httpbody"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/leader"
 	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
@@ -35,7 +35,11 @@
 		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
 		return
 	}
-	body, err := httpbody.Read(w, r, maxWhereBytes, whereBodyTimeout)
+	body, err := httpserver.Read(r, maxWhereBytes, whereBodyTimeout)
+	if errors.Is(err, httpserver.ErrBusy) {
+		refuseForNow(w, api.CodeOverloaded, err)
+		return
+	}
 	var msg wire.WhereRequest
 	if err == nil {
 		err = strictjson.Unmarshal(body, &msg.Job)
@@ -56,11 +60,15 @@
 	case !isUnavailable(err) && errors.As(err, &refused) && refused.Code == wire.CodeBadMessage:
 		writeJSON(w, http.StatusBadRequest, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, refused.Message))
 	default:
-		w.Header().Set(api.HeaderRetryAfter, strconv.Itoa(retryAfterMS/1000))
-		writeJSON(w, http.StatusServiceUnavailable, api.RetryLater(whereCode(err), err.Error(), retryAfterMS*time.Millisecond))
+		refuseForNow(w, whereCode(err), err)
 	}
 }
 
+func refuseForNow(w http.ResponseWriter, code api.Code, err error) {
+	w.Header().Set(api.HeaderRetryAfter, strconv.Itoa(retryAfterMS/1000))
+	writeJSON(w, http.StatusServiceUnavailable, api.RetryLater(code, err.Error(), retryAfterMS*time.Millisecond))
+}
+
 func isUnavailable(err error) bool {
 	var unavailable *leader.ErrUnavailable
 	return errors.As(err, &unavailable)
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -71,7 +71,7 @@
 	e.GET("/readyz", s.ready)
 	e.GET("/metrics", metricstext.Handler(registry))
 	if guard == nil {
-		guard = httpserver.NewGuard(httpserver.ProcessLimits(), registry)
+		guard = httpserver.NewGuard(httpserver.ProcessLimits(), registry, log, httpserver.LaneOperators)
 	}
 	s.guard = guard
 	s.http = guard.Server(e, httpserver.Options{HeaderTimeout: readHeaderTimeout})
--- a/internal/workerlink/http.go
+++ b/internal/workerlink/http.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/internal/api"
 	"github.com/samphirefork/samphirefork/internal/fleet"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/strictjson"
 	"github.com/samphirefork/samphirefork/internal/wire"
 )
@@ -27,7 +29,14 @@
 // that the state machine retains, in base64.
 const maxAnnouncementBytes = 2 * fleet.MaxRetainedBytes
 
-const maxNameBytes = 256
+const (
+	// announcementTimeout is the time to receive an announcement.
+	announcementTimeout = 10 * time.Second
+	// announcementRetry is the time after which a worker whose announcement was not read comes again.
+	announcementRetry = 500 * time.Millisecond
+
+	maxNameBytes = 256
+)
 
 // TaskOrder is the body of an HTTP request that sends an order to a worker. Attempt is
 // set for orders about a task, Spec and OnPartition only to start one.
@@ -91,7 +100,11 @@
 func (m *Manager) Mount(e *echo.Echo) {
 	e.POST(AnnouncePath, func(c echo.Context) error {
 		var a Announcement
-		data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes))
+		data, err := httpserver.Read(c.Request(), maxAnnouncementBytes, announcementTimeout)
+		if errors.Is(err, httpserver.ErrBusy) {
+			refusal := api.RetryLater(api.CodeOverloaded, err.Error(), announcementRetry)
+			return c.JSON(refusal.Status, refusal)
+		}
 		if err != nil {
 			return badRequest(c, err.Error())
 		}
