Leave open what became of a request whose body did not arrive

Operators saw an order refused that was in force: a store answered 400 when the body of its repetition did not arrive in two seconds, which ends an operator's order. Callers of the product were told not_run of a request whose earlier attempt may have run. Cause: a body that is cut short was judged like one that is not valid. It says nothing of the request: only the content shows whether it repeats one that was accepted. Under a crowd this is frequent.

Submissions of step jobs are judged by queue and key before their body is read, as other calls are.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -43,7 +43,7 @@
 	}
 	out := *refusal
 	out.Verdict = api.MayHaveRun
-	if out.Status == http.StatusTooManyRequests || out.Status == http.StatusServiceUnavailable {
+	if out.Status == http.StatusTooManyRequests || out.Status == http.StatusServiceUnavailable || out.Status == http.StatusRequestTimeout {
 		out.Status = http.StatusGatewayTimeout
 	}
 	return &out
@@ -58,7 +58,7 @@
 		return false
 	}
 	switch refusal.Status {
-	case http.StatusUnauthorized, http.StatusForbidden, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	}
 	return false
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -250,7 +250,7 @@
 	case errors.Is(err, httpserver.ErrTooLarge):
 		return nil, api.Refuse(http.StatusBadRequest, api.CodeTooLarge, "the request body is too large")
 	case err != nil:
-		return nil, api.Refuse(http.StatusBadRequest, api.CodeBadRequest, "the request body was cut off")
+		return nil, api.Refuse(http.StatusRequestTimeout, api.CodeBadRequest, "the request body was cut off")
 	}
 	return body, nil
 }
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -28,6 +28,10 @@
 	if refusal != nil {
 		return e.refuseJob(c, identity, refusal)
 	}
+	// Checked before the body is read, and again before the call is passed on.
+	if _, refusal = e.stepTeam(c, c.Param("queue")); refusal != nil {
+		return e.refuseJob(c, identity, refusal)
+	}
 	var content workload.Submit
 	if refusal = decodeJSON(c, maxRequestBytes, &content); refusal != nil {
 		return e.refuseJob(c, identity, refusal)
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -10,13 +10,16 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"github.com/samphirefork/samphirefork/gen/samphirefork/v1/samphireforkv1connect"
+	"github.com/samphirefork/samphirefork/internal/httpserver"
 	"github.com/samphirefork/samphirefork/internal/leader"
 )
 
@@ -62,7 +65,27 @@
 	}
 	s := &service{leader: client, opts: opts}
 	path, h := samphireforkv1connect.NewOperatorHandler(s, connect.WithReadMaxBytes(maxRequestBytes))
-	return path, requireToken(opts.Token, h)
+	return path, requireToken(opts.Token, reportUnreadBodies(h))
+}
+
+// reportUnreadBodies passes on requests whose body, when it can't be read to its end, leaves the outcome
+// open: the request may repeat a change that was carried out.
+func reportUnreadBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = openOutcomeBody{r.Body}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type openOutcomeBody struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b openOutcomeBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, httpserver.ErrBusy) || errors.Is(err, httpserver.ErrIncomplete) {
+		return n, changeError(err)
+	}
+	return n, err
 }
 
 // withDeadline limits ctx to the timeout of the handler plus wait. If the caller has set
