--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,12 @@
 
 # Tests that KNOWN-RED.txt names in entries "Test: NAME" are passed over.
 KNOWN_RED = $(shell sed -n 's/^[0-9. ]*Test: \(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|')
+SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+# Tests of crowds take thousands of ports and measure processes, so they run one at a time after all others.
+CROWDS := $(MODULE)/internal/crowd $(MODULE)/platform/crowdtest
 test: check build platform
-	$(GO) test -count=1 -p 4 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 -p 4 $(SKIP) $(filter-out $(CROWDS),$(shell $(GO) list ./...))
+	$(GO) test -count=1 -p 1 $(SKIP) $(CROWDS)
 
 demo: build
 	$(BIN)/samphire-demo -bin $(BIN) -examples examples/carregaguia
