--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -150,7 +150,7 @@
 			return nil
 		}
 		if !p.Running() {
-			return errors.Wrapf(ErrExited, "%s exited before it was ready, see %s", p.Name, filepath.Join(p.Folder, "log"))
+			return errors.Wrapf(ErrExited, "%s exited before it was ready, its log ends: %s", p.Name, p.logEnd())
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -112,6 +112,16 @@
 	return nil
 }
 
+// logEnd returns the last bytes of the log.
+func (p *Process) logEnd() []byte {
+	const most = 2000
+	data, err := os.ReadFile(filepath.Join(p.Folder, "log"))
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return data[max(0, len(data)-most):]
+}
+
 func (p *Process) wait(cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
 	p.mu.Lock()
