Count jobs that are being committed as under way

Callers saw a store end, out of memory, or every job refused for good: hundreds of valid jobs of 256 KiB arrived at the same moment. Cause: admission judged each by the jobs in the state, where none of the others was yet, so all of them were accepted, far beyond the eighth of the memory that jobs may take.

Change: a job counts from its acceptance until the state holds it or never will, for all teams and for its own; the decision and the count are one step. Why it works: what is accepted never exceeds the bound, whenever it arrives.

--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -103,7 +103,7 @@
 		return n
 	}
 	require.Less(t, accepted(formerDecision), 10)
-	require.Greater(t, accepted((&gate{}).decide), 95)
+	require.Greater(t, accepted((&gate{}).judge), 95)
 }
 
 // endJobs cancels up to n jobs of a team.
@@ -157,7 +157,7 @@
 		}
 		return longest
 	}
-	former, present := longestWait(formerDecision), longestWait((&gate{}).decide)
+	former, present := longestWait(formerDecision), longestWait((&gate{}).judge)
 	require.Less(t, present*2, former, "the former decision lets callers wait %d s, the present one %d s", former, present)
 }
 
@@ -187,7 +187,7 @@
 	for name, s := range map[string]*workload.State{"empty": workload.NewState(), "crowded": crowded} {
 		for _, team := range []string{"greedy", "other"} {
 			content := &workload.Submit{Team: team, Steps: []workload.Step{{Count: 1}}}
-			want := (&gate{}).decide(s, submission{id: "new", team: team, content: content}, now)
+			want := (&gate{}).judge(s, submission{id: "new", team: team, content: content}, now)
 			require.Equal(t, want, Preview(s, workload.Queue{}, content, now), "%s %s", name, team)
 		}
 	}
--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -16,6 +16,7 @@
 type backlogs struct {
 	// maxBytes bounds the memory of the jobs under way; 0 is no bound.
 	maxBytes int64
+	proposed proposed
 
 	mu         sync.Mutex
 	computedAt time.Time
@@ -32,7 +33,11 @@
 // backlog returns the backlog for a submission of the team to the queue. waiting returns the
 // teams that have refused submissions: they take part in the shares.
 func (b *backlogs) backlog(s *workload.State, q workload.Queue, team string, waiting func() map[string]bool, now time.Time) Backlog {
-	out := Backlog{Jobs: len(s.Active()), Tasks: s.ActiveTasks(), Bytes: s.ActiveBytes(), MaxBytes: b.maxBytes, Weight: weightOf(s, team)}
+	all, ofTeam := b.proposed.of(team)
+	out := Backlog{
+		Jobs: len(s.Active()) + all.jobs, Tasks: s.ActiveTasks() + all.tasks, Bytes: s.ActiveBytes() + all.bytes, MaxBytes: b.maxBytes,
+		Weight: weightOf(s, team),
+	}
 	out.Weights = out.Weight
 	if !out.isCrowded() {
 		return out
@@ -44,6 +49,7 @@
 		b.computedAt = now
 	}
 	t, known := b.teams[team]
+	t = t.plus(ofTeam)
 	out.TeamJobs, out.TeamTasks, out.TeamBytes, out.ClearMS = t.jobs, t.tasks, t.bytes, b.clearMS[q.Pool]
 	out.Weights = b.weights
 	if !known {
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"sync"
 	"time"
 
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -10,6 +11,8 @@
 // concurrent use.
 type gate struct {
 	backlogs backlogs
+	// deciding is held from a look at the jobs under way until the new one counts among them.
+	deciding sync.Mutex
 	// inShare and overShare hold the refused submissions of teams within and beyond their
 	// share. Those beyond it take no place from others.
 	inShare, overShare returnOrder
@@ -22,8 +25,19 @@
 	content  *workload.Submit
 }
 
-// decide decides whether to accept a new job, and keeps the place of one that it refuses.
-func (g *gate) decide(s *workload.State, sub submission, now time.Time) Admission {
+// decide decides whether to accept a new job, and keeps the place of one that it refuses. An accepted one
+// counts as a job under way until applied is called, once the state holds it or never will.
+func (g *gate) decide(s *workload.State, sub submission, now time.Time) (a Admission, applied func()) {
+	g.deciding.Lock()
+	defer g.deciding.Unlock()
+	a = g.judge(s, sub, now)
+	if a.Reason != "" {
+		return a, func() {}
+	}
+	return a, g.backlogs.proposed.add(sub)
+}
+
+func (g *gate) judge(s *workload.State, sub submission, now time.Time) Admission {
 	b := g.backlogs.backlog(s, sub.queue, sub.team, g.inShare.teams, now)
 	if !b.isCrowded() {
 		return Decide(b, Request{Tasks: tasksOf(sub.content), Bytes: sub.content.Bytes()})
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -258,9 +258,11 @@
 	defer s.attempts.end(id)
 	known := false
 	var admission Admission
+	applied := func() {}
+	defer func() { applied() }()
 	s.log.Read(func(st *fleet.State) {
 		if _, known = st.Workload.Jobs[id]; !known {
-			admission = s.gate.decide(st.Workload, submission{id: id, team: team, queue: q, content: call.Content}, time.Now())
+			admission, applied = s.gate.decide(st.Workload, submission{id: id, team: team, queue: q, content: call.Content}, time.Now())
 		}
 	})
 	if admission.Reason != "" {
