--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -46,9 +46,11 @@
 	limit    int64
 	deadline time.Time
 	received int64
-	room     *room
-	claim    *claim
-	err      error
+	// room and claim are nil until the first read.
+	room  *room
+	claim *claim
+	// err is the result of each further read: io.EOF, or the error that ended the reading.
+	err error
 }
 
 // newBody returns the body of r, with the limits of the server.
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -30,6 +30,7 @@
 	closed  sync.Once
 }
 
+// handled is the value of connection.waitingSince while a request is handled.
 const handled = -1
 
 // connections are the open connections of the clients of a process.
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -63,6 +63,7 @@
 	for _, name := range lanes {
 		g.lanes[name] = newLane(l.bodyBytes() / int64(len(lanes)))
 	}
+	// Registering fails only if another guard has the registry, whose gauges then stay.
 	_ = registry.Register("http_connections", metrics.NewFunctionalGauge(func() int64 { return int64(g.connections.count()) }))
 	_ = registry.Register("http_body_memory_bytes", metrics.NewFunctionalGauge(g.bodyMemory))
 	return g
