--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -10,9 +10,14 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/samphirefork/samphirefork/internal/wait"
 )
 
-const dialTimeout = 5 * time.Second
+const (
+	dialTimeout = 5 * time.Second
+	piecePause  = 20 * time.Millisecond
+)
 
 // Crowd is a number of clients that send the same request at once.
 type Crowd struct {
@@ -21,6 +26,8 @@
 	Clients int
 	// Message returns what the client with the number sends.
 	Message func(client int) []byte
+	// Piece is the number of bytes that a client writes before it pauses; 0 writes all at once.
+	Piece int
 	// Return makes a client connect again whenever the server has closed its connection.
 	Return bool
 	// Unread makes the clients read nothing.
@@ -60,7 +67,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer func() { stop(); _ = conn.Close() }()
-	if _, err := conn.Write(message); err == nil && c.Unread {
+	if err := c.send(ctx, conn, message); err == nil && c.Unread {
 		<-ctx.Done()
 	} else if err == nil {
 		_, _ = io.Copy(io.Discard, conn) // ends when the server closes the connection
@@ -68,6 +75,18 @@
 	return ctx.Err() == nil
 }
 
+func (c Crowd) send(ctx context.Context, conn net.Conn, message []byte) error {
+	for c.Piece > 0 && len(message) > c.Piece {
+		if _, err := conn.Write(message[:c.Piece]); err != nil {
+			return err
+		}
+		message = message[c.Piece:]
+		wait.For(ctx, piecePause)
+	}
+	_, err := conn.Write(message)
+	return err
+}
+
 // Declared returns a request with a Content-Length, without the last missing bytes of its body.
 func Declared(head string, body []byte, missing int) []byte {
 	return append(fmt.Appendf(nil, "%s\r\nContent-Length: %d\r\n\r\n", head, len(body)), body[:len(body)-missing]...)
