Package httpserver: an option that nobody set goes; names and comments

Cause: read as a newcomer, Options.BodyTimeout was set by no server, two functions had no comment, and the size of the heads of a crowd was called headers. No behaviour changes; crowds and bounds are the same.

--- a/internal/crowd/connections_test.go
+++ b/internal/crowd/connections_test.go
@@ -9,7 +9,7 @@
 
 // Guards against clients that take all descriptors, or memory by their heads, at each listener.
 func TestConnections(t *testing.T) {
-	long := []byte("GET /readyz HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("x", headers))
+	long := []byte("GET /readyz HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("x", headBytes))
 	for name, c := range map[string]crowd.Crowd{
 		"idle":        {Clients: idle, Message: func(int) []byte { return nil }},
 		"half a head": {Clients: idle, Message: func(int) []byte { return long }},
--- a/internal/crowd/fleet_test.go
+++ b/internal/crowd/fleet_test.go
@@ -29,7 +29,7 @@
 	clients   = 200
 	bodyBytes = 1 << 20
 	idle      = 1200
-	headers   = 200 << 10
+	headBytes = 200 << 10
 	patience  = 60 * time.Second
 	pause     = 50 * time.Millisecond
 )
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -60,7 +60,7 @@
 		ReadCloser: r.Body, guard: g, lane: g.lane(o.Lane(r)), conn: connectionOf(r.Context()), control: http.NewResponseController(w),
 		header: w.Header(), ctx: ctx, cancel: cancel, declared: r.ContentLength, limit: o.MaxBodyBytes,
 	}
-	b.setDeadline(time.Now().Add(o.BodyTimeout))
+	b.setDeadline(time.Now().Add(defaultBodyTimeout))
 	return b
 }
 
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -85,6 +85,7 @@
 	return c
 }
 
+// untrusted returns the number of connections of the listener that are not trusted.
 func (s *connections) untrusted(l *listener) int {
 	n := 0
 	for c := range s.open {
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -16,6 +16,8 @@
 	// maxRoomWait bounds the wait of a body for memory. Clients that wait longer for an answer have other
 	// processes to turn to.
 	maxRoomWait = 2 * time.Second
+	// defaultBodyTimeout is the time to receive a body, unless the handler calls Read with another.
+	defaultBodyTimeout = 10 * time.Second
 	// logInterval is the least time between two log lines about refused clients.
 	logInterval = time.Second
 )
@@ -94,9 +96,6 @@
 	// MaxBodyBytes is the largest body that a handler can read, unless it calls Read with another limit.
 	// The default is 64 KiB.
 	MaxBodyBytes int64
-	// BodyTimeout is the time to receive a body, unless the handler calls Read with another. The default
-	// is 10 s.
-	BodyTimeout time.Duration
 	// HeaderTimeout is the time to receive the head of a request. The default is 3 s.
 	HeaderTimeout time.Duration
 	// IdleTimeout is the time for which a connection is kept between requests. The default is 3 min.
@@ -111,9 +110,6 @@
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = 64 << 10
 	}
-	if o.BodyTimeout == 0 {
-		o.BodyTimeout = 10 * time.Second
-	}
 	if o.HeaderTimeout == 0 {
 		o.HeaderTimeout = 3 * time.Second
 	}
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -37,6 +37,7 @@
 	return a, g.backlogs.proposed.add(sub)
 }
 
+// judge is decide without the count of what it accepts. The caller holds deciding.
 func (g *gate) judge(s *workload.State, sub submission, now time.Time) Admission {
 	b := g.backlogs.backlog(s, sub.queue, sub.team, g.inShare.teams, now)
 	if !b.isCrowded() {
--- a/internal/intake/proposed.go
+++ b/internal/intake/proposed.go
@@ -11,7 +11,7 @@
 	all   teamBacklog
 }
 
-// add counts a submission, and returns the function that ends that.
+// add counts a submission until remove is called.
 func (p *proposed) add(sub submission) (remove func()) {
 	size := teamBacklog{jobs: 1, tasks: tasksOf(sub.content), bytes: sub.content.Bytes()}
 	p.change(sub.team, size)
