--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-3/cases ] || exit 2
-exec target/review-3/cases -case waiting -folder "$here"
+exec target/review-3/cases -case failing -folder "$here"
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -26,7 +26,9 @@
 	Affinity    string `json:"affinity,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
 	MayMiss     int    `json:"mayMiss,omitempty"`
-	realMS      int64
+	// AntiAffinity is the most tasks of the step on one minion.
+	AntiAffinity int `json:"antiAffinity,omitempty"`
+	realMS       int64
 }
 
 // job is a job that a client hands in, with what is known of it.
@@ -37,6 +39,8 @@
 	begun      bool
 	starts     int
 	ends       map[string]int
+	// lastEnd is when a run of a task ended last.
+	lastEnd map[string]time.Time
 }
 
 type jobBook struct {
@@ -47,7 +51,7 @@
 func newJobBook() *jobBook { return &jobBook{jobs: map[string]*job{}} }
 
 func (b *jobBook) add(prefix string, steps ...step) *job {
-	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), prefix: prefix, steps: steps, ends: map[string]int{}}
+	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), prefix: prefix, steps: steps, ends: map[string]int{}, lastEnd: map[string]time.Time{}}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.jobs[j.id] = j
@@ -80,7 +84,9 @@
 func (b *jobBook) noteEnd(task, how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.jobs[strings.Split(task, ".")[0]].ends[how]++
+	j := b.jobs[strings.Split(task, ".")[0]]
+	j.ends[how]++
+	j.lastEnd[task] = time.Now()
 }
 
 // notBegun returns the number of the jobs that were accepted longer than the given time ago and of
--- a/review/standin-3/cloud.go
+++ b/review/standin-3/cloud.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -26,19 +25,14 @@
 	return &cloud{f: f, tokens: map[string]uint64{}, upkept: map[string]map[int64]bool{}}
 }
 
-func (c *cloud) serve() error {
-	l, err := net.Listen("tcp", c.f.cloudAddress())
-	if err != nil {
-		return err
-	}
+func (c *cloud) serve() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/machines", c.list)
 	mux.HandleFunc("POST /-/machine-move", c.move)
 	mux.HandleFunc("POST /-/machine-upkeep", c.upkeep)
 	mux.HandleFunc("POST /-/advise", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, map[string]any{"approved": [][]string{}}) })
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = c.server.Serve(l) }()
-	return nil
+	go func() { _ = c.server.Serve(c.f.listener) }()
 }
 
 func (c *cloud) close() { _ = c.server.Close() }
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -42,7 +42,9 @@
 
 // fleet is a small deployment: stores, entries and the stand-ins.
 type fleet struct {
-	dir      string
+	dir string
+	// listener is that of the platform; no other run uses the block of addresses while it is open.
+	listener net.Listener
 	block    int
 	rec      *recorder
 	stores   []*program
@@ -65,12 +67,12 @@
 	f := &fleet{dir: dir, rec: rec, jobs: newJobBook(), settings: map[string]string{}}
 	for range 50 {
 		f.block = 2 + rand.IntN(250)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.9.1:%d", f.block, controlPort))
-		if err != nil {
-			continue
+		if f.listener, err = net.Listen("tcp", f.cloudAddress()); err == nil {
+			break
 		}
-		_ = l.Close()
-		break
+	}
+	if err != nil {
+		return nil, err
 	}
 	for i := range stores {
 		f.stores = append(f.stores, &program{f: f, name: fmt.Sprintf("core-%d", i+1), ip: f.ip(1, i+1), zone: zones[i%len(zones)], store: true, first: true})
@@ -91,9 +93,7 @@
 
 // start starts the stand-in of the platform and all programs.
 func (f *fleet) start() error {
-	if err := f.cloud.serve(); err != nil {
-		return err
-	}
+	f.cloud.serve()
 	for _, p := range append(append([]*program{}, f.stores...), f.entries...) {
 		if err := p.start(); err != nil {
 			return err
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,8 @@
 var cases = map[string]func(*fleet) int{
 	"waiting": waitingCase,
 	"crashes": crashesCase,
+	"failing": failingCase,
+	"renamed": renamedCase,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -19,6 +19,7 @@
 	stopTime   = 100 * time.Millisecond
 	beatTimely = time.Second
 	startupMS  = 500
+	failTime   = 100 * time.Millisecond
 )
 
 // minion is the stand-in of one worker and its machine. It follows the pages: leases, fencing tokens,
@@ -28,6 +29,8 @@
 	id, machine, rack, zone string
 	capacity                amount
 	guards                  bool
+	// failsUntil is the time until which the minion fails all that it starts.
+	failsUntil time.Time
 	// onStart is called when a task has begun, without the lock.
 	onStart func(m *minion, task string, run int)
 
@@ -51,6 +54,7 @@
 	run     int
 	began   time.Time
 	lasts   bool
+	fails   bool
 	length  time.Duration
 	stopped time.Time
 	size    amount
@@ -194,6 +198,8 @@
 			m.end(task, "lapsed")
 		case !r.stopped.IsZero() && now.After(r.stopped):
 			m.end(task, "stopped")
+		case r.fails && now.Sub(r.began) >= failTime:
+			m.end(task, "failed")
 		case !r.lasts && r.worked >= r.length:
 			m.end(task, "done")
 		}
@@ -362,7 +368,7 @@
 	for _, r := range m.running {
 		used.CPU, used.MemMB = used.CPU+r.size.CPU, used.MemMB+r.size.MemMB
 	}
-	r := &running{run: run, began: time.Now(), last: time.Now(), lasts: step.LongRunning, length: time.Duration(step.realMS) * time.Millisecond, size: size, pace: 100}
+	r := &running{run: run, began: time.Now(), last: time.Now(), lasts: step.LongRunning, length: time.Duration(step.realMS) * time.Millisecond, size: size, pace: 100, fails: time.Now().Before(m.failsUntil)}
 	m.running[task] = r
 	if m.guards && (used.CPU > m.capacity.CPU || used.MemMB > m.capacity.MemMB) {
 		m.end(task, "refused")
