--- a/review/standin-3/cloud.go
+++ b/review/standin-3/cloud.go
@@ -16,6 +16,9 @@
 	f      *fleet
 	server *http.Server
 
+	// foreign is an entry of another writer in the list of machines.
+	foreign map[string]any
+
 	mu     sync.Mutex
 	tokens map[string]uint64
 	upkept map[string]map[int64]bool
@@ -46,7 +49,12 @@
 func (c *cloud) list(w http.ResponseWriter, _ *http.Request) {
 	machines := []map[string]any{}
 	for _, m := range c.f.minions {
-		machines = append(machines, m.listed())
+		if entry := m.listed(); entry != nil {
+			machines = append(machines, entry)
+		}
+	}
+	if c.foreign != nil {
+		machines = append(machines, c.foreign)
 	}
 	reply(w, 200, map[string]any{"machines": machines})
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 	"waiting": waitingCase,
 	"crashes": crashesCase,
 	"failing": failingCase,
+	"gone":    goneCase,
 	"renamed": renamedCase,
 }
 
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -36,7 +36,7 @@
 
 	mu       sync.Mutex
 	service  string
-	up       bool
+	up, gone bool
 	cancel   context.CancelFunc
 	born     int64
 	sequence int64
@@ -111,9 +111,13 @@
 	return m.running[task] != nil
 }
 
+// listed returns the entry of the machine in the platform's list, or nil if the machine is gone for good.
 func (m *minion) listed() map[string]any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.gone {
+		return nil
+	}
 	state, id := "up", m.id
 	if !m.up {
 		state, id = "down", ""
@@ -121,6 +125,14 @@
 	return map[string]any{"machine": m.machine, "pool": m.service, "state": state, "zone": m.zone, "labels": []string{"a", m.rack}, "capacity": m.capacity, "id": id}
 }
 
+// lose takes the machine of the minion away for good, without notice.
+func (m *minion) lose() {
+	m.crash("lost for good")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gone = true
+}
+
 // start begins a new life of the minion, which holds and knows nothing of before.
 func (m *minion) start() {
 	ctx, cancel := context.WithCancel(context.Background())
