Count a run as started once its worker has reported it

Cause: State.applyStart moved a job to running when the leader's own plan was committed, and nothing moved it back.

Task.StartedAt is set by reports alone: a run that is listed as running, or an end that only a started run can have. Job states, waiting, counts of running tasks, where, run times that are learned, medians of steps, stall timeouts, stalled and overdue work and the evidence of crashes that nobody saw rest on it. Capacity and limits still count what is placed. It works because no other path sets the field, so that a start that is lost, withheld, revoked, refused or found by a new leader leaves the job queued.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,9 +6,9 @@
 	// activeProofMS is the time for which a worker must have reported a run to show that its
 	// task does not crash workers: one that does so crashes them when it starts.
 	activeProofMS = 1000
-	// placedProofMS is the same time from the placement of the run, for a worker that this
-	// leader never heard. A start takes up to a heartbeat interval and a held response.
-	placedProofMS = 3000
+	// startedProofMS is the same time from the start of the run until the leadership began, for a
+	// worker that this leader never heard. It covers the time until a leader is missed.
+	startedProofMS = 3000
 	// crashNoticeMS is the time from the last report of a worker within which its crash is
 	// noticed if it came right after that report. After a longer silence it may have come at
 	// any time.
@@ -22,6 +22,9 @@
 // endOfLostRun returns the end of a run whose worker can't be running it any more.
 func (d *Dispatcher) endOfLostRun(incarnation workload.WorkerIncarnation, ref workload.TaskRef, p *workload.Placement, now int64) workload.End {
 	end := workload.End{Task: ref, Run: p.Run, Worker: incarnation, Outcome: workload.OutcomeLost}
+	if w, run := d.workers[incarnation], (workload.Run{Task: ref, Run: p.Run}); w != nil && w.hasReported(run) {
+		end.StartedAt = w.startedAt(run)
+	}
 	if d.hasCrashed(incarnation, p.Machine) && !d.neverSent(incarnation, ref, p) {
 		end.Outcome = workload.OutcomeCrashed
 		end.CrashScore = d.crashScore(incarnation, ref, p, now)
@@ -55,7 +58,7 @@
 	w, heard := d.workers[incarnation]
 	run := workload.Run{Task: ref, Run: p.Run}
 	switch {
-	case !heard && p.LongRunning && d.leadingSince-p.PlacedAt >= placedProofMS:
+	case !heard && p.LongRunning && p.StartedAt > 0 && d.leadingSince-p.StartedAt >= startedProofMS:
 		return 0
 	case heard && w.activeMS(run) >= activeProofMS:
 		return 0
--- a/internal/dispatch/cycle.go
+++ b/internal/dispatch/cycle.go
@@ -219,6 +219,7 @@
 		stops = d.runsToStop(s.Workload, gate, now)
 		p.Withdrawn = d.stopsToWithdraw(s.Workload, now)
 		p.Cleared = d.clearedRuns(s.Workload)
+		p.Started = d.startedRuns(s.Workload)
 		d.updateLiveWorkers(s.Workload, now)
 		d.updateIdleTimes(s.Workload, now)
 		d.rebalance(s.Workload, now)
@@ -238,9 +239,11 @@
 		stallChanges = d.checkStalls(s.Workload, workers, plan.NeedApproval, now)
 	})
 	d.logStalls(stallChanges, now)
-	if len(p.Due)+len(p.Stops)+len(p.Withdrawn)+len(p.Cleared)+len(p.Starts) == 0 && p.PruneBefore <= 0 && !p.ForgetRunTimes {
+	changes := len(p.Due)+len(p.Stops)+len(p.Withdrawn)+len(p.Cleared)+len(p.Starts) > 0 || p.PruneBefore > 0 || p.ForgetRunTimes
+	if !changes && (len(p.Started) == 0 || now-d.confirmedAt < confirmIntervalMS) {
 		return nil, nil
 	}
+	d.confirmedAt = now
 	return p, stops
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -109,6 +109,8 @@
 	maintenance *maintenance
 	approvals   *approvals
 	prunedAt    int64
+	// confirmedAt is when a plan was last proposed, with the starts that were reported until then.
+	confirmedAt int64
 	// machinesByName holds all known machines. machinesListed is true once the platform's
 	// machine list was read under this leadership.
 	machinesByName map[string]*machine
@@ -404,7 +406,7 @@
 			d.Wake()
 		}
 		o.Starts = w.admitStarts(budget, o.Starts)
-		w.recordSent(s.Workload, o.Starts, o.Stops)
+		w.recordSent(s.Workload, o.Starts, o.Stops, now)
 		o.Retry = d.heartbeatInterval(w, s.Workload, len(o.Starts) > 0, budget.exhausted, held)
 	})
 	l := d.log.Leadership()
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -22,7 +22,7 @@
 	}
 	var abandoned []workload.End
 	d.log.Read(func(s *fleet.State) {
-		d.markTimed(s.Workload, ends, now)
+		d.markTimed(ends, now)
 		hearsMajority := d.hearsMajority(s.Workload, now)
 		for incarnation, runs := range s.Workload.RunsByWorker() {
 			if !d.isLost(incarnation, machineOf(runs), now) {
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -2,6 +2,10 @@
 
 import "github.com/samphirefork/samphirefork/internal/workload"
 
+// confirmIntervalMS bounds the delay of a commit that records nothing but starts. Callers may be shown
+// a number of waiting jobs that is 2 s old.
+const confirmIntervalMS = 300
+
 // runState is what the last report of a worker proves about a run that is placed there.
 type runState int
 
@@ -36,5 +40,34 @@
 // mayHaveStarted reports whether a response may have carried the start of a run: one of this
 // leadership, or of an earlier one under which the run was placed.
 func (w *worker) mayHaveStarted(run workload.Run, p *workload.Placement, since int64) bool {
-	return w.startSent[run] || p.PlacedAt <= since
+	return w.startSent[run] > 0 || p.PlacedAt <= since
+}
+
+// startedRuns returns the runs that the last reports of their workers show to have started and that
+// are not recorded as such.
+func (d *Dispatcher) startedRuns(s *workload.State) []workload.StartedRun {
+	var started []workload.StartedRun
+	for incarnation, runs := range s.RunsByWorker() {
+		w, ok := d.workers[incarnation]
+		if !ok || w.terminated {
+			continue
+		}
+		for ref, p := range runs {
+			run := workload.Run{Task: ref, Run: p.Run}
+			if p.StartedAt == 0 && w.reported(run) == runActive {
+				started = append(started, workload.StartedRun{Run: run, At: w.startedAt(run)})
+			}
+		}
+	}
+	return started
+}
+
+// startedAt returns when a run that the worker reports has started: it was in the latest response with
+// the start, since the worker would have reported it after an earlier one. Of a run that an earlier
+// leader started, only the first report to this one is known.
+func (w *worker) startedAt(run workload.Run) int64 {
+	if sent := w.startSent[run]; sent > 0 {
+		return sent
+	}
+	return w.progress[run].first.at
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/samphirefork/samphirefork/internal/workload"
@@ -48,25 +49,26 @@
 	)
 }
 
-// recordSent records the starts and stops of a response and removes the records of runs that
+// recordSent records the starts and stops of a response that leaves at now, and removes the records of runs that
 // have ended.
-func (w *worker) recordSent(s *workload.State, starts []StartOrder, stops []workload.Run) {
+func (w *worker) recordSent(s *workload.State, starts []StartOrder, stops []workload.Run, now int64) {
 	w.recordCarried(s, starts, stops)
 	occupied := s.RunsOn(w.Incarnation)
-	for _, runs := range []map[workload.Run]bool{w.startSent, w.revoked, w.stopSent} {
-		for run := range runs {
-			if p, ok := occupied[run.Task]; !ok || p.Run != run.Run {
-				delete(runs, run)
-			}
-		}
+	gone := func(run workload.Run) bool {
+		p, ok := occupied[run.Task]
+		return !ok || p.Run != run.Run
+	}
+	for _, runs := range []map[workload.Run]bool{w.revoked, w.stopSent} {
+		maps.DeleteFunc(runs, func(run workload.Run, _ bool) bool { return gone(run) })
 	}
+	maps.DeleteFunc(w.startSent, func(run workload.Run, _ int64) bool { return gone(run) })
 	for run := range w.stopSentAt {
 		if reported, ok := w.running[run.Task]; !ok || reported.Run != run {
 			delete(w.stopSentAt, run)
 		}
 	}
 	for _, start := range starts {
-		w.startSent[start.Run] = true
+		w.startSent[start.Run] = now
 	}
 }
 
@@ -108,7 +110,7 @@
 			continue
 		}
 		delete(w.stopSent, run)
-		ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: w.Incarnation, Outcome: workload.OutcomeStopped})
+		ends = append(ends, workload.End{Task: ref, Run: p.Run, Worker: w.Incarnation, Outcome: workload.OutcomeRefused})
 	}
 	return ends
 }
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -9,22 +9,18 @@
 	return d.settings.Planning.RunTimes == settings.RunTimesLearned
 }
 
-// markTimed marks the reported ends whose run times say how long the task takes: the worker
-// is not slow, and the time since the placement does not include the search for a new
-// leader. The caller holds mu.
-func (d *Dispatcher) markTimed(s *workload.State, ends []workload.End, now int64) {
-	if !d.learnsRunTimes() {
-		return
-	}
+// markTimed sets when the runs of the reported ends started, where that is known, and marks those
+// whose run times say how long the task takes: the worker is not slow, and this leader has sent it the
+// start. The caller holds mu.
+func (d *Dispatcher) markTimed(ends []workload.End, now int64) {
 	for i := range ends {
 		e := &ends[i]
 		w, ok := d.workers[e.Worker]
-		if !ok || now < w.slowUntil || e.Outcome != workload.OutcomeDone {
+		if !ok || !e.Outcome.ProvesStart() {
 			continue
 		}
-		if _, t, ok := s.Task(e.Task); ok && t.Run == e.Run && t.PlacedAt >= d.leadingSince {
-			e.Timed = true
-		}
+		e.StartedAt = w.startSent[workload.Run{Task: e.Task, Run: e.Run}]
+		e.Timed = d.learnsRunTimes() && e.StartedAt > 0 && now >= w.slowUntil && e.Outcome == workload.OutcomeDone
 	}
 }
 
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -68,7 +68,7 @@
 			if !placed || p.Run != run.Run || p.Stopping || w.running[run.Task].Run == run {
 				continue
 			}
-			if !p.LongRunning || w.startSent[run] || !mayBeLate {
+			if !p.LongRunning || w.startSent[run] > 0 || !mayBeLate {
 				stops = append(stops, workload.Stop{Run: run, Forced: true})
 			}
 		}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -70,8 +70,8 @@
 		return stallTimeoutMS
 	}
 	perPercentMS := expectedMS / percent
-	if p.percent > 0 {
-		perPercentMS = max(perPercentMS, (p.changedAt-placed.PlacedAt)/int64(p.percent))
+	if p.percent > 0 && placed.StartedAt > 0 {
+		perPercentMS = max(perPercentMS, (p.changedAt-placed.StartedAt)/int64(p.percent))
 	}
 	timeout := max(stallTimeoutMS, stallPercents*perPercentMS)
 	if p.percent <= p.first.percent {
--- a/internal/dispatch/straggler.go
+++ b/internal/dispatch/straggler.go
@@ -94,8 +94,8 @@
 	if !known {
 		var runTimes []int64
 		for _, t := range s.Jobs[key.job].Occurrences[key.occurrence].Steps[key.step].Tasks {
-			if t.Phase == workload.Done {
-				runTimes = append(runTimes, t.EndedAt-t.PlacedAt)
+			if t.Phase == workload.Done && t.Started() {
+				runTimes = append(runTimes, t.EndedAt-t.StartedAt)
 			}
 		}
 		medianMS = -1
--- a/internal/dispatch/where.go
+++ b/internal/dispatch/where.go
@@ -179,7 +179,12 @@
 			if j == nil || p.LongRunning {
 				continue
 			}
-			left := max(p.PlacedAt+s.ExpectedRun(j, ref.Step).MeanMS-now, 0)
+			// A run of which no report has come yet may need its whole time.
+			startedAt := p.StartedAt
+			if startedAt == 0 {
+				startedAt = now
+			}
+			left := max(startedAt+s.ExpectedRun(j, ref.Step).MeanMS-now, 0)
 			if firstEndMS == noEstimate || left < firstEndMS {
 				firstEndMS = left
 			}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -43,9 +43,9 @@
 	// stopSentAt holds when a response last carried the stop of a long-running run that the worker
 	// reported.
 	stopSentAt map[workload.Run]int64
-	// startSent holds the runs that a response told the worker to start, and revoked those
+	// startSent holds when a response last told the worker to start a run, and revoked the runs
 	// that no response may carry any more.
-	startSent map[workload.Run]bool
+	startSent map[workload.Run]int64
 	revoked   map[workload.Run]bool
 	// withheld holds the runs that the last response did not repeat although an earlier one
 	// may have started them: the worker's capacity has shrunk, or its data centre is evacuated.
@@ -81,7 +81,7 @@
 	return &worker{
 		Report: rep, running: map[workload.TaskRef]RunningTask{},
 		progress: map[workload.Run]runProgress{}, stopSent: map[workload.Run]bool{}, stopSentAt: map[workload.Run]int64{},
-		startSent: map[workload.Run]bool{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{}, delivery: newDelivery(),
+		startSent: map[workload.Run]int64{}, revoked: map[workload.Run]bool{}, withheld: map[workload.Run]bool{}, delivery: newDelivery(),
 		wake: make(chan struct{}, 1), pace: newPaceController(),
 	}
 }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -225,10 +225,12 @@
 	for _, o := range j.Occurrences {
 		for i := range o.Steps {
 			p := &o.Steps[i]
+			running := p.Started()
+			done := len(p.Tasks) - p.Waiting() - p.OnWorkers()
 			counts[i].Tasks += len(p.Tasks)
-			counts[i].Waiting += p.Waiting()
-			counts[i].Running += p.OnWorkers()
-			counts[i].Done += len(p.Tasks) - p.Waiting() - p.OnWorkers()
+			counts[i].Waiting += len(p.Tasks) - running - done
+			counts[i].Running += running
+			counts[i].Done += done
 		}
 	}
 	return counts
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -284,9 +284,10 @@
 	}
 }
 
-// mayBeFailing reports whether the task waits, or its run has lasted for a short time only.
+// mayBeFailing reports whether the task waits, or its run has not started or has lasted for a short
+// time only.
 func (f *finder) mayBeFailing(t *workload.Task) bool {
-	return t.Phase == workload.Waiting || t.Phase == workload.Placed && f.in.NowMS-t.PlacedAt < failingRunMS
+	return t.Phase == workload.Waiting || t.Phase == workload.Placed && (!t.Started() || f.in.NowMS-t.StartedAt < failingRunMS)
 }
 
 // failedOnEach reports whether a task of the step failed on each live worker that could run
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -44,6 +44,13 @@
 }
 
 func (f *fixture) start(id string, task, worker int, at int64) {
+	f.place(id, task, worker, at)
+	run := workload.Run{Task: workload.TaskRef{Job: id, Index: task}, Run: 1}
+	f.state.Apply(&workload.Command{Progress: &workload.Progress{Started: []workload.StartedRun{{Run: run, At: at}}}}, at)
+}
+
+// place places a run that no report of its worker shows.
+func (f *fixture) place(id string, task, worker int, at int64) {
 	f.state.Apply(&workload.Command{Progress: &workload.Progress{Starts: []workload.Start{{Task: workload.TaskRef{Job: id, Index: task}, Run: 1, Worker: f.workers[worker].Incarnation}}}}, at)
 }
 
@@ -169,6 +176,28 @@
 	require.Empty(t, Find(Input{State: f.state, NowMS: now, Workers: f.workers, FailedOn: failures}), "its present run goes on")
 }
 
+// Guards against a placement that counts as progress of the task: its start may never arrive.
+func TestPlacementIsNoProgress(t *testing.T) {
+	f := newFixture()
+	lasting := step(1, 4000)
+	lasting.LongRunning = true
+	f.submit("lasts", "", 1, lasting)
+	f.place("lasts", 0, 1, now-failingRunMS)
+	failures := map[workload.TaskRef]map[string]bool{{Job: "lasts"}: {"w0": true, "w1": true}}
+	stalls := Find(Input{State: f.state, NowMS: now, Workers: f.workers, FailedOn: failures})
+	require.Len(t, stalls, 1)
+	require.Equal(t, FailsEverywhere, stalls[0].Reason)
+
+	f = newFixture()
+	lasting.Count = 2
+	f.submit("lasts", "", 1, lasting)
+	f.place("lasts", 0, 1, now)
+	f.occupy(0)
+	stalls = Find(Input{State: f.state, NowMS: now, Workers: f.workers})
+	require.Len(t, stalls, 1)
+	require.EqualValues(t, 1, stalls[0].SinceMS, "since the turn of the step")
+}
+
 // BenchmarkFind measures the search with a thousand stalled jobs in full pools.
 func BenchmarkFind(b *testing.B) {
 	f := newFixture()
--- a/internal/taskplan/overload.go
+++ b/internal/taskplan/overload.go
@@ -36,7 +36,7 @@
 	// core times milliseconds.
 	work, wholeWork int64
 	queue           string
-	// begun is true if a task was placed.
+	// begun is true if a task is placed or done.
 	begun bool
 	// density is the worth for the remaining work, in any unit.
 	density float64
@@ -317,7 +317,7 @@
 	chainMS int64
 	// workMilliMS is the work that remains, and wholeMilliMS that of all tasks.
 	workMilliMS, wholeMilliMS int64
-	// begun is true if a task was placed.
+	// begun is true if a task is placed or done: moving its capacity to other work would waste it.
 	begun bool
 }
 
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -33,11 +33,13 @@
 }
 
 // Progress is a batch of ends of runs and of the leader's decisions. They are applied in
-// the order of the fields: Ends, Stops, Withdrawn, Due, Cleared, Starts, Ordered, Begun,
+// the order of the fields: Started, Ends, Stops, Withdrawn, Due, Cleared, Starts, Ordered, Begun,
 // ForgetRunTimes, PruneBefore.
 type Progress struct {
-	Ends  []End  `cbor:"1,keyasint,omitempty"`
-	Stops []Stop `cbor:"2,keyasint,omitempty"`
+	// Started lists placed runs that their workers have reported to run.
+	Started []StartedRun `cbor:"12,keyasint,omitempty"`
+	Ends    []End        `cbor:"1,keyasint,omitempty"`
+	Stops   []Stop       `cbor:"2,keyasint,omitempty"`
 	// Inactive lists the placed runs in the steps of the stops that the leader does not know to be
 	// active.
 	Inactive []Run `cbor:"10,keyasint,omitempty"`
@@ -65,6 +67,12 @@
 	Run  int     `cbor:"2,keyasint" json:"run"`
 }
 
+// StartedRun is a run that its worker has reported, and the cluster time at which it started.
+type StartedRun struct {
+	Run
+	At int64 `cbor:"3,keyasint"`
+}
+
 // Stop stops a run. That of a long-running task changes nothing if its step has as many other
 // tasks away as its InterruptionBudget.
 type Stop struct {
@@ -114,7 +122,8 @@
 	// the platform report.
 	OutcomeBroken
 	OutcomeAlone
-	// OutcomeRefused is a run that its worker refused to start.
+	// OutcomeRefused is a run that its worker refused to start, or will refuse because it was told
+	// to stop it first.
 	OutcomeRefused
 	// OutcomeLost is a run whose worker did not report its end before the worker's lease
 	// expired or its incarnation was over.
@@ -126,6 +135,17 @@
 	OutcomeCrashed
 )
 
+// ProvesStart reports whether only a run that has started ends in this way. The other outcomes
+// are those of workers that refused the run or did not report its end.
+func (o Outcome) ProvesStart() bool {
+	switch o {
+	case OutcomeDone, OutcomeFailed, OutcomeStopped, OutcomeLapsed, OutcomeBroken, OutcomeAlone:
+		return true
+	default:
+		return false
+	}
+}
+
 // String returns the name of the outcome, or "unknown".
 func (o Outcome) String() string {
 	names := [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "refused", "lost", "abandoned", "crashed"}
@@ -160,9 +180,12 @@
 	Checkpoint string            `cbor:"5,keyasint,omitempty"`
 	// CrashScore is what the crash adds to the task's score; 0 for any other outcome.
 	CrashScore int `cbor:"6,keyasint,omitempty"`
-	// Timed is true when the time since the run was placed is the run time of the task, so
-	// that estimates may rest on it.
+	// Timed is true when the time since StartedAt is the run time of the task, so that estimates may
+	// rest on it. In logs of earlier versions StartedAt is 0, and the time since the placement counts.
 	Timed bool `cbor:"7,keyasint,omitempty"`
+	// StartedAt is the cluster time at which the run started; 0 when it has not, or the time is not
+	// known.
+	StartedAt int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // WaveMachine identifies a machine of a wave.
--- a/internal/workload/crashes_test.go
+++ b/internal/workload/crashes_test.go
@@ -44,6 +44,7 @@
 			return decoded
 		}, JobFailed},
 		"cleared": {Step{Count: 1, LongRunning: true}, func(s *State) *State {
+			started(s, ref, 3)
 			s.Apply(&Command{Progress: &Progress{Cleared: []Run{{Task: ref, Run: 3}}}}, 25)
 			require.False(t, s.RunsOn(incarnation)[ref].Suspect())
 			return s
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -7,6 +7,7 @@
 )
 
 func (s *State) applyProgress(p *Progress) {
+	s.applyStarted(p.Started)
 	for i := range p.Ends {
 		s.applyEnd(&p.Ends[i])
 	}
@@ -51,10 +52,7 @@
 	t.Worker = c.Worker
 	t.Ticket = ticket
 	t.Machine = c.Machine
-	t.PlacedAt = s.now
-	if j.State == JobQueued {
-		j.State = JobRunning
-	}
+	t.PlacedAt, t.StartedAt = s.now, 0
 	s.addRun(j, c.Task, t, t.currentRun(), false)
 }
 
@@ -74,9 +72,15 @@
 		s.abandonRun(c.Task, t, step, progress)
 		return
 	}
+	if c.StartedAt > 0 || c.Outcome.ProvesStart() {
+		s.confirmStart(j, c.Task, t, c.StartedAt)
+	}
 	s.removeRun(j, c.Task, t.Worker)
 	s.countCrash(t, c)
-	t.EndedAt, t.Ticket = s.now, ""
+	t.Ticket = ""
+	if t.Started() || c.Outcome == OutcomeCrashed {
+		t.EndedAt = s.now
+	}
 	s.recordRunTime(j, t, progress, c)
 	next := Waiting
 	if t.DoneByCopy || c.Outcome == OutcomeDone && !step.LongRunning {
@@ -117,6 +121,9 @@
 		return true
 	}
 	t.Abandoned = slices.Concat(t.Abandoned[:i], t.Abandoned[i+1:])
+	if c.StartedAt > 0 || c.Outcome.ProvesStart() {
+		j.markRunning()
+	}
 	s.removeRun(j, c.Task, c.Worker)
 	progress := &j.Occurrences[c.Task.Occurrence].Steps[c.Task.Step]
 	switch {
--- a/internal/workload/runtimes.go
+++ b/internal/workload/runtimes.go
@@ -32,5 +32,9 @@
 	if step.Checkpoints && t.Checkpoint != "" || step.Gang && p.done > 0 {
 		return
 	}
-	s.RunTimes.Record(runtimeTask(j, c.Task.Step), s.now-t.PlacedAt)
+	startedAt := c.StartedAt
+	if startedAt == 0 {
+		startedAt = t.PlacedAt
+	}
+	s.RunTimes.Record(runtimeTask(j, c.Task.Step), s.now-startedAt)
 }
--- a/internal/workload/split.go
+++ b/internal/workload/split.go
@@ -14,6 +14,10 @@
 // command that is refused, they would keep everything else from being committed.
 func (p *Progress) Split(s *State, maxBytes, maxGroupBytes int) (batches []*Progress, tooLarge []TaskRef) {
 	w := &batchWriter{maxBytes: maxBytes}
+	for _, started := range p.Started {
+		batch := w.next(started.bytes())
+		batch.Started = append(batch.Started, started)
+	}
 	for i := range p.Ends {
 		batch := w.next(p.Ends[i].bytes())
 		batch.Ends = append(batch.Ends, p.Ends[i])
--- a/internal/workload/split_test.go
+++ b/internal/workload/split_test.go
@@ -20,6 +20,7 @@
 		p.Due = append(p.Due, due)
 		p.Cleared = append(p.Cleared, Run{Task: TaskRef{Job: "none", Index: i}, Run: 1})
 		p.Withdrawn = append(p.Withdrawn, Run{Task: TaskRef{Job: "none", Index: i}, Run: 1})
+		p.Started = append(p.Started, StartedRun{Run: Run{Task: TaskRef{Job: "none", Index: i}, Run: 1}, At: 5})
 		p.Ends = append(p.Ends, End{Task: TaskRef{Job: "none", Index: i}, Run: 1, Outcome: OutcomeDone})
 	}
 	s.Apply(&Command{Submit: &Submit{ID: "repeated", Queue: "q", Steps: []Step{{Count: 1}}, Repetitions: 200, IntervalMS: 1}}, 10)
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -16,6 +16,9 @@
 	Stopping bool
 	// PlacedAt is the cluster time, in milliseconds, at which the run was placed.
 	PlacedAt int64
+	// StartedAt is the cluster time, in milliseconds, at which the run started; 0 until a report has
+	// shown that it did.
+	StartedAt int64
 	// Machine is the machine that the worker runs on.
 	Machine string
 	// LongRunning is true for a run that ends only when it is stopped.
@@ -145,7 +148,7 @@
 
 // currentRun returns the latest run of the task.
 func (t *Task) currentRun() PlacedRun {
-	return PlacedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, Machine: t.Machine}
+	return PlacedRun{Run: t.Run, Worker: t.Worker, PlacedAt: t.PlacedAt, StartedAt: t.StartedAt, Machine: t.Machine}
 }
 
 // addRun adds a run of the task to the indices of its worker and team.
@@ -158,7 +161,7 @@
 	}
 	runs[ref] = &Placement{
 		Run: run.Run, Occupies: step.Occupies(), Team: j.Team, TeamUsage: step.Size,
-		Stopping: stopping, PlacedAt: run.PlacedAt, LongRunning: step.LongRunning, Machine: run.Machine,
+		Stopping: stopping, PlacedAt: run.PlacedAt, StartedAt: run.StartedAt, LongRunning: step.LongRunning, Machine: run.Machine,
 		CrashScore: t.CrashScore,
 	}
 	s.teamUse[j.Team] = s.teamUse[j.Team].Plus(step.Size)
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -196,7 +196,8 @@
 const (
 	// Waiting tasks are to be started.
 	Waiting Phase = iota
-	// Placed tasks have a run that was assigned to a worker, and may have started there.
+	// Placed tasks have a run that was assigned to a worker. Task.StartedAt tells whether it has
+	// started there.
 	Placed
 	// Stopping tasks have a run that is to stop and has not ended yet.
 	Stopping
@@ -214,7 +215,8 @@
 	Worker   WorkerIncarnation `cbor:"4,keyasint,omitempty"`
 	// Checkpoint is the latest progress that the task saved; empty when there is none.
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
-	// PlacedAt is when the latest run was placed, and EndedAt when a run last ended.
+	// PlacedAt is when the latest run was placed, and EndedAt when a run last ended that had
+	// started or crashed its worker.
 	PlacedAt int64 `cbor:"6,keyasint,omitempty"`
 	EndedAt  int64 `cbor:"7,keyasint,omitempty"`
 	// Ticket is the ticket of the worker's approval; empty when none was needed.
@@ -232,6 +234,9 @@
 	// CrashScore is the evidence that the task crashes the workers that run it; see
 	// CrashScoreUnreported.
 	CrashScore int `cbor:"12,keyasint,omitempty"`
+	// StartedAt is when the latest run started, or 0 if no report of its worker has shown that it
+	// did. Only State.confirmStart sets it.
+	StartedAt int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // PlacedRun is a run and the worker that it was placed on.
@@ -240,12 +245,14 @@
 	Worker   WorkerIncarnation `cbor:"2,keyasint"`
 	PlacedAt int64             `cbor:"3,keyasint,omitempty"`
 	Machine  string            `cbor:"4,keyasint,omitempty"`
+	// StartedAt is when the run started, or 0 if no report has shown that it did.
+	StartedAt int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // JobState is the state of a job, as callers see it.
 type JobState string
 
-// States of a job.
+// States of a job. A job is running once a worker has reported a run of one of its tasks.
 const (
 	JobQueued    JobState = "queued"
 	JobRunning   JobState = "running"
@@ -300,13 +307,13 @@
 	Steps []StepProgress `cbor:"2,keyasint"`
 }
 
-// LastProgressMS returns the cluster time at which a task of the step was last placed or
-// ended, or the step's turn came. The step must be ready.
+// LastProgressMS returns the cluster time at which a task of the step last started or
+// ended, or the step's turn came. A placement is no progress. The step must be ready.
 func (o *Occurrence) LastProgressMS(j *Job, step int) int64 {
 	last := o.DueAt
 	for i := range o.Steps[step].Tasks {
 		t := &o.Steps[step].Tasks[i]
-		last = max(last, t.PlacedAt, t.EndedAt)
+		last = max(last, t.StartedAt, t.EndedAt)
 	}
 	for _, dependency := range j.Steps[step].After {
 		for i := range o.Steps[dependency].Tasks {
