Identify queues by place and teams by key

A repetition of an accepted job was refused after it, and two queues or teams that exchanged their names took over each other's waiting jobs: pool, attempts, run times that are learned, waiting, limits.

Cause: jobs referred to queues and teams by the operator's names, which callers don't know.

Jobs refer to their queue by QueueKey (host and path prefix, or the name where queues have no host), keep the last definition of a queue that is removed, and follow their team when its keys appear under another name. State.SetConfig is the only way to a new configuration. A submission carries the version by which it was judged and is refused under any other, then judged again: names can't be read by one version and applied under another.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -169,7 +169,8 @@
 		return false
 	}
 	j := s.Active()[ref.Job]
-	advice := s.Config.Queues[j.Queue].Advice
+	q, _ := s.QueueOf(j)
+	advice := q.Advice
 	incarnations := d.adviceCandidates(s, ref, workers, onlyFree, now)
 	if len(incarnations) == 0 || advice == nil {
 		return false
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		seen[j.ID] = true
-		d.logger.Info().Str("job", j.ID).Str("queue", j.Queue).Str("state", string(j.State)).
+		d.logger.Info().Str("job", j.ID).Str("queue", s.QueueName(j)).Str("state", string(j.State)).
 			Int64("took_ms", j.EndedAt-j.AcceptedAt).Int64("objective_ms", j.ObjectiveMS).Msg("job ended")
 	}
 }
--- a/internal/dispatch/started_test.go
+++ b/internal/dispatch/started_test.go
@@ -11,7 +11,9 @@
 )
 
 // waitingJobs returns the number of jobs that callers are told to be waiting.
-func (r *rig) waitingJobs() int { return r.state.Workload.WaitingJobs(rigQueue) }
+func (r *rig) waitingJobs() int {
+	return r.state.Workload.WaitingJobs(workload.QueueKey{Name: rigQueue})
+}
 
 // Guards against jobs that are shown as running, and missing from the number of waiting ones, since a
 // run was placed on a worker that never got the start.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -106,7 +106,7 @@
 	from := s.Config.Revision
 	tx.cfg.Revision = from + 1
 	s.Config = *tx.cfg
-	s.Workload.Config = stepConfig(tx.cfg)
+	s.Workload.SetConfig(stepConfig(tx.cfg))
 	s.mirrorEvacuations(tx.changed)
 	s.Status = tx.status
 	s.Plans = tx.plans
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -15,6 +15,14 @@
 	"github.com/samphirefork/samphirefork/internal/workload"
 )
 
+// maxConfigChanges bounds how often a call is judged anew because the configuration has changed
+// meanwhile.
+const maxConfigChanges = 5
+
+// errConfigChanged means that the configuration by which a call was judged is no longer in force. Nothing
+// was changed.
+var errConfigChanged = errors.New("intake: the configuration has changed")
+
 // idDigits is the length of a job identifier, in hexadecimal digits.
 const idDigits = 16
 
@@ -129,10 +137,24 @@
 	return r
 }
 
+// answer judges a call by one configuration. Names of queues and teams are those of others in the next one,
+// so the call is judged anew if another comes into force meanwhile.
 func (s *Server) answer(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
+	judge := s.answerRouted
 	if call.Queue != "" {
-		return s.answerChecked(ctx, call)
+		judge = s.answerChecked
 	}
+	for range maxConfigChanges {
+		reply, err := judge(ctx, call)
+		if !errors.Is(err, errConfigChanged) {
+			return reply, err
+		}
+	}
+	return wire.JobCallReply{Verdict: wire.VerdictNoConfig, RetryAfterMS: electionRetryMS}, nil
+}
+
+// answerRouted answers a call whose queue and team are found by its place and key.
+func (s *Server) answerRouted(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
 	r := s.currentRoutes()
 	if r == nil {
 		return wire.JobCallReply{Verdict: wire.VerdictNoConfig, RetryAfterMS: electionRetryMS}, nil
@@ -154,38 +176,62 @@
 	if !validID(rest) {
 		return wire.JobCallReply{Verdict: wire.VerdictNoJob, Detail: "the job identifier is not 16 hexadecimal digits"}, nil
 	}
+	target := target{queue: q, team: team, id: rest, version: r.version}
 	switch call.Op {
 	case wire.JobSubmit:
-		return s.submit(ctx, q, team, rest, call)
+		return s.submit(ctx, target, call)
 	case wire.JobCancel:
-		return s.cancel(ctx, q, team, rest)
+		return s.cancel(ctx, target)
 	default:
-		return s.status(q, team, rest), nil
+		return s.status(target)
 	}
 }
 
+// target is what a call is about: the job of a team in a queue, by the names of one version of the
+// configuration.
+type target struct {
+	queue    workload.Queue
+	team, id string
+	version  int64
+}
+
+// find returns the job, or nil if there is none or it is that of another queue or team. The error is
+// errConfigChanged if another configuration is in force.
+func (t target) find(s *workload.State) (*workload.Job, error) {
+	if s.Config.Version != t.version {
+		return nil, errConfigChanged
+	}
+	if j, ok := s.Jobs[t.id]; ok && j.QueueKey == t.queue.Key() && j.Team == t.team {
+		return j, nil
+	}
+	return nil, nil
+}
+
 // answerChecked answers a call for which the entry has checked the key and determined the
 // queue, team and job.
 func (s *Server) answerChecked(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
-	var q workload.Queue
+	target := target{team: call.Team, id: call.Job}
 	found := false
-	s.log.Read(func(st *fleet.State) { q, found = st.Workload.Config.Queues[call.Queue] })
+	s.log.Read(func(st *fleet.State) {
+		target.version = st.Workload.Config.Version
+		target.queue, found = st.Workload.Config.Queues[call.Queue]
+	})
 	if !found {
 		return wire.JobCallReply{Verdict: wire.VerdictNoQueue}, nil
 	}
 	switch call.Op {
 	case wire.JobSubmit:
-		return s.submit(ctx, q, call.Team, call.Job, call)
+		return s.submit(ctx, target, call)
 	case wire.JobCancel:
-		return s.cancel(ctx, q, call.Team, call.Job)
+		return s.cancel(ctx, target)
 	default:
-		reply := s.status(q, call.Team, call.Job)
+		reply, err := s.status(target)
 		s.log.Read(func(st *fleet.State) {
 			if j, ok := st.Workload.Jobs[call.Job]; ok && reply.Verdict == wire.VerdictOK {
 				reply.Steps = stepCounts(j)
 			}
 		})
-		return reply, nil
+		return reply, err
 	}
 }
 
@@ -203,19 +249,21 @@
 
 func (s *Server) waiting(q workload.Queue) wire.JobCallReply {
 	reply := wire.JobCallReply{Verdict: wire.VerdictOK}
-	s.log.Read(func(st *fleet.State) { reply.Waiting = st.Workload.WaitingJobs(q.Name) })
+	s.log.Read(func(st *fleet.State) { reply.Waiting = st.Workload.WaitingJobs(q.Key()) })
 	return reply
 }
 
 // status returns the state of a job. A job of another queue or team is reported as unknown.
-func (s *Server) status(q workload.Queue, team, id string) wire.JobCallReply {
+func (s *Server) status(t target) (wire.JobCallReply, error) {
 	reply := wire.JobCallReply{Verdict: wire.VerdictNoJob}
+	var err error
 	s.log.Read(func(st *fleet.State) {
-		if j, ok := st.Workload.Jobs[id]; ok && j.Queue == q.Name && j.Team == team {
+		var j *workload.Job
+		if j, err = t.find(st.Workload); j != nil {
 			reply = wire.JobCallReply{Verdict: wire.VerdictOK, State: j.State}
 		}
 	})
-	return reply
+	return reply, err
 }
 
 // stepCounts returns the numbers of tasks of each step, over all occurrences that have
@@ -252,7 +300,8 @@
 	return ""
 }
 
-func (s *Server) submit(ctx context.Context, q workload.Queue, team, id string, call wire.JobCall) (wire.JobCallReply, error) {
+func (s *Server) submit(ctx context.Context, t target, call wire.JobCall) (wire.JobCallReply, error) {
+	id := t.id
 	if reason := invalidContent(call); reason != "" {
 		return wire.JobCallReply{Verdict: wire.VerdictInvalid, Detail: reason}, nil
 	}
@@ -264,7 +313,7 @@
 	defer func() { applied() }()
 	s.log.Read(func(st *fleet.State) {
 		if _, known = st.Workload.Jobs[id]; !known {
-			admission, applied = s.gate.decide(st.Workload, submission{id: id, team: team, queue: q, content: call.Content}, time.Now())
+			admission, applied = s.gate.decide(st.Workload, submission{id: id, team: t.team, queue: t.queue, content: call.Content}, time.Now())
 		}
 	})
 	if admission.Reason != "" {
@@ -272,12 +321,12 @@
 			return wire.JobCallReply{}, errors.Wrap(fleet.ErrUncertain, "intake: another attempt may still be committed")
 		}
 		s.refused.Inc(1)
-		s.logger.Info().Str("job", id).Str("queue", q.Name).Str("team", team).Str("reason", string(admission.Reason)).
+		s.logger.Info().Str("job", id).Str("queue", t.queue.Name).Str("team", t.team).Str("reason", string(admission.Reason)).
 			Int64("retry_after_ms", admission.RetryAfterMS).Msg("job refused, not run")
 		return wire.JobCallReply{Verdict: wire.VerdictOverloaded, RetryAfterMS: admission.RetryAfterMS, Detail: string(admission.Reason)}, nil
 	}
 	cmd := *call.Content
-	cmd.ID, cmd.Queue, cmd.Team = id, q.Name, team
+	cmd.ID, cmd.Queue, cmd.Team, cmd.ConfigVersion = id, t.queue.Name, t.team, t.version
 	s.unresolved.add(id, time.Now())
 	result, err := fleet.ProposeWorkload(ctx, s.log, &workload.Command{Submit: &cmd})
 	if errors.Is(err, fleet.ErrCommand) {
@@ -288,11 +337,13 @@
 	}
 	s.unresolved.remove(id)
 	s.changed()
-	s.logger.Info().Str("job", id).Str("queue", q.Name).Str("team", team).Int("steps", len(cmd.Steps)).
+	s.logger.Info().Str("job", id).Str("queue", t.queue.Name).Str("team", t.team).Int("steps", len(cmd.Steps)).
 		Bool("known", result.Known).Str("refusal", string(result.Refusal)).Msg("job submitted")
 	switch result.Refusal {
 	case "":
 		return wire.JobCallReply{Verdict: wire.VerdictOK, State: workload.JobQueued}, nil
+	case workload.RefusedConfigChanged:
+		return wire.JobCallReply{}, errConfigChanged
 	case workload.RefusedNoQueue:
 		return wire.JobCallReply{Verdict: wire.VerdictNoQueue}, nil
 	default:
@@ -300,16 +351,17 @@
 	}
 }
 
-func (s *Server) cancel(ctx context.Context, q workload.Queue, team, id string) (wire.JobCallReply, error) {
-	if s.status(q, team, id).Verdict == wire.VerdictNoJob {
-		return wire.JobCallReply{Verdict: wire.VerdictNoJob}, nil
+func (s *Server) cancel(ctx context.Context, t target) (wire.JobCallReply, error) {
+	if status, err := s.status(t); err != nil || status.Verdict == wire.VerdictNoJob {
+		return status, err
 	}
-	result, err := fleet.ProposeWorkload(ctx, s.log, &workload.Command{Cancel: &workload.Cancel{ID: id, Queue: q.Name}})
+	key := t.queue.Key()
+	result, err := fleet.ProposeWorkload(ctx, s.log, &workload.Command{Cancel: &workload.Cancel{ID: t.id, QueueKey: &key}})
 	if err != nil {
 		return wire.JobCallReply{}, err
 	}
 	s.changed()
-	s.logger.Info().Str("job", id).Str("queue", q.Name).Str("refusal", string(result.Refusal)).Msg("job cancelled")
+	s.logger.Info().Str("job", t.id).Str("queue", t.queue.Name).Str("refusal", string(result.Refusal)).Msg("job cancelled")
 	if result.Refusal != "" {
 		return wire.JobCallReply{Verdict: wire.VerdictNoJob}, nil
 	}
--- a/internal/runtimes/table.go
+++ b/internal/runtimes/table.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// RenameQueues replaces the queue of each group by what rename returns for it. Call Rebuild afterwards.
+func (t *Table) RenameQueues(rename func(queue string) string) {
+	for i := range t.Groups {
+		t.Groups[i].Key.Queue = rename(t.Groups[i].Key.Queue)
+	}
+}
+
 // Clone returns a copy for a snapshot. Call Rebuild before using it as a table.
 func (t *Table) Clone() *Table {
 	if t == nil {
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -249,7 +249,7 @@
 	key := Key{ref.Job, ref.Occurrence, ref.Step}
 	i, ok := f.found[key]
 	if !ok {
-		s := Stall{Key: key, Queue: j.Queue, Team: j.Team, Reason: WorkerSilent, Detail: "worker " + w.Incarnation.ID, SinceMS: w.SilentSinceMS}
+		s := Stall{Key: key, Queue: f.in.State.QueueName(j), Team: j.Team, Reason: WorkerSilent, Detail: "worker " + w.Incarnation.ID, SinceMS: w.SilentSinceMS}
 		if f.liveIn[w.DataCentre] == 0 && w.DataCentre != "" {
 			s.Reason, s.Detail = DataCentreCutOff, "data centre "+w.DataCentre
 		}
@@ -278,7 +278,7 @@
 			continue
 		}
 		f.add(Stall{
-			Key: key, Queue: j.Queue, Team: j.Team, Tasks: 1, Reason: FailsEverywhere,
+			Key: key, Queue: f.in.State.QueueName(j), Team: j.Team, Tasks: 1, Reason: FailsEverywhere,
 			Detail: fmt.Sprintf("task %s failed on %d workers", ref, len(failed)), SinceMS: t.EndedAt,
 		})
 	}
@@ -336,7 +336,7 @@
 	if reason == "" {
 		return
 	}
-	f.stalls = append(f.stalls, Stall{Key: key, Queue: j.Queue, Team: j.Team, Tasks: p.Waiting(), Reason: reason, Detail: detail, SinceMS: since})
+	f.stalls = append(f.stalls, Stall{Key: key, Queue: f.in.State.QueueName(j), Team: j.Team, Tasks: p.Waiting(), Reason: reason, Detail: detail, SinceMS: since})
 }
 
 // classify returns why the waiting tasks of a step are not placed, or no reason if nothing
@@ -348,7 +348,7 @@
 		return Evacuated, f.evacuatedNames()
 	}
 	if f.in.Unapproved[key] {
-		return NoApproval, "queue " + j.Queue
+		return NoApproval, "queue " + f.in.State.QueueName(j)
 	}
 	if !f.withinLimit(j, step) {
 		return TeamLimit, "team " + j.Team
--- a/internal/taskplan/overload.go
+++ b/internal/taskplan/overload.go
@@ -35,7 +35,7 @@
 	// work is the work that remains, and wholeWork that of all tasks, in thousandths of a
 	// core times milliseconds.
 	work, wholeWork int64
-	queue           string
+	queue           workload.QueueKey
 	// begun is true if a task is placed or done.
 	begun bool
 	// density is the worth for the remaining work, in any unit.
@@ -260,7 +260,7 @@
 // ones have no candidate, and will need room too.
 func (p *planner) addContenders(pools map[string]*overloadedPool, candidates []candidate) {
 	contenders := make([]contender, 0, len(candidates)+len(p.dependent))
-	queues := map[string]meanWork{}
+	queues := map[workload.QueueKey]meanWork{}
 	add := func(c *candidate) {
 		pool := pools[c.pool]
 		if pool == nil || c.class != classOnTime && c.class != classLate {
@@ -274,7 +274,7 @@
 		}
 		rest := p.remaining(c)
 		contenders = append(contenders, contender{
-			rank: 2 * c.job.Priority, id: id, queue: c.job.Queue, work: rest.workMilliMS, wholeWork: rest.wholeMilliMS, begun: rest.begun,
+			rank: 2 * c.job.Priority, id: id, queue: c.job.QueueKey, work: rest.workMilliMS, wholeWork: rest.wholeMilliMS, begun: rest.begun,
 			latestMS: c.deadline - rest.chainMS,
 		})
 		c.contender = &contenders[len(contenders)-1]
@@ -282,7 +282,7 @@
 			c.contender.rank++
 		}
 		pool.contenders = append(pool.contenders, c.contender)
-		queues[c.job.Queue] = queues[c.job.Queue].plus(rest.wholeMilliMS)
+		queues[c.job.QueueKey] = queues[c.job.QueueKey].plus(rest.wholeMilliMS)
 	}
 	for i := range candidates {
 		add(&candidates[i])
--- a/internal/taskplan/plan.go
+++ b/internal/taskplan/plan.go
@@ -334,7 +334,8 @@
 }
 
 func (p *planner) needsApproval(c candidate) bool {
-	return p.in.State.Config.Queues[c.job.Queue].Advice != nil
+	q, _ := p.in.State.QueueOf(c.job)
+	return q.Advice != nil
 }
 
 func (c candidate) taskRef(index int) workload.TaskRef {
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -36,7 +36,7 @@
 		return Result{Refusal: RefusedVersionReused, Version: s.Config.Version}
 	}
 	if c.Version > s.Config.Version {
-		s.Config = *c
+		s.SetConfig(*c)
 	}
 	return Result{Version: s.Config.Version}
 }
@@ -56,14 +56,17 @@
 }
 
 func (s *State) applySubmit(c *Submit) Result {
+	if c.ConfigVersion != 0 && c.ConfigVersion != s.Config.Version {
+		return Result{Refusal: RefusedConfigChanged}
+	}
+	q, ok := s.Config.Queues[c.Queue]
 	content := fingerprint(c)
-	if old, ok := s.Jobs[c.ID]; ok {
-		if old.Fingerprint != content {
+	if old, known := s.Jobs[c.ID]; known {
+		if !old.isRepeatedBy(c, q, content) {
 			return Result{Refusal: RefusedIDReused}
 		}
 		return Result{Known: true}
 	}
-	q, ok := s.Config.Queues[c.Queue]
 	if !ok {
 		return Result{Refusal: RefusedNoQueue}
 	}
@@ -76,7 +79,7 @@
 // newJob returns the job of a submission to queue q, which is not part of the state yet.
 func (s *State) newJob(c *Submit, q Queue, content uint64) *Job {
 	j := &Job{
-		ID: c.ID, Queue: c.Queue, Pool: q.Pool, Team: c.Team, Specification: c.Specification,
+		ID: c.ID, Queue: c.Queue, QueueKey: q.Key(), Pool: q.Pool, Team: c.Team, Specification: c.Specification,
 		Fingerprint: content, Steps: c.Steps, Repetitions: c.Repetitions, FirstRunMS: c.FirstRunMS,
 		IntervalMS: c.IntervalMS, State: JobQueued, AcceptedAt: s.now, MaxAttempts: q.MaxAttempts,
 		Priority: q.Priority, ObjectiveMS: objectiveMS(q, c.Steps), Occurrences: map[int]*Occurrence{},
@@ -110,8 +113,11 @@
 	return longest
 }
 
+// fingerprint returns a hash of the submission and of the names of its queue and team.
 func fingerprint(c *Submit) uint64 {
-	data, err := cbor.Marshal(c)
+	content := *c
+	content.ConfigVersion = 0
+	data, err := cbor.Marshal(&content)
 	if err != nil {
 		panic(err)
 	}
@@ -133,7 +139,7 @@
 
 func (s *State) applyCancel(c *Cancel) Result {
 	j, ok := s.Jobs[c.ID]
-	if !ok || j.Queue != c.Queue {
+	if !ok || !j.isIn(c) {
 		return Result{Refusal: RefusedNoJob}
 	}
 	if !j.State.Final() {
@@ -171,5 +177,25 @@
 // IsOf reports whether the job is that of a submission, whatever queue and team it names.
 func (j *Job) IsOf(c Submit) bool {
 	c.ID, c.Queue, c.Team = j.ID, j.Queue, j.Team
+	if j.AcceptedTeam != "" {
+		c.Team = j.AcceptedTeam
+	}
 	return fingerprint(&c) == j.Fingerprint
 }
+
+// isRepeatedBy reports whether a submission to queue q repeats the one of the job. content is its
+// fingerprint.
+func (j *Job) isRepeatedBy(c *Submit, q Queue, content uint64) bool {
+	if c.ConfigVersion == 0 {
+		return j.Fingerprint == content
+	}
+	return j.QueueKey == q.Key() && j.Team == c.Team && j.IsOf(*c)
+}
+
+// isIn reports whether the job is in the queue that a cancellation names.
+func (j *Job) isIn(c *Cancel) bool {
+	if c.QueueKey == nil {
+		return j.Queue == c.Queue
+	}
+	return j.QueueKey == *c.QueueKey
+}
--- a/internal/workload/commands.go
+++ b/internal/workload/commands.go
@@ -24,12 +24,18 @@
 	Repetitions   int    `cbor:"6,keyasint,omitempty" json:"repetitions,omitempty"`
 	FirstRunMS    int64  `cbor:"7,keyasint,omitempty" json:"first_run_ms,omitempty"`
 	IntervalMS    int64  `cbor:"8,keyasint,omitempty" json:"interval_ms,omitempty"`
+	// ConfigVersion is the version of the configuration by which Queue and Team were determined. The
+	// command is refused under any other, in which the names may be those of others. It is 0 in logs of
+	// earlier versions, which are not checked.
+	ConfigVersion int64 `cbor:"9,keyasint,omitempty" json:"-"`
 }
 
 // Cancel cancels a job of a queue. It changes nothing if the job has ended.
 type Cancel struct {
-	ID    string `cbor:"1,keyasint"`
-	Queue string `cbor:"2,keyasint"`
+	ID string `cbor:"1,keyasint"`
+	// Queue is the name of the queue in logs of earlier versions, which have no QueueKey.
+	Queue    string    `cbor:"2,keyasint,omitempty"`
+	QueueKey *QueueKey `cbor:"3,keyasint,omitempty"`
 }
 
 // Progress is a batch of ends of runs and of the leader's decisions. They are applied in
@@ -206,6 +212,8 @@
 	RefusedIDReused      Refusal = "id_reused"
 	RefusedNoJob         Refusal = "no_such_job"
 	RefusedWaveReused    Refusal = "wave_reused"
+	// RefusedConfigChanged means that the command was determined by another configuration.
+	RefusedConfigChanged Refusal = "config_changed"
 )
 
 // Result is the answer to a command.
--- a/internal/workload/runtimes.go
+++ b/internal/workload/runtimes.go
@@ -12,14 +12,15 @@
 }
 
 func runtimeTask(j *Job, step int) runtimes.Task {
-	return runtimes.Task{Queue: j.Queue, DeclaredMS: j.Steps[step].EstimatedMS, CPUMilli: j.Steps[step].Size.CPUMilli}
+	return runtimes.Task{Queue: j.QueueKey.String(), DeclaredMS: j.Steps[step].EstimatedMS, CPUMilli: j.Steps[step].Size.CPUMilli}
 }
 
 // learnsRunTimes reports whether run times of the step are learned: its tasks end by
 // themselves on processor time of their own, and the objective of the queue depends on the
 // run time.
 func (s *State) learnsRunTimes(j *Job, step *Step) bool {
-	return !step.LongRunning && !step.FillsIdle && s.Config.Queues[j.Queue].Stretch > 0
+	q, _ := s.QueueOf(j)
+	return !step.LongRunning && !step.FillsIdle && q.Stretch > 0
 }
 
 // recordRunTime records the run time of a task that is done. A resumed run is shorter than
--- a/internal/workload/runtimes_test.go
+++ b/internal/workload/runtimes_test.go
@@ -38,7 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newTestState()
 			if c.queue.Name != "" {
-				s.Config.Queues = map[string]Queue{"q": c.queue}
+				s.SetConfig(Config{Version: s.Config.Version, Queues: map[string]Queue{"q": c.queue}})
 			}
 			c.step.EstimatedMS = declared
 			submit(s, "other", c.step)
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -37,6 +37,9 @@
 	// RunTimes holds what was learned of the run times of tasks. It is not nil.
 	RunTimes *runtimes.Table `cbor:"5,keyasint,omitempty"`
 
+	// Format is the version of the encoding; see migrate.
+	Format int `cbor:"6,keyasint,omitempty"`
+
 	// now is the highest cluster time of a command since the state was decoded.
 	now int64
 	// The indices below are derived from the fields above; see Rebuild. active holds the
@@ -45,6 +48,8 @@
 	active  map[string]*Job
 	runs    map[WorkerIncarnation]map[TaskRef]*Placement
 	teamUse map[string]Resources
+	// queues holds the queues of the configuration by key.
+	queues map[QueueKey]Queue
 	// activeTasks is the number of tasks of the active jobs, in all of their occurrences.
 	activeTasks int
 	// activeBytes is about the memory of the active jobs.
@@ -53,7 +58,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	s := &State{}
+	s := &State{Format: stateFormat}
 	s.Rebuild()
 	return s
 }
@@ -72,7 +77,9 @@
 	if s.RunTimes == nil {
 		s.RunTimes = &runtimes.Table{}
 	}
+	s.migrate()
 	s.RunTimes.Rebuild()
+	s.indexQueues()
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[string]bool{}
@@ -86,6 +93,10 @@
 	s.runs = map[WorkerIncarnation]map[TaskRef]*Placement{}
 	s.teamUse = map[string]Resources{}
 	for _, j := range s.Jobs {
+		// A decoded job has copies of the texts.
+		if q, ok := s.queues[j.QueueKey]; ok {
+			j.QueueKey = q.Key()
+		}
 		if !j.State.Final() {
 			s.addActive(j)
 		}
@@ -241,24 +252,6 @@
 	return j, &tasks[ref.Index], true
 }
 
-// PoolOf returns the pool in which the job runs: the pool of its queue in the present
-// configuration, or the pool at acceptance if the queue no longer exists.
-func (s *State) PoolOf(j *Job) string {
-	if q, ok := s.Config.Queues[j.Queue]; ok {
-		return q.Pool
-	}
-	return j.Pool
-}
-
-// MaxAttempts returns the number of failed runs of a task at which the job fails, by the
-// present configuration or, if the queue no longer exists, by the one at acceptance.
-func (s *State) MaxAttempts(j *Job) int {
-	if q, ok := s.Config.Queues[j.Queue]; ok {
-		return q.MaxAttempts
-	}
-	return j.MaxAttempts
-}
-
 // Ready reports whether all steps that the given step depends on are finished.
 func (o *Occurrence) Ready(j *Job, step int) bool {
 	for _, dependency := range j.Steps[step].After {
@@ -270,10 +263,10 @@
 }
 
 // WaitingJobs returns the number of jobs of a queue that have not started any task.
-func (s *State) WaitingJobs(queue string) int {
+func (s *State) WaitingJobs(queue QueueKey) int {
 	n := 0
 	for _, j := range s.active {
-		if j.Queue == queue && j.State == JobQueued {
+		if j.QueueKey == queue && j.State == JobQueued {
 			n++
 		}
 	}
--- a/internal/workload/types.go
+++ b/internal/workload/types.go
@@ -267,10 +267,12 @@
 // Job is an accepted job. Once it has ended and none of its runs occupies a worker, its
 // Specification, Steps and Occurrences are dropped.
 type Job struct {
-	ID    string `cbor:"1,keyasint"`
+	ID string `cbor:"1,keyasint"`
+	// Queue is the name of the queue at acceptance; see State.QueueName.
 	Queue string `cbor:"2,keyasint"`
-	// Pool is the queue's pool at acceptance. It is used when the queue no longer exists.
+	// Pool is the queue's pool at acceptance. It is used when the queue is not known any more.
 	Pool string `cbor:"3,keyasint"`
+	// Team is the present name of the job's team.
 	Team string `cbor:"4,keyasint,omitempty"`
 	// Specification is passed to each task unread.
 	Specification string `cbor:"5,keyasint,omitempty"`
@@ -289,8 +291,7 @@
 	// ObjectiveMS is the time within which the job should be complete after its
 	// acceptance, and an occurrence of a repeated job after it was due.
 	ObjectiveMS int64 `cbor:"14,keyasint,omitempty"`
-	// MaxAttempts is that of the queue at acceptance. It is used when the queue no longer
-	// exists.
+	// MaxAttempts is that of the queue at acceptance. It is used when the queue is not known any more.
 	MaxAttempts int `cbor:"15,keyasint,omitempty"`
 	// Priority is that of the queue at acceptance.
 	Priority int `cbor:"16,keyasint,omitempty"`
@@ -299,6 +300,12 @@
 	Occurrences map[int]*Occurrence `cbor:"17,keyasint,omitempty"`
 	// Finished is the number of complete occurrences.
 	Finished int `cbor:"18,keyasint,omitempty"`
+	// QueueKey identifies the queue.
+	QueueKey QueueKey `cbor:"19,keyasint"`
+	// AcceptedTeam is the name of the team at acceptance, if the team has another one now.
+	AcceptedTeam string `cbor:"20,keyasint,omitempty"`
+	// RemovedQueue is the last definition of the queue, if it was removed while the job was active.
+	RemovedQueue *Queue `cbor:"21,keyasint,omitempty"`
 }
 
 // Occurrence is one execution of a job's steps.
