Take a trial that is at work as evidence for its worker

Cause: after failures of two jobs a worker got one task at a time, the next one after a run that ended done or after 4 s. A task that lasts never ends done.

A trial that its worker has reported for 1 s is evidence: a long-running one that is fully active ends the quarantine, one that advances lets two more start.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -127,7 +127,7 @@
 			d.recordFailure(e.Task, e.Worker.ID)
 		}
 		if w, ok := d.workers[e.Worker]; ok {
-			w.recordEnd(e, now)
+			d.recordEnd(w, e, now)
 		}
 	}
 	d.log.Read(func(s *fleet.State) {
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -143,12 +143,12 @@
 	for range 5 {
 		h.recordFailure("poison", 1000)
 	}
-	require.Equal(t, -1, h.newTaskLimit(1000, nil))
+	require.Equal(t, -1, h.newTaskLimit(1000, trials{}))
 	h.recordFailure("other", 1000)
-	require.Zero(t, h.newTaskLimit(1000, nil))
-	require.Equal(t, 1, h.newTaskLimit(1000+quarantineBaseMS, nil))
+	require.Zero(t, h.newTaskLimit(1000, trials{}))
+	require.Equal(t, 1, h.newTaskLimit(1000+quarantineBaseMS, trials{}))
 	h.reset()
-	require.Equal(t, -1, h.newTaskLimit(1000, nil))
+	require.Equal(t, -1, h.newTaskLimit(1000, trials{}))
 }
 
 // A lease must not last longer than the leader waits: a worker's clock may be 2 percent
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -22,6 +22,7 @@
 	rigQueue          = "queue"
 	rigStopDurationMS = 200
 	rigTaskMS         = 800
+	rigFailMS         = 100
 	// rigLongTaskMS is the duration of a task of a later step: longer than most intervals.
 	rigLongTaskMS  = 6000
 	rigCPU         = 8000
@@ -224,6 +225,8 @@
 	// drainsUntil is the least time until which a draining worker goes on; 0 stands for a minute.
 	drainsUntil int64
 	failsAll    bool
+	// failsAtOnce makes each run that starts end failed after rigFailMS.
+	failsAtOnce bool
 	stalls      bool
 	// slowdown multiplies the duration of each task; 0 means the normal duration.
 	slowdown int64
@@ -255,6 +258,8 @@
 	remaining int64
 	total     int64
 	stopping  int64
+	// failsIn is the time after which the run fails; 0 stands for never.
+	failsIn int64
 }
 
 func (r *rig) addWorker(id, rack string) *modelWorker {
@@ -313,6 +318,10 @@
 			if run.stopping <= 0 {
 				w.end(ref, workload.OutcomeStopped)
 			}
+		case run.failsIn > 0 && run.failsIn <= ms:
+			w.end(ref, workload.OutcomeFailed)
+		case run.failsIn > 0:
+			run.failsIn -= ms
 		case w.stalls:
 		default:
 			run.remaining -= ms / max(w.slowdown, 1)
@@ -469,6 +478,9 @@
 	}
 	work *= max(w.r.factors[ref], 1)
 	w.running[ref] = &modelRun{run: s.Run.Run, remaining: work, total: work}
+	if w.failsAtOnce {
+		w.running[ref].failsIn = rigFailMS
+	}
 	if w.r.crashing[ref] {
 		w.crash()
 	}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -29,7 +29,7 @@
 			d.logger.Info().Str("task", run.Task.String()).Int("run", run.Run).Str("worker", incarnation.ID).Int("percent", last.percent).
 				Int64("unchanged_ms", w.lastReportAt-last.changedAt).Bool("worker_blamed", blamed).Msg("run makes no progress and is stopped")
 			if blamed {
-				w.health.recordFailure(run.Task.Job, now)
+				d.blame(w, run.Task.Job, now)
 			}
 			d.recordFailure(run.Task, incarnation.ID)
 			stops = append(stops, workload.Stop{Run: run, Forced: true})
