Tell an odd entry of the machine list from the one of a lost machine

Cause: a list with an entry that can't be used proved no machine to be gone, since the entry may be the machine's own.

An entry hides a machine only if it came up after the machine was last listed: an earlier list with both shows that they are two. Entries are told apart by content and by the number of their like. A new leader judges as before until it has seen both. Waves that go on without a machine rest on the same proof.

Test: TestListEndsSilentWorkers has six cases of entries before and after; the three in which the machine is gone failed before, and the three in which the entry may be its own passed before and after.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -117,7 +117,9 @@
 	machinesListed bool
 	// latestList is the latest reading of that list.
 	latestList machineList
-	demand     map[string]capacity.Demand
+	// leftOut holds the entries of that list that can't be used, and since when the lists have had them.
+	leftOut map[leftOutKey]int64
+	demand  map[string]capacity.Demand
 	// transfers holds the machines that get no new tasks so that they can move to another
 	// pool.
 	transfers map[string]transfer
@@ -172,7 +174,7 @@
 	d.approvals = newApprovals()
 	d.machinesByName = map[string]*machine{}
 	d.machinesListed = false
-	d.latestList = machineList{}
+	d.latestList, d.leftOut = machineList{}, nil
 	d.demand = nil
 	d.transfers = map[string]transfer{}
 	d.emptying, d.emptyingPools = nil, nil
--- a/internal/dispatch/liveness.go
+++ b/internal/dispatch/liveness.go
@@ -23,16 +23,28 @@
 	// requestedAt is the cluster time at which the list was requested, in milliseconds. The
 	// list is at least as recent.
 	requestedAt int64
-	// partial is true if entries of the list could not be used. complete is true when it is
-	// not, and the list contains the machines of all workers that report. Only then may a
+	// leftOutSince is the time since which the lists have had each of the entries that can't be used; 0
+	// if there are none.
+	leftOutSince int64
+	// complete is true when the list contains the machines of all workers that report. Only then may a
 	// missing machine be gone.
-	partial, complete bool
+	complete bool
 }
 
-// lacks reports whether the list shows that there is no such machine at a time after since.
-func (l *machineList) lacks(machine string, since int64) bool {
-	_, found := l.machines[machine]
-	return l.complete && !found && l.requestedAt > since
+// provesAbsence reports whether the list shows that the machine is gone. An entry that can't be used may
+// be its own, unless an earlier list has had both.
+func (d *Dispatcher) provesAbsence(l *machineList, machine string) bool {
+	if _, found := l.machines[machine]; found || !l.complete {
+		return false
+	}
+	m, known := d.machinesByName[machine]
+	return l.leftOutSince == 0 || known && m.listedAt >= l.leftOutSince
+}
+
+// latestListLacks reports whether the latest list shows that there is no such machine at a time after
+// since.
+func (d *Dispatcher) latestListLacks(machine string, since int64) bool {
+	return d.latestList.requestedAt > since && d.provesAbsence(&d.latestList, machine)
 }
 
 // needsFreshList reports whether a decision waits for a new reading of the machine list.
@@ -73,7 +85,7 @@
 // Part of a pool may crash without notice, sometimes together with the leader. Without the
 // list, the tasks that ran there would wait 10 s for the leases to expire.
 func (d *Dispatcher) terminateMissing(s *workload.State, list machineList) {
-	list.complete = !list.partial && d.isComplete(list)
+	list.complete = d.isComplete(list)
 	d.latestList = list
 	for incarnation, w := range d.workers {
 		if !w.terminated && d.isTerminatedByList(incarnation, w.Machine, w.Pool, list) {
@@ -124,7 +136,7 @@
 	info, found := list.machines[machine]
 	reason := ""
 	switch {
-	case !found && !list.complete:
+	case !found && !d.provesAbsence(&list, machine):
 		return false
 	case !found:
 		d.missingLists[incarnation]++
--- a/internal/dispatch/liveness_test.go
+++ b/internal/dispatch/liveness_test.go
@@ -73,11 +73,34 @@
 	t.Run("entries of two lists are unreadable", func(t *testing.T) {
 		r, b, ref := newRigWithCrashedWorker(t)
 		for range 3 {
-			r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), LeftOut: []error{errors.New("odd entry")}}, r.now)
+			r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), LeftOut: []LeftOutEntry{{Reason: errors.New("odd entry"), Content: "odd"}}}, r.now)
 		}
 		require.False(t, r.startsAtOnce(b, ref), "the machine may be the unreadable one")
 		require.True(t, r.dispatchers[0].machinesByName["m-b"].Up, "the other entries hold")
 	})
+	t.Run("entries were unreadable while the machine was listed", func(t *testing.T) {
+		odd, other := LeftOutEntry{Reason: errors.New("odd entry"), Content: "odd"}, LeftOutEntry{Reason: errors.New("other entry"), Content: "other"}
+		for name, c := range map[string]struct {
+			before, after []LeftOutEntry
+			gone          bool
+		}{
+			"the same entry":       {[]LeftOutEntry{odd}, []LeftOutEntry{odd}, true},
+			"in another order":     {[]LeftOutEntry{odd, other}, []LeftOutEntry{other, odd}, true},
+			"one is gone":          {[]LeftOutEntry{odd, other}, []LeftOutEntry{other}, true},
+			"another one":          {[]LeftOutEntry{odd}, []LeftOutEntry{other}, false},
+			"one more":             {[]LeftOutEntry{odd}, []LeftOutEntry{odd, other}, false},
+			"one more of its like": {[]LeftOutEntry{odd}, []LeftOutEntry{odd, odd}, false},
+		} {
+			r, b, ref := newRigWithCrashedWorker(t)
+			with := append(listWithMachine(true, "a"), listWithoutMachine()...)
+			r.dispatchers[0].applyList(MachineList{Machines: with, LeftOut: c.before}, r.now)
+			for range 2 {
+				r.addTime(1)
+				r.dispatchers[0].applyList(MachineList{Machines: listWithoutMachine(), LeftOut: c.after}, r.now)
+			}
+			require.Equal(t, c.gone, r.startsAtOnce(b, ref), name)
+		}
+	})
 	t.Run("the machine is listed twice", func(t *testing.T) {
 		r, b, ref := newRigWithCrashedWorker(t)
 		twice := append(listWithMachine(true, "a"), listWithMachine(false, "other")...)
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -75,28 +75,62 @@
 	listed := make(map[string]MachineInfo, len(list.Machines))
 	for _, info := range list.Machines {
 		if _, twice := listed[info.Name]; twice {
-			list.LeftOut = append(list.LeftOut, invalidReport("machine", "%q is listed twice", info.Name))
+			list.LeftOut = append(list.LeftOut, LeftOutEntry{Reason: invalidReport("machine", "%q is listed twice", info.Name), Content: info.Name})
 			continue
 		}
 		listed[info.Name] = info
 		m, ok := d.machinesByName[info.Name]
 		if !ok {
-			d.machinesByName[info.Name] = &machine{MachineInfo: info, updatedAt: requestedAt}
+			d.machinesByName[info.Name] = &machine{MachineInfo: info, updatedAt: requestedAt, listedAt: requestedAt}
 			continue
 		}
+		m.listedAt = requestedAt
 		if m.updatedAt < requestedAt && (m.movedAt == 0 || requestedAt-m.movedAt > arrivalTimeoutMS) && !d.maintenance.callsInFlight[info.Name] {
 			m.MachineInfo = info
 		}
 	}
 	if len(list.LeftOut) > 0 {
-		d.sampledLog.Warn().Int("entries", len(list.LeftOut)).Err(list.LeftOut[0]).Msg("machine list has entries that can't be used")
+		d.sampledLog.Warn().Int("entries", len(list.LeftOut)).Err(list.LeftOut[0].Reason).Msg("machine list has entries that can't be used")
 	}
 	d.machinesListed = true
 	d.log.Read(func(s *fleet.State) {
-		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt, partial: len(list.LeftOut) > 0})
+		d.terminateMissing(s.Workload, machineList{machines: listed, requestedAt: requestedAt, leftOutSince: d.leftOutSince(list.LeftOut, requestedAt)})
 	})
 }
 
+// LeftOutEntry is an entry of the platform's list that can't be used.
+type LeftOutEntry struct {
+	Reason error
+	// Content is the entry, or a hash of it. Entries with equal contents count as the same one in
+	// successive lists.
+	Content string
+}
+
+// leftOutKey identifies the entry with a content that is the n-th of its list, from 0.
+type leftOutKey struct {
+	content string
+	n       int
+}
+
+// leftOutSince returns when the latest of these entries first came up, by the lists since then without a
+// break; 0 if there is none.
+func (d *Dispatcher) leftOutSince(entries []LeftOutEntry, requestedAt int64) int64 {
+	known := make(map[leftOutKey]int64, len(entries))
+	count := map[string]int{}
+	latest := int64(0)
+	for _, e := range entries {
+		key := leftOutKey{e.Content, count[e.Content]}
+		count[e.Content]++
+		known[key] = requestedAt
+		if since, ok := d.leftOut[key]; ok {
+			known[key] = since
+		}
+		latest = max(latest, known[key])
+	}
+	d.leftOut = known
+	return latest
+}
+
 // updateMachine records the machine from which an incarnation reports.
 func (d *Dispatcher) updateMachine(w *worker, now int64) {
 	m, ok := d.machinesByName[w.Machine]
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -60,8 +60,8 @@
 // MachineList is the platform's list of machines. Entries may come from other writers.
 type MachineList struct {
 	Machines []MachineInfo
-	// LeftOut holds a reason for each entry that can't be used. Any machine may be among them.
-	LeftOut []error
+	// LeftOut holds the entries that can't be used. Any machine may be among them.
+	LeftOut []LeftOutEntry
 }
 
 // MachineOrder is the authority under which a machine is moved or maintained.
@@ -133,6 +133,9 @@
 	// movedAt is the cluster time at which the machine was moved to its pool, and 0 once it
 	// has reported from there.
 	movedAt int64
+	// listedAt is the cluster time at which the latest list that names the machine was requested, 0 if
+	// there is none.
+	listedAt int64
 }
 
 // rebalance starts the moves that the demand of the last plan calls for. The caller holds
--- a/internal/dispatch/maintenancecalls.go
+++ b/internal/dispatch/maintenancecalls.go
@@ -100,7 +100,7 @@
 		since = now
 		mt.refusedAt[m] = now
 	}
-	if now-since >= confirmRefusalMS && (errors.Is(err, ErrNotInWave) || d.latestList.lacks(m.Machine, since)) {
+	if now-since >= confirmRefusalMS && (errors.Is(err, ErrNotInWave) || d.latestListLacks(m.Machine, since)) {
 		delete(mt.refusedAt, m)
 		return true
 	}
