--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -123,17 +123,10 @@
 // tasks do not crash their workers.
 func (d *Dispatcher) clearedRuns(s *workload.State) []workload.Run {
 	var cleared []workload.Run
-	for incarnation, runs := range s.RunsByWorker() {
-		w, ok := d.workers[incarnation]
-		if !ok || w.terminated {
-			continue
+	d.forEachRun(s, func(w *worker, run workload.Run, p *workload.Placement) {
+		if p.CrashScore > 0 && !p.Stopping && w.activeMS(run) >= activeProofMS {
+			cleared = append(cleared, run)
 		}
-		for ref, p := range runs {
-			run := workload.Run{Task: ref, Run: p.Run}
-			if p.CrashScore > 0 && !p.Stopping && w.activeMS(run) >= activeProofMS {
-				cleared = append(cleared, run)
-			}
-		}
-	}
+	})
 	return cleared
 }
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -47,19 +47,25 @@
 // are not recorded as such.
 func (d *Dispatcher) startedRuns(s *workload.State) []workload.StartedRun {
 	var started []workload.StartedRun
+	d.forEachRun(s, func(w *worker, run workload.Run, p *workload.Placement) {
+		if p.StartedAt == 0 && w.reported(run) == runActive {
+			started = append(started, workload.StartedRun{Run: run, At: w.startedAt(run)})
+		}
+	})
+	return started
+}
+
+// forEachRun calls f for each run that occupies a worker that this leader knows and that has not ended.
+func (d *Dispatcher) forEachRun(s *workload.State, f func(*worker, workload.Run, *workload.Placement)) {
 	for incarnation, runs := range s.RunsByWorker() {
 		w, ok := d.workers[incarnation]
 		if !ok || w.terminated {
 			continue
 		}
 		for ref, p := range runs {
-			run := workload.Run{Task: ref, Run: p.Run}
-			if p.StartedAt == 0 && w.reported(run) == runActive {
-				started = append(started, workload.StartedRun{Run: run, At: w.startedAt(run)})
-			}
+			f(w, workload.Run{Task: ref, Run: p.Run}, p)
 		}
 	}
-	return started
 }
 
 // startedAt returns when a run that the worker reports has started: it was in the latest response with
