--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -176,14 +176,14 @@
 	if !validID(rest) {
 		return wire.JobCallReply{Verdict: wire.VerdictNoJob, Detail: "the job identifier is not 16 hexadecimal digits"}, nil
 	}
-	target := target{queue: q, team: team, id: rest, version: r.version}
+	t := target{queue: q, team: team, id: rest, version: r.version}
 	switch call.Op {
 	case wire.JobSubmit:
-		return s.submit(ctx, target, call)
+		return s.submit(ctx, t, call)
 	case wire.JobCancel:
-		return s.cancel(ctx, target)
+		return s.cancel(ctx, t)
 	default:
-		return s.status(target)
+		return s.status(t)
 	}
 }
 
@@ -210,22 +210,22 @@
 // answerChecked answers a call for which the entry has checked the key and determined the
 // queue, team and job.
 func (s *Server) answerChecked(ctx context.Context, call wire.JobCall) (wire.JobCallReply, error) {
-	target := target{team: call.Team, id: call.Job}
+	t := target{team: call.Team, id: call.Job}
 	found := false
 	s.log.Read(func(st *fleet.State) {
-		target.version = st.Workload.Config.Version
-		target.queue, found = st.Workload.Config.Queues[call.Queue]
+		t.version = st.Workload.Config.Version
+		t.queue, found = st.Workload.Config.Queues[call.Queue]
 	})
 	if !found {
 		return wire.JobCallReply{Verdict: wire.VerdictNoQueue}, nil
 	}
 	switch call.Op {
 	case wire.JobSubmit:
-		return s.submit(ctx, target, call)
+		return s.submit(ctx, t, call)
 	case wire.JobCancel:
-		return s.cancel(ctx, target)
+		return s.cancel(ctx, t)
 	default:
-		reply, err := s.status(target)
+		reply, err := s.status(t)
 		s.log.Read(func(st *fleet.State) {
 			if j, ok := st.Workload.Jobs[call.Job]; ok && reply.Verdict == wire.VerdictOK {
 				reply.Steps = stepCounts(j)
