Let callers find their jobs when their queue opens or closes

Callers were answered 410 for their jobs once a configuration let the queue take callers without a key, or asked for one again: jobs were compared with the team of the caller, and callers without a key have none.

An open queue's callers know all of its jobs, and a job that was accepted without a key is known to all callers of its queue. Whoever asks must know the identifier of the job, as before.

Tests, failed before: TestCallersFindTheirJobsAfterARename, "queue becomes open", and TestJobsOfAnOpenQueueAreFoundOnceItNeedsAKey.

--- a/internal/intake/identity_test.go
+++ b/internal/intake/identity_test.go
@@ -43,7 +43,12 @@
 		},
 		"name is of another here": func(log *fakeLog) { applyNames(log, 2, "a", "b", place("q", "/x/", "p2"), place("new", "/q/", "p")) },
 		"team has another name":   func(log *fakeLog) { applyNames(log, 2, "new", "b", here, there) },
-		"teams exchange names":    func(log *fakeLog) { applyNames(log, 2, "b", "a", here, there) },
+		"queue becomes open": func(log *fakeLog) {
+			open := place("q", "/q/", "p")
+			open.Open = true
+			applyNames(log, 2, "a", "b", open, there)
+		},
+		"teams exchange names": func(log *fakeLog) { applyNames(log, 2, "b", "a", here, there) },
 		"team's key was away": func(log *fakeLog) {
 			applyTeams(log, 2, map[string]workload.Team{"a": {Name: "a"}, "b": {Name: "b", Keys: []string{"kb"}}}, here, there)
 			applyNames(log, 3, "new", "b", here, there)
@@ -58,7 +63,9 @@
 			require.Equal(t, workload.JobQueued, call(t, s, wire.JobStatus, "/q/"+jobID, "ka").State)
 			require.Equal(t, 1, call(t, s, wire.JobWaiting, "/q/", "ka").Waiting)
 			require.Equal(t, wire.VerdictOK, call(t, s, wire.JobSubmit, "/q/"+jobID, "ka").Verdict, "the submission is repeated")
-			require.Equal(t, wire.VerdictNoJob, call(t, s, wire.JobStatus, "/q/"+jobID, "kb").Verdict, "another team asks")
+			if name != "queue becomes open" {
+				require.Equal(t, wire.VerdictNoJob, call(t, s, wire.JobStatus, "/q/"+jobID, "kb").Verdict, "another team asks")
+			}
 			require.NotEqual(t, wire.VerdictOK, call(t, s, wire.JobCancel, "/r/"+jobID, "ka").Verdict, "another queue is asked")
 			require.Equal(t, "p", log.state.Workload.PoolOf(log.state.Workload.Jobs[jobID]))
 			require.Equal(t, workload.JobCancelled, call(t, s, wire.JobCancel, "/q/"+jobID, "ka").State)
@@ -67,6 +74,20 @@
 	}
 }
 
+// Guards against a job of a caller without a key that nobody can ask for once its queue needs one.
+func TestJobsOfAnOpenQueueAreFoundOnceItNeedsAKey(t *testing.T) {
+	s, log := newServer()
+	open := place("q", "/q/", "p")
+	open.Open = true
+	applyNames(log, 1, "a", "b", open)
+	require.Equal(t, wire.VerdictOK, call(t, s, wire.JobSubmit, "/q/"+jobID, "").Verdict)
+	applyNames(log, 2, "a", "b", place("q", "/q/", "p"))
+	require.Equal(t, wire.VerdictBadKey, call(t, s, wire.JobStatus, "/q/"+jobID, "").Verdict)
+	require.Equal(t, workload.JobQueued, call(t, s, wire.JobStatus, "/q/"+jobID, "ka").State)
+	require.Equal(t, wire.VerdictOK, call(t, s, wire.JobSubmit, "/q/"+jobID, "ka").Verdict, "the submission is repeated")
+	require.Equal(t, workload.JobCancelled, call(t, s, wire.JobCancel, "/q/"+jobID, "ka").State)
+}
+
 // Guards against a call that is judged by one configuration and carried out under the next, in which the
 // names of its queue and team are those of others.
 func TestCallsAreCarriedOutUnderTheConfigurationThatTheyWereJudgedBy(t *testing.T) {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -195,13 +195,13 @@
 	version  int64
 }
 
-// find returns the job, or nil if there is none or it is that of another queue or team. The error is
+// find returns the job, or nil if there is none that the caller knows. The error is
 // errConfigChanged if another configuration is in force.
 func (t target) find(s *workload.State) (*workload.Job, error) {
 	if s.Config.Version != t.version {
 		return nil, errConfigChanged
 	}
-	if j, ok := s.Jobs[t.id]; ok && j.QueueKey == t.queue.Key() && j.Team == t.team {
+	if j, ok := s.Jobs[t.id]; ok && j.IsKnownTo(t.queue, t.team) {
 		return j, nil
 	}
 	return nil, nil
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -189,7 +189,7 @@
 	if c.ConfigVersion == 0 {
 		return j.Fingerprint == content
 	}
-	return j.QueueKey == q.Key() && j.Team == c.Team && j.IsOf(*c)
+	return j.IsKnownTo(q, c.Team) && j.IsOf(*c)
 }
 
 // isIn reports whether the job is in the queue that a cancellation names.
--- a/internal/workload/identity.go
+++ b/internal/workload/identity.go
@@ -29,6 +29,13 @@
 // String returns the host and path prefix, or the name.
 func (k QueueKey) String() string { return k.Host + k.PathPrefix + k.Name }
 
+// IsKnownTo reports whether callers of a team in queue q know the job: it is in that queue, and the team's.
+// Callers without a key have no team. They know all jobs of a queue that is open now, and a queue
+// that was open may have jobs of theirs, which all callers of the queue know.
+func (j *Job) IsKnownTo(q Queue, team string) bool {
+	return j.QueueKey == q.Key() && (q.Open || j.Team == "" || j.Team == team)
+}
+
 // SetConfig puts a configuration in force. Jobs keep the last definition of a queue that it removes,
 // and follow teams that it renames.
 func (s *State) SetConfig(c Config) {
