--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,8 +6,9 @@
 	// activeProofMS is the time for which a worker must have reported a run to show that its
 	// task does not crash workers: one that does so crashes them when it starts.
 	activeProofMS = 1000
-	// startedProofMS is the same time from the start of the run until the leadership began, for a
-	// worker that this leader never heard. It covers the time until a leader is missed.
+	// startedProofMS is the same time from the start of the run until this leadership began, for a
+	// worker that it never heard. It is longer, since the worker may have crashed before the
+	// leadership began.
 	startedProofMS = 3000
 	// crashNoticeMS is the time from the last report of a worker within which its crash is
 	// noticed if it came right after that report. After a longer silence it may have come at
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -33,8 +33,8 @@
 //
 // No success is needed to leave a quarantine: tasks may take hours or never end, and only workers of this
 // kind may be able to run what waits. Time ends the quarantine, and failures are forgotten. A trial that
-// is at work is evidence as well: each one lets two more tasks start, and a long-running one that is
-// fully active has shown all that it ever can.
+// is at work is evidence as well: as many may be open as are at work, and one more, so that their number
+// doubles with each trialProofMS. A long-running one that is fully active has shown all that it ever can.
 type health struct {
 	// failedJobs holds the jobs of which runs failed or stalled since the last success, with the
 	// time of the latest failure.
@@ -72,7 +72,7 @@
 // reset ends the quarantine and forgets the failures, after a run was successful.
 func (h *health) reset() { *h = health{} }
 
-// trials counts the runs that started since the end of a quarantine.
+// trials counts the runs that were placed since the end of a quarantine.
 type trials struct {
 	// atWork have shown that the worker runs them, and open ones may still do so.
 	atWork, open int
@@ -81,7 +81,7 @@
 }
 
 // newTaskLimit returns how many new tasks a worker may get, -1 for any number: none during the
-// quarantine, then one as a trial, and as many more at a time as trials are at work.
+// quarantine, then one as a trial, and as many more as trials are at work, less those that are open.
 func (h *health) newTaskLimit(now int64, t trials) int {
 	h.forget(now)
 	if t.lasting {
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -11,7 +11,7 @@
 
 // markTimed sets when the runs of the reported ends started, where that is known, and marks those
 // whose run times say how long the task takes: the worker is not slow, and this leader has sent it the
-// start. The caller holds mu.
+// start. A run that a worker refused has not started. The caller holds mu.
 func (d *Dispatcher) markTimed(ends []workload.End, now int64) {
 	for i := range ends {
 		e := &ends[i]
